--- /dev/null
+++ b/crates/magnoliapin_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/magnoliapin_model/src/document/section.rs
@@ -0,0 +1,82 @@
+//! Names of the sections that are changed and owned on their own.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde_with::DeserializeFromStr;
+use serde_with::SerializeDisplay;
+
+use crate::NameError;
+use crate::PoolId;
+use crate::QueueId;
+use crate::TeamId;
+
+/// Names one section of the document, such as `teams.guides`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, SerializeDisplay, DeserializeFromStr)]
+pub enum SectionName {
+    /// `pools.<name>`
+    Pool(PoolId),
+    /// `teams.<name>`
+    Team(TeamId),
+    /// `queues.<name>`
+    Queue(QueueId),
+    /// `maintenance`
+    Maintenance,
+    /// `weights`
+    Weights,
+}
+
+impl fmt::Display for SectionName {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Pool(pool) => write!(formatter, "pools.{pool}"),
+            Self::Team(team) => write!(formatter, "teams.{team}"),
+            Self::Queue(queue) => write!(formatter, "queues.{queue}"),
+            Self::Maintenance => formatter.write_str("maintenance"),
+            Self::Weights => formatter.write_str("weights"),
+        }
+    }
+}
+
+impl FromStr for SectionName {
+    type Err = SectionNameError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.split_once('.') {
+            Some(("pools", name)) => Ok(Self::Pool(name.parse()?)),
+            Some(("teams", name)) => Ok(Self::Team(name.parse()?)),
+            Some(("queues", name)) => Ok(Self::Queue(name.parse()?)),
+            None if text == "maintenance" => Ok(Self::Maintenance),
+            None if text == "weights" => Ok(Self::Weights),
+            _ => Err(SectionNameError::Unknown),
+        }
+    }
+}
+
+/// Why a text does not name a section.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SectionNameError {
+    /// The name behind the dot is no name.
+    Name(NameError),
+    /// There is no such section.
+    Unknown,
+}
+
+impl From<NameError> for SectionNameError {
+    fn from(error: NameError) -> Self {
+        Self::Name(error)
+    }
+}
+
+impl fmt::Display for SectionNameError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Name(error) => error.fmt(formatter),
+            Self::Unknown => formatter.write_str(
+                "a section is pools.<name>, teams.<name>, queues.<name>, maintenance or weights",
+            ),
+        }
+    }
+}
+
+impl std::error::Error for SectionNameError {}
--- /dev/null
+++ b/crates/magnoliapin_model/src/lib.rs
@@ -0,0 +1,46 @@
+//! Identifiers, sizes, the configuration document and error kinds of magnoliapin.
+//!
+//! Start with [`ConfigDocument`], the one document that operators write. [`ErrorKind`] is the
+//! closed list of errors, with the HTTP status of each and whether refused work ran. The
+//! identifiers are small `Copy` values with `Display` and `FromStr`.
+
+mod derives;
+mod document;
+mod error_kind;
+mod id;
+mod moment;
+mod name;
+
+pub use document::ConfigDocument;
+pub use document::DocumentError;
+pub use document::KeyHash;
+pub use document::MaintenanceSection;
+pub use document::PoolSection;
+pub use document::QueueSection;
+pub use document::SectionName;
+pub use document::TeamSection;
+pub use document::WeightSection;
+pub use error_kind::ErrorKind;
+pub use error_kind::WorkOutcome;
+pub use id::Attempt;
+pub use id::ByteSize;
+pub use id::ClientToken;
+pub use id::ConfigVersion;
+pub use id::EntryId;
+pub use id::InstanceId;
+pub use id::KeyId;
+pub use id::PoolId;
+pub use id::QueueId;
+pub use id::RackId;
+pub use id::RowVersion;
+pub use id::SlotCount;
+pub use id::TargetRun;
+pub use id::TaskId;
+pub use id::TaskIdError;
+pub use id::TeamId;
+pub use id::WorkId;
+pub use id::ZoneId;
+pub use moment::Moment;
+pub use name::NameError;
+pub use name::ShortName;
+pub use name::MAX_NAME_BYTES;
