Bind orders to an instance's run and to its row's version

Cause: a planner that was paused may send an order long after another planner has finished the step. A late reboot would cut requests, and a late undrain would let work in again just before a reboot.

Ruled out: a deadline on the sender's clock, because a process can be paused between the check and the send; the run alone, because drain and undrain of one run could still cross.

Change: an order names the run it is meant for and the version of the row it follows from (epoch). The platform refuses another run and a lower epoch. Drain and undrain are orders too, so that the target itself refuses new work.

Conclusion: nothing used the type yet; no behaviour changes with this commit.

--- a/crates/magnoliapin_wire/src/lib.rs
+++ b/crates/magnoliapin_wire/src/lib.rs
@@ -35,6 +35,7 @@
 pub use platform::InstanceOrder;
 pub use platform::InstanceRecord;
 pub use platform::ListedState;
+pub use platform::OrderAct;
 pub use platform::PlatformReply;
 pub use platform::PlatformRequest;
 pub use platform::RowGuard;
--- a/crates/magnoliapin_wire/src/platform.rs
+++ b/crates/magnoliapin_wire/src/platform.rs
@@ -121,9 +121,26 @@
     }
 
     /// An order to the platform about one instance.
+    ///
+    /// A sender may have been paused for long, so an order is bound to what the sender knew: an
+    /// instance in another run refuses it, and so does one that took an order with a higher epoch.
+    pub struct InstanceOrder {
+        /// Run of the instance's executor that the order is meant for.
+        pub run: TargetRun,
+        /// Version of the instance's row that the order follows from.
+        pub epoch: RowVersion,
+        /// What to do.
+        pub act: OrderAct,
+    }
+
+    /// What an order asks for.
     #[serde(rename_all = "snake_case")]
-    pub enum InstanceOrder {
-        /// Restarts the instance with an image.
+    pub enum OrderAct {
+        /// Takes no new work and finishes what runs; the target then says that it is leaving.
+        Drain,
+        /// Takes new work again.
+        Undrain,
+        /// Restarts the instance with an image; it takes work again once it is up.
         Reboot {
             /// The image.
             image: String,
