Add the states of the platform and target stand-ins

Cause: entries need a platform and targets to be tested against, in virtual time and over sockets, with effects counted outside of the entries.

None does I/O; each takes the time as an argument.

Ruled out: forgetting ended tasks after ten minutes altogether. A late second start would then run again, so only outputs are forgotten and the states stay for the whole run. Also ruled out: ending a task at its planned time when its lease has lapsed meanwhile, since a paused target has not run it.

--- /dev/null
+++ b/crates/magnoliapin_standin/tests/target_state.rs
@@ -0,0 +1,187 @@
+//! Tasks, leases and fences of a target in virtual time.
+
+mod support;
+
+use magnoliapin_model::Attempt;
+use magnoliapin_model::EntryId;
+use magnoliapin_model::Moment;
+use magnoliapin_model::TargetRun;
+use magnoliapin_model::TaskId;
+use magnoliapin_model::TeamId;
+use magnoliapin_model::WorkId;
+use magnoliapin_standin::EffectLedger;
+use magnoliapin_standin::StartOutcome;
+use magnoliapin_standin::TargetMode;
+use magnoliapin_standin::TargetState;
+use magnoliapin_wire::EntryFence;
+use magnoliapin_wire::LeaseGrant;
+use magnoliapin_wire::RefusalReason;
+use magnoliapin_wire::TaskState;
+use support::start_of;
+use support::task_id;
+
+const RUN: TargetRun = TargetRun(1);
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn target() -> TargetState {
+    TargetState::new(RUN, "one")
+}
+
+fn refusal(outcome: &StartOutcome) -> Option<RefusalReason> {
+    match outcome {
+        StartOutcome::Ended(reply) => match reply.state {
+            TaskState::Refused(reason) => Some(reason),
+            _ => None,
+        },
+        StartOutcome::Running => None,
+    }
+}
+
+#[test]
+fn a_task_runs_once_and_gives_its_payload_back() {
+    let mut state = target();
+    let start = start_of(1, RUN, "hello");
+    assert_eq!(state.start(at(0), start.clone()), StartOutcome::Running);
+    assert_eq!(state.start(at(5), start.clone()), StartOutcome::Running);
+    assert_eq!(state.next_end(), Some(at(20)));
+    let replies = state.poll(at(20));
+    assert_eq!(replies.len(), 1);
+    assert_eq!(replies[0].state, TaskState::Finished);
+    assert_eq!(replies[0].output, b"hello");
+    assert_eq!(state.start(at(30), start), StartOutcome::Ended(replies[0].clone()));
+    assert_eq!(state.query(at(40), task_id(1)), replies[0]);
+    assert_eq!(state.ledger().effects()[&task_id(1)], 1);
+    assert_eq!(state.ledger().starts()[&task_id(1)], 1);
+}
+
+#[test]
+fn payloads_decide_on_the_end() {
+    let mut state = target();
+    let cases = [
+        (1, r#"{"run_ms":5,"fail":true}"#, Some(TaskState::Failed), 0),
+        (2, r#"{"run_ms":5,"output_bytes":70000}"#, Some(TaskState::Finished), 70_000),
+        (3, r#"{"run_ms":90000}"#, Some(TaskState::Stopped), 0),
+    ];
+    for (work, payload, ..) in cases {
+        assert_eq!(state.start(at(0), start_of(work, RUN, payload)), StartOutcome::Running);
+    }
+    let unfit = state.start(at(0), start_of(4, RUN, r#"{"unfit":true}"#));
+    assert_eq!(refusal(&unfit), Some(RefusalReason::Unfit));
+    assert_eq!(state.poll(at(10)).len(), 2);
+    for (work, _, end, bytes) in cases {
+        let reply = state.query(at(20_000), task_id(work));
+        assert_eq!((Some(reply.state), reply.output_bytes), (end, bytes));
+    }
+    assert_eq!(state.ledger().effects().len(), 1);
+}
+
+#[test]
+fn a_fence_before_the_start_refuses_it_and_one_after_does_nothing() {
+    let mut state = target();
+    assert_eq!(state.fence(at(0), task_id(1)).state, TaskState::NeverStarted);
+    let refused = state.start(at(1), start_of(1, RUN, ""));
+    assert_eq!(refusal(&refused), Some(RefusalReason::Fenced));
+    state.start(at(1), start_of(2, RUN, ""));
+    assert_eq!(state.fence(at(2), task_id(2)).state, TaskState::Running);
+    assert_eq!(state.fence(at(50), task_id(2)).state, TaskState::Finished);
+    state.start(at(50), start_of(3, RUN, ""));
+    assert_eq!(state.stop(at(51), task_id(3)).state, TaskState::Stopped);
+    assert_eq!(state.ledger().effects().len(), 1);
+}
+
+#[test]
+fn a_lapsed_lease_stops_the_task_even_if_the_target_was_paused() {
+    let mut state = target();
+    let mut start = start_of(1, RUN, r#"{"run_ms":500}"#);
+    start.lease_ms = 1000;
+    state.start(at(0), start.clone());
+    assert_eq!(state.query(at(2000), task_id(1)).state, TaskState::Stopped);
+    start.task = task_id(2);
+    start.payload = br#"{"run_ms":5000}"#.to_vec();
+    state.start(at(2000), start.clone());
+    state.renew(at(2900), start.entry, &LeaseGrant { lease_ms: 1000 });
+    assert_eq!(state.query(at(3800), task_id(2)).state, TaskState::Running);
+    assert_eq!(state.next_end(), Some(at(3900)));
+    let tasks = state.renew(at(3900), start.entry, &LeaseGrant { lease_ms: 1000 });
+    assert_eq!(tasks.tasks[0].state, TaskState::Stopped);
+    assert!(state.ledger().effects().is_empty());
+}
+
+#[test]
+fn another_run_refuses_and_knows_nothing_of_the_last() {
+    let mut state = target();
+    state.start(at(0), start_of(1, RUN, ""));
+    state.fence(at(0), task_id(2));
+    state.restart(at(10), TargetRun(2), "two");
+    assert_eq!(refusal(&state.start(at(11), start_of(1, RUN, ""))), Some(RefusalReason::OtherRun));
+    assert_eq!(state.query(at(11), task_id(1)).state, TaskState::NeverStarted);
+    assert_eq!(state.start(at(12), start_of(2, TargetRun(2), "")), StartOutcome::Running);
+    state.poll(at(100));
+    assert_eq!(state.ledger().effects().len(), 1);
+    assert_eq!(state.ledger().starts().len(), 2);
+    assert_eq!(state.image(), "two");
+}
+
+#[test]
+fn an_heir_keeps_the_tasks_of_a_fenced_entry() {
+    let mut state = target();
+    let long = r#"{"run_ms":3000}"#;
+    let mut start = start_of(1, RUN, long);
+    start.lease_ms = 1000;
+    let (entry, heir) = (start.entry, EntryId(77));
+    state.start(at(0), start);
+    state.start(at(0), start_of(2, RUN, ""));
+    let taken = state.fence_entry(at(900), entry, &EntryFence { heir, lease_ms: 1000 });
+    let states: Vec<_> = taken.tasks.iter().map(|task| task.state).collect();
+    assert_eq!(states, [TaskState::Running, TaskState::Finished]);
+    assert_eq!(refusal(&state.start(at(901), start_of(3, RUN, long))), Some(RefusalReason::Fenced));
+    assert!(state.renew(at(950), entry, &LeaseGrant { lease_ms: 60_000 }).tasks.is_empty());
+    assert_eq!(state.next_end(), Some(at(1900)));
+    for now in [1500, 2300, 2900] {
+        state.renew(at(now), heir, &LeaseGrant { lease_ms: 1000 });
+    }
+    assert_eq!(state.query(at(3100), task_id(1)).state, TaskState::Finished);
+    let other = EntryFence { heir: EntryId(78), lease_ms: 1000 };
+    assert_eq!(state.fence_entry(at(3200), entry, &other).tasks.len(), 2);
+    assert_eq!(state.renew(at(3200), heir, &LeaseGrant { lease_ms: 1000 }).tasks.len(), 2);
+    assert!(state.renew(at(3200), EntryId(78), &LeaseGrant { lease_ms: 1000 }).tasks.is_empty());
+}
+
+#[test]
+fn modes_and_slots_decide_on_a_start() {
+    let mut state = target();
+    state.set_mode(TargetMode::FailAll);
+    let StartOutcome::Ended(failed) = state.start(at(0), start_of(1, RUN, "")) else {
+        panic!("the task runs");
+    };
+    assert_eq!(failed.state, TaskState::Failed);
+    state.set_mode(TargetMode::Leaving);
+    assert_eq!(refusal(&state.start(at(0), start_of(2, RUN, ""))), Some(RefusalReason::Leaving));
+    state.set_mode(TargetMode::Ok);
+    for work in 10..18 {
+        assert_eq!(state.start(at(1), start_of(work, RUN, "")), StartOutcome::Running);
+    }
+    assert_eq!(refusal(&state.start(at(1), start_of(18, RUN, ""))), Some(RefusalReason::Full));
+    assert_eq!(state.poll(at(30)).len(), 8);
+    assert_eq!(state.start(at(30), start_of(18, RUN, "")), StartOutcome::Running);
+    assert_eq!(state.ledger().effects().len(), 8);
+}
+
+#[test]
+fn peaks_add_up_over_targets() {
+    let mut first = target();
+    let mut second = target();
+    first.start(at(0), start_of(1, RUN, ""));
+    second.start(at(10), start_of(2, RUN, ""));
+    first.poll(at(20));
+    first.start(at(20), start_of(3, RUN, ""));
+    second.poll(at(30));
+    let peaks = EffectLedger::peaks_by_team(&[first.ledger(), second.ledger()]);
+    assert_eq!(peaks[&TeamId::new("walks").unwrap()], 2);
+    assert_eq!(first.ledger().works()[&WorkId(1)].effects, 1);
+    assert_eq!(first.ledger().running_by_team()[&TeamId::new("walks").unwrap()], 1);
+    assert_eq!(task_id(1), TaskId::new(WorkId(1), Attempt(1)));
+}
