Add the command line, checked settings and the operators' client

Cause: the program had no way in: no arguments, no settings, no calls.

Change: the xflags grammar with its generated structures committed; help of one subcommand is cut out of the whole. Settings are read key by key and all faults are gathered, each with file, key, value and what is allowed. Commands call an entry over hyper and smol-hyper; the next entry is tried only if no connection was made, so nothing is sent twice. Exit codes 0, 1, 2 and 3. The secret of a key is left out of every error. Running an entry, the stand-ins, the demo and the time line are not wired yet and say so.

--- /dev/null
+++ b/crates/magnoliapin/src/client.rs
@@ -0,0 +1,215 @@
+//! Calls an entry over HTTP.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use error_stack::Report;
+use futures_lite::FutureExt;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Bytes;
+use hyper::client::conn::http1;
+use hyper::header;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use smol::net::TcpStream;
+use smol::Timer;
+use smol_hyper::rt::FuturesIo;
+
+/// Longest answer that is taken, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// One call of an entry.
+#[derive(Clone, Debug)]
+pub(crate) struct EntryCall {
+    /// Method.
+    pub(crate) method: Method,
+    /// Path with its query.
+    pub(crate) path: String,
+    /// Headers besides the key.
+    pub(crate) headers: Vec<(&'static str, String)>,
+    /// Body.
+    pub(crate) body: Bytes,
+    /// Longest wait for the whole answer.
+    pub(crate) timeout: Duration,
+}
+
+impl EntryCall {
+    /// Makes a call without a body.
+    pub(crate) fn new(method: Method, path: impl Into<String>) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            timeout: Duration::from_secs(15),
+        }
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub(crate) fn with_body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub(crate) fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// Sets the longest wait for the whole answer.
+    #[must_use]
+    pub(crate) fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+}
+
+/// What an entry answered.
+#[derive(Clone, Debug)]
+pub(crate) struct EntryReply {
+    /// HTTP status.
+    pub(crate) status: StatusCode,
+    /// Whole body.
+    pub(crate) body: Bytes,
+}
+
+/// Calls one of several entries with the key of a team.
+pub(crate) struct EntryClient {
+    entries: Vec<SocketAddr>,
+    key: Option<String>,
+}
+
+impl EntryClient {
+    /// Makes a client of the entries, which are tried in order.
+    pub(crate) fn new(entries: Vec<SocketAddr>) -> Self {
+        Self { entries, key: None }
+    }
+
+    /// Sets the key that goes with each call.
+    #[must_use]
+    pub(crate) fn with_key(mut self, key: Option<String>) -> Self {
+        self.key = key;
+        self
+    }
+
+    /// Makes a client of another entry with the same key.
+    pub(crate) fn at(&self, entry: SocketAddr) -> Self {
+        Self { entries: vec![entry], key: self.key.clone() }
+    }
+
+    /// Calls the first entry that takes a connection. Nothing is sent twice.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::NotReached`] if no entry takes a connection, else what went wrong
+    /// after the call had been sent.
+    pub(crate) async fn call(&self, call: &EntryCall) -> Result<EntryReply, Report<CallError>> {
+        let mut failure = Report::new(CallError::NotReached);
+        for entry in &self.entries {
+            match connect(*entry).await {
+                Ok(stream) => return self.exchange(*entry, stream, call).await,
+                Err(error) => failure = failure.attach(format!("{entry}: {error}")),
+            }
+        }
+        Err(failure)
+    }
+
+    async fn exchange(
+        &self,
+        entry: SocketAddr,
+        stream: TcpStream,
+        call: &EntryCall,
+    ) -> Result<EntryReply, Report<CallError>> {
+        let deadline = async {
+            Timer::after(call.timeout).await;
+            Err(Report::new(CallError::TimedOut).attach(entry.to_string()))
+        };
+        self.converse(entry, stream, call).or(deadline).await
+    }
+
+    async fn converse(
+        &self,
+        entry: SocketAddr,
+        stream: TcpStream,
+        call: &EntryCall,
+    ) -> Result<EntryReply, Report<CallError>> {
+        let request = self.request(entry, call)?;
+        let broken = |error| Report::new(error).change_context(CallError::Broken);
+        let (mut sender, connection) =
+            http1::handshake(FuturesIo::new(stream)).await.map_err(broken)?;
+        let driver = smol::spawn(connection);
+        let answer = sender.send_request(request).await.map_err(broken)?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
+        let body =
+            body.map_err(|error| Report::new(CallError::Broken).attach(error.to_string()))?;
+        drop(driver);
+        Ok(EntryReply { status, body: body.to_bytes() })
+    }
+
+    fn request(
+        &self,
+        entry: SocketAddr,
+        call: &EntryCall,
+    ) -> Result<Request<Full<Bytes>>, Report<CallError>> {
+        let mut builder = Request::builder()
+            .method(call.method.clone())
+            .uri(&call.path)
+            .header(header::HOST, entry.to_string());
+        if let Some(key) = &self.key {
+            builder = builder.header(header::AUTHORIZATION, format!("Bearer {key}"));
+        }
+        for (name, value) in &call.headers {
+            builder = builder.header(*name, value);
+        }
+        // The cause is left out: it may hold the key.
+        builder.body(Full::new(call.body.clone())).map_err(|_| Report::new(CallError::Malformed))
+    }
+}
+
+async fn connect(entry: SocketAddr) -> io::Result<TcpStream> {
+    let deadline = async {
+        Timer::after(CONNECT_TIMEOUT).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    let stream = TcpStream::connect(entry).or(deadline).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Why a call of an entry has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallError {
+    /// No entry took a connection; nothing was sent.
+    NotReached,
+    /// The key or a header cannot be sent over HTTP; nothing was sent.
+    Malformed,
+    /// The connection broke after the call had been sent.
+    Broken,
+    /// The answer did not come in time.
+    TimedOut,
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::NotReached => "no entry can be reached",
+            Self::Malformed => "the key or a header holds characters that HTTP does not allow",
+            Self::Broken => "the connection broke after the call had been sent",
+            Self::TimedOut => "the answer did not come in time",
+        })
+    }
+}
+
+impl std::error::Error for CallError {}
--- /dev/null
+++ b/crates/magnoliapin/src/command.rs
@@ -0,0 +1,186 @@
+//! Commands that ask an entry, and what they share.
+
+pub(crate) mod config;
+pub(crate) mod diff;
+pub(crate) mod key;
+pub(crate) mod status;
+pub(crate) mod view;
+pub(crate) mod work;
+
+use std::env;
+use std::io;
+use std::io::Write;
+use std::net::SocketAddr;
+
+use error_stack::Report;
+use magnoliapin_wire::RefusalView;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use crate::client::CallError;
+use crate::client::EntryCall;
+use crate::client::EntryClient;
+use crate::client::EntryReply;
+use crate::command_error::CommandError;
+
+const ENTRY_VARIABLE: &str = "MAGNOLIAPIN_ENTRY";
+const KEY_VARIABLE: &str = "MAGNOLIAPIN_KEY";
+
+/// Result of a command.
+pub(crate) type CommandResult<T = ()> = Result<T, Report<CommandError>>;
+
+/// What a command needs besides its own arguments.
+pub(crate) struct CommandContext {
+    entries: Option<String>,
+    key: Option<String>,
+    json: bool,
+}
+
+impl CommandContext {
+    /// Makes a context from the common flags, filled up from the environment.
+    pub(crate) fn new(entries: Option<String>, key: Option<String>, json: bool) -> Self {
+        let entries = entries.or_else(|| env::var(ENTRY_VARIABLE).ok());
+        let key = key.or_else(|| env::var(KEY_VARIABLE).ok());
+        Self { entries, key, json }
+    }
+
+    /// Returns whether the answer is to be JSON.
+    pub(crate) fn json(&self) -> bool {
+        self.json
+    }
+
+    /// Makes a client of the entries that were named.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CommandError::Usage`] if none was named or one is no address.
+    pub(crate) fn client(&self) -> CommandResult<EntryClient> {
+        let Some(entries) = &self.entries else {
+            let message = format!("no entry is named: give --entry IP:PORT or {ENTRY_VARIABLE}");
+            return Err(usage(message));
+        };
+        let mut addresses = Vec::new();
+        for text in entries.split(',') {
+            let text = text.trim();
+            let address = text.parse::<SocketAddr>().map_err(|_| {
+                usage(format!("entry {text:?} is no address; allowed: IP:PORT[,IP:PORT...]"))
+            })?;
+            addresses.push(address);
+        }
+        Ok(EntryClient::new(addresses).with_key(self.key.clone()))
+    }
+
+    /// Calls an entry and gives back the body of a good answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CommandError`] if there was no answer or a refusal.
+    pub(crate) async fn ask(&self, call: EntryCall) -> CommandResult<Vec<u8>> {
+        let reply = self.client()?.call(&call).await.map_err(unanswered)?;
+        accept(&reply)
+    }
+
+    /// Calls an entry and reads a good answer as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CommandError`] if there was no answer, a refusal, or another form of answer.
+    pub(crate) async fn ask_json<T: DeserializeOwned>(&self, call: EntryCall) -> CommandResult<T> {
+        let body = self.ask(call).await?;
+        serde_json::from_slice(&body).map_err(|error| {
+            Report::new(CommandError::Refused(format!("the answer cannot be read: {error}")))
+        })
+    }
+
+    /// Prints `value` as JSON if that was asked for, else as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the output is closed.
+    pub(crate) fn print<T: Serialize>(
+        &self,
+        value: &T,
+        text: impl FnOnce(&T) -> String,
+    ) -> CommandResult {
+        if !self.json {
+            return print_text(&text(value));
+        }
+        let json = serde_json::to_string_pretty(value).map_err(|error| {
+            Report::new(CommandError::Refused(format!("the answer cannot be shown: {error}")))
+        })?;
+        print_text(&json)
+    }
+}
+
+/// Prints lines to the standard output.
+///
+/// # Errors
+///
+/// Returns an error if the output is closed.
+pub(crate) fn print_text(text: &str) -> CommandResult {
+    let line_end = if text.is_empty() || text.ends_with('\n') { "" } else { "\n" };
+    print_bytes(format!("{text}{line_end}").as_bytes())
+}
+
+/// Prints bytes to the standard output.
+///
+/// # Errors
+///
+/// Returns an error if the output is closed.
+pub(crate) fn print_bytes(bytes: &[u8]) -> CommandResult {
+    let mut output = io::stdout().lock();
+    let written = output.write_all(bytes).and_then(|()| output.flush());
+    written.map_err(|error| {
+        Report::new(CommandError::Refused(format!("the output cannot be written: {error}")))
+    })
+}
+
+/// Makes the error of wrong usage.
+pub(crate) fn usage(message: impl Into<String>) -> Report<CommandError> {
+    Report::new(CommandError::Usage(message.into()))
+}
+
+/// Makes the error of a call without an answer.
+pub(crate) fn unanswered(report: Report<CallError>) -> Report<CommandError> {
+    let message = report.current_context().to_string();
+    let error = match report.current_context() {
+        CallError::NotReached => CommandError::Unreachable(message),
+        CallError::Malformed => CommandError::Usage(message),
+        CallError::Broken | CallError::TimedOut => {
+            CommandError::Refused(format!("{message}; outcome: unknown"))
+        }
+    };
+    report.change_context(error)
+}
+
+/// Returns the body of a good answer.
+///
+/// # Errors
+///
+/// Returns [`CommandError::Refused`] with the words of a refusal.
+pub(crate) fn accept(reply: &EntryReply) -> CommandResult<Vec<u8>> {
+    if reply.status.is_success() {
+        return Ok(reply.body.to_vec());
+    }
+    let message = serde_json::from_slice::<RefusalView>(&reply.body).map_or_else(
+        |_| format!("the entry answered with status {}", reply.status.as_u16()),
+        |refusal| refusal_text(&refusal),
+    );
+    Err(Report::new(CommandError::Refused(message)))
+}
+
+fn refusal_text(refusal: &RefusalView) -> String {
+    let mut text = format!("{}: {} (outcome: {})", refusal.kind, refusal.message, refusal.outcome);
+    for error in &refusal.errors {
+        text.push_str(&format!("\n  {error}"));
+    }
+    for (section, current) in &refusal.current {
+        let current = current.as_deref().unwrap_or("(removed)\n");
+        text.push_str(&format!("\n  section {section} is now:\n{}", indent(current)));
+    }
+    text
+}
+
+fn indent(text: &str) -> String {
+    text.lines().map(|line| format!("    {line}\n")).collect()
+}
--- /dev/null
+++ b/crates/magnoliapin/src/command/config.rs
@@ -0,0 +1,239 @@
+//! The configuration document: `config check|diff|apply|show`.
+
+use std::fs;
+use std::path::Path;
+
+use error_stack::Report;
+use hyper::Method;
+use indexmap::IndexMap;
+use magnoliapin_model::ConfigDocument;
+use magnoliapin_model::ConfigVersion;
+use magnoliapin_model::DocumentError;
+use magnoliapin_model::SectionName;
+use magnoliapin_wire::ConfigChange;
+use magnoliapin_wire::ConfigView;
+use serde::Serialize;
+use toml::Table;
+use toml::Value;
+
+use crate::client::EntryCall;
+use crate::command::diff;
+use crate::command::print_text;
+use crate::command::usage;
+use crate::command::CommandContext;
+use crate::command::CommandResult;
+use crate::command_error::CommandError;
+use crate::flags;
+
+/// Text of each section of a document, as a TOML table.
+pub(crate) type SectionTexts = IndexMap<SectionName, String>;
+
+/// Checks a document without asking an entry.
+///
+/// # Errors
+///
+/// Returns [`CommandError::Usage`] with every error of the document.
+pub(crate) fn check(context: &CommandContext, flags: &flags::Check) -> CommandResult {
+    let text = read_document(&flags.file)?;
+    match ConfigDocument::parse(&text) {
+        Ok(document) => {
+            let summary = CheckSummary::new(&document);
+            context.print(&summary, CheckSummary::text)
+        }
+        Err(errors) if context.json() => {
+            let summary = CheckSummary { errors: errors.clone(), ..CheckSummary::default() };
+            context.print(&summary, CheckSummary::text)?;
+            Err(document_errors(&flags.file, &errors))
+        }
+        Err(errors) => Err(document_errors(&flags.file, &errors)),
+    }
+}
+
+/// Shows how a document differs from the configuration in force.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if the document is wrong or no entry answers.
+pub(crate) async fn diff(context: &CommandContext, flags: &flags::Diff) -> CommandResult {
+    let wanted = sections_of_file(&flags.file)?;
+    let current = read_config(context).await?;
+    let differences = diff::compare(&current.sections, &wanted);
+    context.print(&differences, |differences| diff::text(differences))
+}
+
+/// Applies a document, or some sections of it.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if the document is wrong or the change is refused.
+pub(crate) async fn apply(context: &CommandContext, flags: &flags::Apply) -> CommandResult {
+    let wanted = sections_of_file(&flags.file)?;
+    let sections = if flags.section.is_empty() {
+        wanted.into_iter().map(|(name, text)| (name, Some(text))).collect()
+    } else {
+        flags.section.iter().map(|name| (*name, wanted.get(name).cloned())).collect()
+    };
+    if flags.whole && !flags.section.is_empty() {
+        return Err(usage("--whole applies the whole document, so no --section fits it"));
+    }
+    let change = ConfigChange { base: flags.base, sections, whole: flags.whole };
+    let applied = send_change(context, &change).await?;
+    context.print(&applied, |applied| format!("version {} is accepted", applied.version))
+}
+
+/// Shows the configuration in force.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if no entry answers or there is no such section.
+pub(crate) async fn show(context: &CommandContext, flags: &flags::Show) -> CommandResult {
+    let mut view = read_config(context).await?;
+    if let Some(section) = flags.section {
+        view.sections.retain(|name, _| *name == section);
+        if view.sections.is_empty() {
+            let message = format!("there is no section {section}");
+            return Err(Report::new(CommandError::Refused(message)));
+        }
+    }
+    if context.json() {
+        return context.print(&view, |_| String::new());
+    }
+    print_text(&document_text(&view))
+}
+
+/// Reads the configuration in force.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if no entry answers.
+pub(crate) async fn read_config(context: &CommandContext) -> CommandResult<ConfigView> {
+    context.ask_json(EntryCall::new(Method::GET, "/v1/config")).await
+}
+
+/// Sends a change of the configuration.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if it is refused.
+pub(crate) async fn send_change(
+    context: &CommandContext,
+    change: &ConfigChange,
+) -> CommandResult<AppliedView> {
+    let body = serde_json::to_vec(change)
+        .map_err(|error| usage(format!("the change cannot be sent: {error}")))?;
+    let call = EntryCall::new(Method::POST, "/v1/config")
+        .with_body(body)
+        .with_header("content-type", "application/json");
+    context.ask_json(call).await
+}
+
+magnoliapin_model::plain_data! {
+    /// Answer to an accepted change.
+    pub(crate) struct AppliedView {
+        /// Version that the change made.
+        pub(crate) version: ConfigVersion,
+    }
+}
+
+/// What a checked document holds.
+#[derive(Clone, Debug, Default, Serialize)]
+struct CheckSummary {
+    pools: usize,
+    teams: usize,
+    queues: usize,
+    errors: Vec<DocumentError>,
+}
+
+impl CheckSummary {
+    fn new(document: &ConfigDocument) -> Self {
+        Self {
+            pools: document.pools.len(),
+            teams: document.teams.len(),
+            queues: document.queues.len(),
+            errors: Vec::new(),
+        }
+    }
+
+    fn text(&self) -> String {
+        format!("ok: {} pools, {} teams, {} queues", self.pools, self.teams, self.queues)
+    }
+}
+
+fn read_document(file: &Path) -> CommandResult<String> {
+    fs::read_to_string(file).map_err(|error| usage(format!("{}: {error}", file.display())))
+}
+
+fn sections_of_file(file: &Path) -> CommandResult<SectionTexts> {
+    let text = read_document(file)?;
+    ConfigDocument::parse(&text).map_err(|errors| document_errors(file, &errors))?;
+    split_sections(&text).map_err(|message| usage(format!("{}: {message}", file.display())))
+}
+
+/// Splits the text of a document into its sections, in the order of the document.
+///
+/// # Errors
+///
+/// Returns what is wrong if the text is no document.
+pub(crate) fn split_sections(text: &str) -> Result<SectionTexts, String> {
+    let root = text.parse::<Table>().map_err(|error| error.message().to_owned())?;
+    let mut sections = SectionTexts::new();
+    for (group, value) in &root {
+        let Value::Table(table) = value else {
+            return Err(format!("{group} is no table"));
+        };
+        if let Ok(name) = group.parse::<SectionName>() {
+            sections.insert(name, section_text(table)?);
+            continue;
+        }
+        for (member, value) in table {
+            let Value::Table(table) = value else {
+                return Err(format!("{group}.{member} is no table"));
+            };
+            let name = format!("{group}.{member}");
+            let name = name.parse().map_err(|error| format!("{name}: {error}"))?;
+            sections.insert(name, section_text(table)?);
+        }
+    }
+    Ok(sections)
+}
+
+fn section_text(table: &Table) -> Result<String, String> {
+    toml::to_string(table).map_err(|error| error.to_string())
+}
+
+/// Returns the sections as one document.
+fn document_text(view: &ConfigView) -> String {
+    let mut text = format!("# version {}\n", view.version);
+    for (name, section) in &view.sections {
+        text.push_str(&format!("\n[{}]\n", table_path(&name.to_string())));
+        text.push_str(&nested_text(&table_path(&name.to_string()), section));
+    }
+    text
+}
+
+/// Quotes the name behind the first dot if it holds another dot.
+fn table_path(name: &str) -> String {
+    match name.split_once('.') {
+        Some((group, member)) if member.contains('.') => format!("{group}.\"{member}\""),
+        _ => name.to_owned(),
+    }
+}
+
+/// Puts the path of the section before the headers of its inner tables.
+fn nested_text(path: &str, section: &str) -> String {
+    let mut text = String::new();
+    for line in section.lines() {
+        match line.strip_prefix('[') {
+            Some(inner) if line.ends_with(']') => text.push_str(&format!("[{path}.{inner}")),
+            _ => text.push_str(line),
+        }
+        text.push('\n');
+    }
+    text
+}
+
+fn document_errors(file: &Path, errors: &[DocumentError]) -> Report<CommandError> {
+    let lines: Vec<String> =
+        errors.iter().map(|error| format!("{}: {error}", file.display())).collect();
+    usage(lines.join("\n"))
+}
--- /dev/null
+++ b/crates/magnoliapin/src/command/key.rs
@@ -0,0 +1,135 @@
+//! Keys of teams: `key new|list|withdraw`.
+
+use error_stack::Report;
+use indexmap::IndexMap;
+use magnoliapin_model::KeyHash;
+use magnoliapin_model::KeyId;
+use magnoliapin_model::SectionName;
+use magnoliapin_model::TeamId;
+use magnoliapin_wire::ConfigChange;
+use rand::rngs::OsRng;
+use rand::TryRngCore;
+use serde::Serialize;
+use toml::Table;
+use toml::Value;
+
+use crate::command::config;
+use crate::command::CommandContext;
+use crate::command::CommandResult;
+use crate::command_error::CommandError;
+use crate::flags;
+
+const SECRET_BYTES: usize = 32;
+
+/// Begins every secret, so that it is known for one wherever it turns up.
+const SECRET_PREFIX: &str = "mpk_";
+
+/// Draws a key and prints its secret and the line for the document.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if the system has no random numbers.
+pub(crate) fn new(context: &CommandContext, flags: &flags::New) -> CommandResult {
+    let mut bytes = [0; SECRET_BYTES];
+    OsRng.try_fill_bytes(&mut bytes).map_err(|error| {
+        Report::new(CommandError::Refused(format!("no random numbers: {error}")))
+    })?;
+    let secret = make_secret(&bytes);
+    let key = NewKey { name: flags.name, hash: KeyHash::new(&secret), secret };
+    context.print(&key, NewKey::text)
+}
+
+/// Writes random bytes as the secret of a key.
+pub(crate) fn make_secret(bytes: &[u8]) -> String {
+    let digits: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    format!("{SECRET_PREFIX}{digits}")
+}
+
+/// Lists the names of the keys in force.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if no entry answers.
+pub(crate) async fn list(context: &CommandContext, flags: &flags::List) -> CommandResult {
+    let view = config::read_config(context).await?;
+    let mut keys = Vec::new();
+    for (name, text) in &view.sections {
+        let SectionName::Team(team) = name else {
+            continue;
+        };
+        if flags.team.is_none_or(|wanted| wanted == *team) {
+            let names = read_keys(text).into_iter().map(|(name, _)| name);
+            keys.extend(names.map(|name| KeyLine { team: *team, name }));
+        }
+    }
+    context.print(&keys, |keys| keys.iter().map(KeyLine::text).collect())
+}
+
+/// Withdraws a key.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if there is no such key or the change is refused.
+pub(crate) async fn withdraw(context: &CommandContext, flags: &flags::Withdraw) -> CommandResult {
+    let view = config::read_config(context).await?;
+    let section = SectionName::Team(flags.team);
+    let Some(text) = view.sections.get(&section).and_then(|text| remove_key(text, flags.name))
+    else {
+        let message = format!("team {} has no key {}", flags.team, flags.name);
+        return Err(Report::new(CommandError::Refused(message)));
+    };
+    let sections = IndexMap::from([(section, Some(text))]);
+    let change = ConfigChange { base: Some(view.version), sections, whole: false };
+    let applied = config::send_change(context, &change).await?;
+    context.print(&applied, |applied| {
+        format!(
+            "key {} of team {} is withdrawn by version {}",
+            flags.name, flags.team, applied.version
+        )
+    })
+}
+
+/// A key that was just drawn.
+#[derive(Serialize)]
+struct NewKey {
+    name: KeyId,
+    secret: String,
+    hash: KeyHash,
+}
+
+impl NewKey {
+    fn text(&self) -> String {
+        format!(
+            "secret, shown only now:\n  {}\nline for [teams.<team>.keys]:\n  {} = \"{}\"\n",
+            self.secret, self.name, self.hash
+        )
+    }
+}
+
+#[derive(Serialize)]
+struct KeyLine {
+    team: TeamId,
+    name: KeyId,
+}
+
+impl KeyLine {
+    fn text(&self) -> String {
+        format!("{}  {}\n", self.team, self.name)
+    }
+}
+
+fn read_keys(section: &str) -> Vec<(KeyId, Value)> {
+    let table = section.parse::<Table>().unwrap_or_default();
+    let Some(Value::Table(keys)) = table.get("keys") else {
+        return Vec::new();
+    };
+    let parsed = keys.iter().filter_map(|(name, hash)| Some((name.parse().ok()?, hash.clone())));
+    parsed.collect()
+}
+
+/// Returns the section without the key, or none if it does not have it.
+fn remove_key(section: &str, name: KeyId) -> Option<String> {
+    let mut table = section.parse::<Table>().ok()?;
+    table.get_mut("keys")?.as_table_mut()?.remove(name.as_str())?;
+    toml::to_string(&table).ok()
+}
--- /dev/null
+++ b/crates/magnoliapin/src/command/view.rs
@@ -0,0 +1,80 @@
+//! Views of the system: `pools`, `instances`, `drain`, `undrain`.
+
+use hyper::Method;
+use magnoliapin_model::InstanceId;
+use magnoliapin_wire::InstanceView;
+use magnoliapin_wire::PoolView;
+
+use crate::client::EntryCall;
+use crate::command::print_text;
+use crate::command::CommandContext;
+use crate::command::CommandResult;
+
+/// Shows the pools against their availability budgets.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`](crate::command_error::CommandError) if no entry answers.
+pub(crate) async fn pools(context: &CommandContext) -> CommandResult {
+    let call = EntryCall::new(Method::GET, "/v1/pools");
+    let pools: Vec<PoolView> = context.ask_json(call).await?;
+    context.print(&pools, |pools| pools_text(pools))
+}
+
+/// Shows the instances.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`](crate::command_error::CommandError) if no entry answers.
+pub(crate) async fn instances(context: &CommandContext) -> CommandResult {
+    let call = EntryCall::new(Method::GET, "/v1/instances");
+    let instances: Vec<InstanceView> = context.ask_json(call).await?;
+    context.print(&instances, |instances| instances_text(instances))
+}
+
+/// Drains an instance or takes a drain back.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`](crate::command_error::CommandError) if the step is refused.
+pub(crate) async fn drain(
+    context: &CommandContext,
+    instance: InstanceId,
+    drain: bool,
+) -> CommandResult {
+    let verb = if drain { "drain" } else { "undrain" };
+    let call = EntryCall::new(Method::POST, format!("/v1/instances/{instance}/{verb}"));
+    context.ask(call).await?;
+    if context.json() {
+        return print_text("{}");
+    }
+    print_text(&format!("{verb} of instance {instance} is ordered"))
+}
+
+/// Returns the pools as lines of columns.
+pub(crate) fn pools_text(pools: &[PoolView]) -> String {
+    let mut text = format!(
+        "{:24} {:>9} {:>11} {:>6} {:>6}\n",
+        "pool", "instances", "unavailable", "budget", "slots"
+    );
+    for pool in pools {
+        text.push_str(&format!(
+            "{:24} {:>9} {:>11} {:>6} {:>6}\n",
+            pool.pool, pool.instances, pool.unavailable, pool.max_unavailable, pool.slots
+        ));
+    }
+    text
+}
+
+fn instances_text(instances: &[InstanceView]) -> String {
+    let mut text =
+        format!("{:24} {:16} {:12} {:12} {:10}\n", "instance", "pool", "zone", "rack", "state");
+    for instance in instances {
+        let pool = instance.pool.map(|pool| pool.to_string()).unwrap_or_default();
+        text.push_str(&format!(
+            "{:24} {:16} {:12} {:12} {:10}\n",
+            instance.instance, pool, instance.zone, instance.rack, instance.state
+        ));
+    }
+    text
+}
--- /dev/null
+++ b/crates/magnoliapin/src/command/work.rs
@@ -0,0 +1,147 @@
+//! Handing in work and following it: `submit`, `request`, `job`, `cancel`.
+
+use std::fs;
+use std::io;
+use std::io::Read;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use error_stack::Report;
+use hyper::Method;
+use magnoliapin_model::WorkId;
+use magnoliapin_wire::JobState;
+use magnoliapin_wire::JobView;
+use smol::Timer;
+
+use crate::client::EntryCall;
+use crate::command::print_bytes;
+use crate::command::usage;
+use crate::command::CommandContext;
+use crate::command::CommandResult;
+use crate::command_error::CommandError;
+use crate::flags;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time that an answer may take beyond the wait that was asked for.
+const ANSWER_MARGIN: Duration = Duration::from_secs(5);
+
+/// Longest wait for a request without a wait of its own.
+const LONGEST_WAIT: Duration = Duration::from_secs(600);
+
+/// Hands in a job.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if it is refused, or if it was waited for and did not finish.
+pub(crate) async fn submit(context: &CommandContext, flags: flags::Submit) -> CommandResult {
+    let payload = read_payload(flags.payload, flags.file)?;
+    let path = format!("/v1/queues/{}/jobs", flags.queue);
+    let mut call = EntryCall::new(Method::POST, path).with_body(payload);
+    if let Some(key) = flags.idempotency_key {
+        call = call.with_header("idempotency-key", key);
+    }
+    let mut job: JobView = context.ask_json(call).await?;
+    while flags.wait && job.state == JobState::Accepted {
+        Timer::after(POLL_INTERVAL).await;
+        job = read_job(context, job.id).await?;
+    }
+    context.print(&job, if flags.wait { job_text } else { job_id_text })?;
+    if flags.wait && job.state != JobState::Finished {
+        let message = format!("job {} ended as {}", job.id, state_text(job.state));
+        return Err(Report::new(CommandError::Refused(message)));
+    }
+    Ok(())
+}
+
+/// Runs a request and prints its output.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if it is refused or fails.
+pub(crate) async fn request(context: &CommandContext, flags: flags::Request) -> CommandResult {
+    let payload = read_payload(flags.payload, flags.file)?;
+    let wait = flags.timeout_ms.map_or(LONGEST_WAIT, Duration::from_millis);
+    let query = flags.timeout_ms.map(|millis| format!("?timeout_ms={millis}")).unwrap_or_default();
+    let path = format!("/v1/queues/{}/requests{query}", flags.queue);
+    let call = EntryCall::new(Method::POST, path)
+        .with_body(payload)
+        .with_timeout(wait.saturating_add(ANSWER_MARGIN));
+    let output = context.ask(call).await?;
+    print_bytes(&output)
+}
+
+/// Shows a job.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if it cannot be read.
+pub(crate) async fn job(context: &CommandContext, flags: flags::Job) -> CommandResult {
+    let job = read_job(context, flags.id).await?;
+    context.print(&job, job_text)
+}
+
+/// Cancels a job.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if it cannot be cancelled.
+pub(crate) async fn cancel(context: &CommandContext, flags: flags::Cancel) -> CommandResult {
+    let call = EntryCall::new(Method::DELETE, format!("/v1/jobs/{}", flags.id));
+    let job: JobView = context.ask_json(call).await?;
+    context.print(&job, job_text)
+}
+
+async fn read_job(context: &CommandContext, id: WorkId) -> CommandResult<JobView> {
+    context.ask_json(EntryCall::new(Method::GET, format!("/v1/jobs/{id}"))).await
+}
+
+fn read_payload(payload: Option<String>, file: Option<PathBuf>) -> CommandResult<Vec<u8>> {
+    match (payload, file) {
+        (Some(_), Some(_)) => Err(usage("give the input as an argument or by --file, not both")),
+        (Some(text), None) => Ok(text.into_bytes()),
+        (None, Some(path)) => {
+            fs::read(&path).map_err(|error| usage(format!("{}: {error}", path.display())))
+        }
+        (None, None) => {
+            let mut payload = Vec::new();
+            let read = io::stdin().lock().read_to_end(&mut payload);
+            read.map_err(|error| usage(format!("the standard input: {error}")))?;
+            Ok(payload)
+        }
+    }
+}
+
+fn job_id_text(job: &JobView) -> String {
+    job.id.to_string()
+}
+
+fn job_text(job: &JobView) -> String {
+    let mut text = format!(
+        "job      {}\nteam     {}\nqueue    {}\nstate    {}\nattempt  {}\n",
+        job.id,
+        job.team,
+        job.queue,
+        state_text(job.state),
+        job.attempt
+    );
+    if let Some(output) = &job.output {
+        text.push_str(&format!("output   {output}\n"));
+    }
+    if let Some(reason) = &job.reason {
+        text.push_str(&format!("reason   {reason}\n"));
+    }
+    text
+}
+
+/// Returns the name of a job's state.
+pub(crate) fn state_text(state: JobState) -> &'static str {
+    match state {
+        JobState::Accepted => "accepted",
+        JobState::Finished => "finished",
+        JobState::Failed => "failed",
+        JobState::Cancelled => "cancelled",
+        JobState::Unknown => "unknown",
+        JobState::Unrunnable => "unrunnable",
+    }
+}
--- a/crates/magnoliapin/src/main.rs
+++ b/crates/magnoliapin/src/main.rs
@@ -1,3 +1,108 @@
 //! The one program of magnoliapin: entries, stand-ins, the demo and the operators' commands.
+//!
+//! `flags` holds the command line and `settings` the settings of an entry. `command` has the
+//! commands that ask an entry through `client`.
 
-fn main() {}
+#[expect(dead_code, reason = "the running entry is the next step")]
+mod client;
+mod command;
+mod command_error;
+mod entry;
+mod flags;
+mod help;
+#[expect(dead_code, reason = "the running entry is the next step")]
+mod logs;
+#[expect(dead_code, reason = "the running entry is the next step")]
+mod settings;
+
+use std::env;
+use std::io;
+use std::io::Write;
+use std::process::ExitCode;
+
+use error_stack::Report;
+
+use crate::command::CommandContext;
+use crate::command::CommandResult;
+use crate::command_error::CommandError;
+use crate::flags::ConfigCmd;
+use crate::flags::KeyCmd;
+use crate::flags::Magnoliapin;
+use crate::flags::MagnoliapinCmd;
+
+fn main() -> ExitCode {
+    let flags = match Magnoliapin::from_env() {
+        Ok(flags) => flags,
+        Err(error) if error.is_help() => return print_help(&error.to_string()),
+        Err(error) => {
+            let usage = CommandError::Usage(format!("{error}; see magnoliapin --help"));
+            return fail(&Report::new(usage));
+        }
+    };
+    match run(flags) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => fail(&report),
+    }
+}
+
+fn run(flags: Magnoliapin) -> CommandResult {
+    let context = CommandContext::new(flags.entry, flags.key, flags.json);
+    match flags.subcommand {
+        MagnoliapinCmd::Entry(flags) => entry::run(&flags),
+        subcommand => smol::block_on(run_client(&context, subcommand)),
+    }
+}
+
+async fn run_client(context: &CommandContext, subcommand: MagnoliapinCmd) -> CommandResult {
+    match subcommand {
+        MagnoliapinCmd::Submit(flags) => command::work::submit(context, flags).await,
+        MagnoliapinCmd::Request(flags) => command::work::request(context, flags).await,
+        MagnoliapinCmd::Job(flags) => command::work::job(context, flags).await,
+        MagnoliapinCmd::Cancel(flags) => command::work::cancel(context, flags).await,
+        MagnoliapinCmd::Config(flags) => run_config(context, flags.subcommand).await,
+        MagnoliapinCmd::Key(flags) => run_key(context, flags.subcommand).await,
+        MagnoliapinCmd::Pools(_) => command::view::pools(context).await,
+        MagnoliapinCmd::Instances(_) => command::view::instances(context).await,
+        MagnoliapinCmd::Drain(flags) => command::view::drain(context, flags.instance, true).await,
+        MagnoliapinCmd::Undrain(flags) => {
+            command::view::drain(context, flags.instance, false).await
+        }
+        MagnoliapinCmd::Status(_) => command::status::status(context).await,
+        MagnoliapinCmd::Timeline(_)
+        | MagnoliapinCmd::Entry(_)
+        | MagnoliapinCmd::StandIn(_)
+        | MagnoliapinCmd::Demo(_) => Err(command::usage("this command is not there yet")),
+    }
+}
+
+async fn run_config(context: &CommandContext, subcommand: ConfigCmd) -> CommandResult {
+    match subcommand {
+        ConfigCmd::Check(flags) => command::config::check(context, &flags),
+        ConfigCmd::Diff(flags) => command::config::diff(context, &flags).await,
+        ConfigCmd::Apply(flags) => command::config::apply(context, &flags).await,
+        ConfigCmd::Show(flags) => command::config::show(context, &flags).await,
+    }
+}
+
+async fn run_key(context: &CommandContext, subcommand: KeyCmd) -> CommandResult {
+    match subcommand {
+        KeyCmd::New(flags) => command::key::new(context, &flags),
+        KeyCmd::List(flags) => command::key::list(context, &flags).await,
+        KeyCmd::Withdraw(flags) => command::key::withdraw(context, &flags).await,
+    }
+}
+
+fn print_help(help: &str) -> ExitCode {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let part = help::subcommand_help(help, &arguments);
+    match command::print_text(part) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => fail(&report),
+    }
+}
+
+fn fail(report: &Report<CommandError>) -> ExitCode {
+    // Nothing can be done if the standard error is closed.
+    let _ = writeln!(io::stderr(), "magnoliapin: {}", report.current_context());
+    ExitCode::from(report.current_context().exit_code())
+}
--- /dev/null
+++ b/crates/magnoliapin/src/settings.rs
@@ -0,0 +1,143 @@
+//! Settings of an entry, read from a TOML file and checked whole.
+
+mod fault;
+mod reader;
+mod times;
+
+pub(crate) use fault::SettingsFault;
+pub(crate) use reader::SettingsReader;
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use magnoliapin_model::ZoneId;
+use magnoliapin_policy::PolicyTimes;
+
+use crate::logs::LogFormat;
+use crate::logs::LogLevel;
+
+const ADDRESS: &str = "an IP address and a port, such as 127.0.0.1:7100";
+const ZONE: &str = "lower-case letters, digits, '-', '_' and '.', at most 40";
+
+/// Shortest key that entries may share, in bytes.
+const MIN_PEER_KEY_BYTES: usize = 16;
+
+/// Settings of one entry.
+#[derive(Clone, Debug)]
+pub(crate) struct EntrySettings {
+    /// Availability zone.
+    pub(crate) zone: ZoneId,
+    /// Address for callers and operators.
+    pub(crate) caller_listen: SocketAddr,
+    /// Address for the datagrams of other entries.
+    pub(crate) peer_listen: SocketAddr,
+    /// Address of the platform's service.
+    pub(crate) platform: SocketAddr,
+    /// Key that all entries of the site share.
+    pub(crate) peer_key: PeerKey,
+    /// Seed of the entry's random numbers; drawn by the system if absent.
+    pub(crate) seed: Option<u64>,
+    /// Least level of a line in the log.
+    pub(crate) log_level: LogLevel,
+    /// Form of the log's lines.
+    pub(crate) log_format: LogFormat,
+    /// Time bounds of the entry's decisions.
+    pub(crate) times: PolicyTimes,
+}
+
+/// The key that all entries of a site share; never shown.
+#[derive(Clone)]
+pub(crate) struct PeerKey(Vec<u8>);
+
+impl PeerKey {
+    /// Returns the bytes of the key.
+    pub(crate) fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl std::fmt::Debug for PeerKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("PeerKey")
+    }
+}
+
+impl EntrySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault that was found.
+    pub(crate) fn load(path: &Path) -> Result<Self, Vec<SettingsFault>> {
+        let file = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|error| {
+            vec![SettingsFault::new(&file, "", error, "a file that can be read")]
+        })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault that was found.
+    pub(crate) fn parse(file: &str, text: &str) -> Result<Self, Vec<SettingsFault>> {
+        let mut reader = SettingsReader::new(file, text)?;
+        let zone = reader.required("zone", ZONE);
+        let caller_listen = reader.required("caller_listen", ADDRESS);
+        let peer_listen = reader.required("peer_listen", ADDRESS);
+        let platform = reader.required("platform", ADDRESS);
+        let peer_key = read_peer_key(&mut reader);
+        let seed = reader.whole_number("seed", 0..=i64::MAX as u64);
+        let log_level = reader.optional("log.level", LogLevel::ALLOWED).unwrap_or_default();
+        let log_format = reader.optional("log.format", LogFormat::ALLOWED).unwrap_or_default();
+        let times = times::read_times(&mut reader);
+        reader.finish()?;
+        let complete = (|| {
+            Some(Self {
+                zone: zone?,
+                caller_listen: caller_listen?,
+                peer_listen: peer_listen?,
+                platform: platform?,
+                peer_key: peer_key?,
+                seed,
+                log_level,
+                log_format,
+                times,
+            })
+        })();
+        complete
+            .ok_or_else(|| vec![SettingsFault::new(file, "", "nothing", "a value for each key")])
+    }
+}
+
+/// Reads the key from `peer_key` or from the file that `peer_key_file` names.
+fn read_peer_key(reader: &mut SettingsReader) -> Option<PeerKey> {
+    let inline = reader.secret("peer_key");
+    let file = reader.text("peer_key_file");
+    let key = match (inline, file) {
+        (Some(key), None) => key,
+        (None, Some(path)) => match fs::read_to_string(&path) {
+            Ok(text) => text.trim().to_owned(),
+            Err(error) => {
+                reader.fault("peer_key_file", format!("{path:?}: {error}"), "a readable file");
+                return None;
+            }
+        },
+        (Some(_), Some(_)) => {
+            reader.fault("peer_key", "both given", "either peer_key or peer_key_file");
+            return None;
+        }
+        (None, None) => {
+            reader.fault("peer_key", "nothing", "peer_key or peer_key_file is required");
+            return None;
+        }
+    };
+    if key.len() < MIN_PEER_KEY_BYTES {
+        let allowed = format!("at least {MIN_PEER_KEY_BYTES} bytes");
+        reader.fault("peer_key", format!("{} bytes", key.len()), allowed);
+        return None;
+    }
+    Some(PeerKey(key.into_bytes()))
+}
