Check documents key by key; owners, key ring, differences and shared rows

Cause: the document was read by serde, which stops at the first fault and cannot name the section and key of a wrong type; sections could not be read or written on their own, and the entries had no common form for their rows.

Ruled out: mapping serde's errors by path (one error at a time, and a later fault stays hidden until the first is mended).

Change: the text is parsed into a table and each section reads its keys from it, so that every unknown key, wrong type, range and reference is reported at once. Sections have one canonical text. An owner without keys does not count, as its sections could never be changed again.

--- a/crates/magnoliapin_model/src/document/check.rs
+++ b/crates/magnoliapin_model/src/document/check.rs
@@ -1,72 +1,147 @@
 //! Checks of a whole document before it is accepted.
 
-use std::fmt;
+use indexmap::IndexMap;
 
+use super::document_error::ErrorList;
 use crate::ConfigDocument;
+use crate::DocumentError;
+use crate::KeyHash;
+use crate::NumberRange;
+use crate::PoolId;
 use crate::SectionName;
+use crate::TeamId;
 
-crate::plain_data! {
-    /// One error in a document: where it is, what was found and what is allowed.
-    pub struct DocumentError {
-        /// Section, such as `queues.booking`; empty if the text is no TOML.
-        pub section: String,
-        /// Key inside the section.
-        pub key: String,
-        /// The value that was found.
-        pub value: String,
-        /// What is allowed.
-        pub allowed: String,
-    }
-}
+const TEAM: &str = "the name of a section [teams.*]";
 
-impl fmt::Display for DocumentError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "section {:?}, key {:?}: value {} is not allowed; allowed: {}",
-            self.section, self.key, self.value, self.allowed
-        )
+impl ConfigDocument {
+    /// Checks the document whole and returns every error.
+    pub fn check(&self) -> Vec<DocumentError> {
+        let mut errors = ErrorList::default();
+        self.check_ranges(&mut errors);
+        self.check_owners(&mut errors);
+        self.check_queues(&mut errors);
+        self.check_pools(&mut errors);
+        self.check_operators(&mut errors);
+        self.check_keys(&mut errors);
+        errors.into_vec()
     }
-}
 
-impl std::error::Error for DocumentError {}
+    fn check_ranges(&self, errors: &mut ErrorList) {
+        for (pool, section) in &self.pools {
+            section.check(SectionName::Pool(*pool), errors);
+        }
+        for (team, section) in &self.teams {
+            section.check(SectionName::Team(*team), errors);
+        }
+        for (queue, section) in &self.queues {
+            section.check(SectionName::Queue(*queue), errors);
+        }
+        self.maintenance.check(SectionName::Maintenance, errors);
+        self.weights.check(SectionName::Weights, errors);
+    }
 
-impl ConfigDocument {
-    /// Reads a document and checks it whole.
-    ///
-    /// # Errors
-    ///
-    /// Returns every error that was found.
-    pub fn parse(text: &str) -> Result<Self, Vec<DocumentError>> {
-        let document: Self = toml::from_str(text).map_err(|error| {
-            vec![DocumentError {
-                section: String::new(),
-                key: String::new(),
-                value: error.message().to_owned(),
-                allowed: "a TOML document of the described form".to_owned(),
-            }]
-        })?;
-        let errors = document.check();
-        if errors.is_empty() {
-            Ok(document)
-        } else {
-            Err(errors)
+    fn check_owners(&self, errors: &mut ErrorList) {
+        for section in self.section_names() {
+            self.check_team(section, "owner", self.owner(section), errors);
         }
     }
 
-    /// Checks the document whole and returns every error.
-    pub fn check(&self) -> Vec<DocumentError> {
-        let mut errors = Vec::new();
+    fn check_queues(&self, errors: &mut ErrorList) {
         for (queue, section) in &self.queues {
-            if !self.pools.contains_key(&section.pool) {
-                errors.push(DocumentError {
-                    section: SectionName::Queue(*queue).to_string(),
-                    key: "pool".to_owned(),
-                    value: format!("{:?}", section.pool.as_str()),
-                    allowed: "the name of a section [pools.*]".to_owned(),
-                });
+            let name = SectionName::Queue(*queue);
+            self.check_pool(name, section.pool, errors);
+            self.check_team(name, "open_team", section.open_team, errors);
+            for (index, team) in section.teams.iter().enumerate() {
+                self.check_team(name, "teams", Some(*team), errors);
+                if section.teams[..index].contains(team) {
+                    errors.add(name, "teams", quoted(team.as_str()), "each team once");
+                }
+            }
+        }
+    }
+
+    /// Checks that every pool which is no spare has a queue; its instances would idle.
+    fn check_pools(&self, errors: &mut ErrorList) {
+        for (pool, section) in &self.pools {
+            let is_used = self.queues.values().any(|queue| queue.pool == *pool);
+            if !section.spare && !is_used {
+                let allowed = "a queue with this pool, or spare = true";
+                errors.add(SectionName::Pool(*pool), "spare", "false and no queue", allowed);
             }
         }
-        errors
     }
+
+    /// Checks that somebody can change the document again.
+    fn check_operators(&self, errors: &mut ErrorList) {
+        if !self.teams.values().any(|team| team.operator && !team.keys.is_empty()) {
+            errors.push(DocumentError {
+                section: "teams".to_owned(),
+                key: "operator".to_owned(),
+                value: "no team that is an operator and has a key".to_owned(),
+                allowed: "at least one team with operator = true and a key".to_owned(),
+            });
+        }
+    }
+
+    /// Checks that each secret belongs to one team and has one name there.
+    fn check_keys(&self, errors: &mut ErrorList) {
+        let mut places: IndexMap<KeyHash, String> = IndexMap::new();
+        for (team, section) in &self.teams {
+            let name = SectionName::Team(*team);
+            for (key, hash) in &section.keys {
+                let place = format!("keys.{key}");
+                if let Some(earlier) = places.get(hash) {
+                    let allowed = "a secret that no other key has";
+                    errors.add(name, &place, format!("the secret of {earlier}"), allowed);
+                } else {
+                    places.insert(*hash, format!("{place} in [{name}]"));
+                }
+            }
+        }
+    }
+
+    fn check_pool(&self, name: SectionName, pool: PoolId, errors: &mut ErrorList) {
+        let found = quoted(pool.as_str());
+        match self.pools.get(&pool) {
+            None => errors.add(name, "pool", found, "the name of a section [pools.*]"),
+            Some(section) if section.spare => {
+                errors.add(name, "pool", found, "a pool without spare = true");
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn check_team(
+        &self,
+        name: SectionName,
+        key: &str,
+        team: Option<TeamId>,
+        errors: &mut ErrorList,
+    ) {
+        if let Some(team) = team {
+            if !self.teams.contains_key(&team) {
+                errors.add(name, key, quoted(team.as_str()), TEAM);
+            }
+        }
+    }
+}
+
+impl ErrorList {
+    /// Adds an error if `number` is out of its range.
+    pub(super) fn check_range(
+        &mut self,
+        section: SectionName,
+        key: &str,
+        number: impl Into<u64>,
+        range: NumberRange,
+    ) {
+        let number = number.into();
+        if !range.contains(number) {
+            self.add(section, key, number, range);
+        }
+    }
+}
+
+fn quoted(text: &str) -> String {
+    format!("{text:?}")
 }
--- a/crates/magnoliapin_model/src/document/key_hash.rs
+++ b/crates/magnoliapin_model/src/document/key_hash.rs
@@ -16,6 +16,9 @@
 pub struct KeyHash([u8; 32]);
 
 impl KeyHash {
+    /// Length of the prefix that [`KeyRing`](crate::KeyRing) indexes by.
+    pub(super) const PREFIX_BYTES: usize = 8;
+
     /// Hashes the secret of a key.
     pub fn new(secret: &str) -> Self {
         Self(Sha256::digest(secret.as_bytes()).into())
@@ -25,6 +28,12 @@
     pub fn matches(&self, other: &Self) -> bool {
         self.0.ct_eq(&other.0).into()
     }
+
+    pub(super) fn prefix(&self) -> [u8; Self::PREFIX_BYTES] {
+        let mut prefix = [0; Self::PREFIX_BYTES];
+        prefix.copy_from_slice(&self.0[..Self::PREFIX_BYTES]);
+        prefix
+    }
 }
 
 impl fmt::Debug for KeyHash {
--- /dev/null
+++ b/crates/magnoliapin_model/src/document/key_secret.rs
@@ -0,0 +1,49 @@
+//! Secrets of keys, shown once when they are made.
+
+use std::fmt;
+
+use rand::CryptoRng;
+
+use crate::KeyHash;
+
+const SECRET_BYTES: usize = 32;
+
+/// The secret of a key. Neither `Debug` nor `Display` shows it.
+#[derive(Clone)]
+pub struct KeySecret(String);
+
+impl KeySecret {
+    /// Draws a secret of 256 random bits.
+    pub fn new(generator: &mut dyn CryptoRng) -> Self {
+        let mut bytes = [0; SECRET_BYTES];
+        generator.fill_bytes(&mut bytes);
+        Self(hex::encode(bytes))
+    }
+
+    /// Wraps a secret that came from elsewhere, such as a request or the environment.
+    pub fn from_text(secret: impl Into<String>) -> Self {
+        Self(secret.into())
+    }
+
+    /// Returns the secret itself.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+
+    /// Returns the hash that the document stores.
+    pub fn hash(&self) -> KeyHash {
+        KeyHash::new(&self.0)
+    }
+}
+
+impl fmt::Debug for KeySecret {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("KeySecret(..)")
+    }
+}
+
+impl fmt::Display for KeySecret {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("(secret)")
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_model/src/document/parse.rs
@@ -0,0 +1,175 @@
+//! Reads documents and sections from their texts.
+
+use indexmap::IndexMap;
+use toml::Table;
+use toml::Value;
+
+use super::document_error::ErrorList;
+use super::section_reader::SectionReader;
+use crate::ConfigDocument;
+use crate::DocumentError;
+use crate::MaintenanceSection;
+use crate::PoolSection;
+use crate::QueueSection;
+use crate::SectionName;
+use crate::TeamSection;
+use crate::WeightSection;
+
+/// Longest text of a document, and of all its sections together.
+pub const MAX_DOCUMENT_BYTES: usize = 2 * 1024 * 1024;
+
+const HEADERS: &str = "the sections [pools.<name>], [teams.<name>], [queues.<name>], \
+                       [maintenance] and [weights]";
+
+impl ConfigDocument {
+    /// Reads a document and checks it whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns every error that was found.
+    pub fn parse(text: &str) -> Result<Self, Vec<DocumentError>> {
+        let mut errors = ErrorList::default();
+        let mut sections = Vec::new();
+        if let Some(table) = parse_table("", text, &mut errors) {
+            for (kind, value) in table {
+                split_kind(&kind, value, &mut sections, &mut errors);
+            }
+        }
+        Self::assemble(sections, errors)
+    }
+
+    /// Puts a document together from the text of each section and checks it whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns every error that was found.
+    pub fn from_sections(
+        texts: &IndexMap<SectionName, String>,
+    ) -> Result<Self, Vec<DocumentError>> {
+        let mut errors = ErrorList::default();
+        let mut sections = Vec::new();
+        if texts.values().map(String::len).sum::<usize>() > MAX_DOCUMENT_BYTES {
+            errors.push(too_long(""));
+            return Err(errors.into_vec());
+        }
+        for (name, text) in texts {
+            if let Some(table) = parse_table(&name.to_string(), text, &mut errors) {
+                sections.push((*name, table));
+            }
+        }
+        Self::assemble(sections, errors)
+    }
+
+    fn assemble(
+        mut sections: Vec<(SectionName, Table)>,
+        mut errors: ErrorList,
+    ) -> Result<Self, Vec<DocumentError>> {
+        let mut document = Self::default();
+        sections.sort_unstable_by_key(|(name, _)| *name);
+        for (name, table) in sections {
+            document.read_section(name, SectionReader::new(name, table, &mut errors));
+        }
+        errors.append_new(document.check());
+        let errors = errors.into_vec();
+        if errors.is_empty() {
+            Ok(document)
+        } else {
+            Err(errors)
+        }
+    }
+
+    fn read_section(&mut self, name: SectionName, reader: SectionReader<'_>) {
+        match name {
+            SectionName::Pool(pool) => {
+                self.pools.insert(pool, PoolSection::read(reader));
+            }
+            SectionName::Team(team) => {
+                self.teams.insert(team, TeamSection::read(reader));
+            }
+            SectionName::Queue(queue) => {
+                self.queues.insert(queue, QueueSection::read(reader));
+            }
+            SectionName::Maintenance => self.maintenance = MaintenanceSection::read(reader),
+            SectionName::Weights => self.weights = WeightSection::read(reader),
+        }
+    }
+}
+
+/// Parses a TOML text; adds an error and returns none if it is too long or no TOML.
+fn parse_table(section: &str, text: &str, errors: &mut ErrorList) -> Option<Table> {
+    if text.len() > MAX_DOCUMENT_BYTES {
+        errors.push(too_long(section));
+        return None;
+    }
+    match text.parse() {
+        Ok(table) => Some(table),
+        Err(error) => {
+            errors.push(syntax_error(section, text, &error));
+            None
+        }
+    }
+}
+
+/// Splits what stands under one top-level key into sections.
+fn split_kind(
+    kind: &str,
+    value: Value,
+    sections: &mut Vec<(SectionName, Table)>,
+    errors: &mut ErrorList,
+) {
+    match (kind, value) {
+        ("pools" | "teams" | "queues", Value::Table(table)) => {
+            for (name, value) in table {
+                split_section(kind, &name, value, sections, errors);
+            }
+        }
+        ("maintenance", Value::Table(table)) => sections.push((SectionName::Maintenance, table)),
+        ("weights", Value::Table(table)) => sections.push((SectionName::Weights, table)),
+        _ => errors.push(DocumentError {
+            section: String::new(),
+            key: kind.to_owned(),
+            value: "an unknown section or key".to_owned(),
+            allowed: HEADERS.to_owned(),
+        }),
+    }
+}
+
+fn split_section(
+    kind: &str,
+    name: &str,
+    value: Value,
+    sections: &mut Vec<(SectionName, Table)>,
+    errors: &mut ErrorList,
+) {
+    let fault = match (format!("{kind}.{name}").parse::<SectionName>(), value) {
+        (Ok(section), Value::Table(table)) => return sections.push((section, table)),
+        (Err(error), _) => error.to_string(),
+        (Ok(_), _) => format!("a section [{kind}.{name}]"),
+    };
+    errors.push(DocumentError {
+        section: kind.to_owned(),
+        key: name.to_owned(),
+        value: format!("{name:?}"),
+        allowed: fault,
+    });
+}
+
+fn syntax_error(section: &str, text: &str, error: &toml::de::Error) -> DocumentError {
+    let start = error.span().map_or(0, |span| span.start);
+    let line = 1 + text.bytes().take(start).filter(|byte| *byte == b'\n').count();
+    DocumentError {
+        section: section.to_owned(),
+        key: String::new(),
+        value: format!("on line {line}: {}", error.message()),
+        allowed: "TOML".to_owned(),
+    }
+}
+
+fn too_long(section: &str) -> DocumentError {
+    DocumentError {
+        section: section.to_owned(),
+        key: String::new(),
+        value: "a longer text".to_owned(),
+        allowed: format!("at most {MAX_DOCUMENT_BYTES} bytes in all sections together"),
+    }
+}
--- a/crates/magnoliapin_model/src/document/section.rs
+++ b/crates/magnoliapin_model/src/document/section_name.rs
@@ -6,13 +6,18 @@
 use serde_with::DeserializeFromStr;
 use serde_with::SerializeDisplay;
 
+use super::section_text::toml_key;
 use crate::NameError;
 use crate::PoolId;
 use crate::QueueId;
 use crate::TeamId;
 
 /// Names one section of the document, such as `teams.guides`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, SerializeDisplay, DeserializeFromStr)]
+///
+/// The order of the names is the canonical order of the sections: by kind, then by name.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
 pub enum SectionName {
     /// `pools.<name>`
     Pool(PoolId),
@@ -26,6 +31,18 @@
     Weights,
 }
 
+impl SectionName {
+    /// Returns the name as it stands in the header of a TOML table.
+    pub fn toml_header(&self) -> String {
+        match self {
+            Self::Pool(pool) => format!("pools.{}", toml_key(pool.as_str())),
+            Self::Team(team) => format!("teams.{}", toml_key(team.as_str())),
+            Self::Queue(queue) => format!("queues.{}", toml_key(queue.as_str())),
+            Self::Maintenance | Self::Weights => self.to_string(),
+        }
+    }
+}
+
 impl fmt::Display for SectionName {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/magnoliapin_model/src/id.rs
+++ b/crates/magnoliapin_model/src/id.rs
@@ -45,6 +45,8 @@
     SlotCount(u32);
     /// Size in bytes.
     ByteSize(u64);
+    /// A point of wall-clock time, in milliseconds since the start of 1970 in UTC.
+    UnixMillis(u64);
 }
 
 /// Identifies one attempt at a piece of work, as a target knows it.
--- a/crates/magnoliapin_wire/src/lib.rs
+++ b/crates/magnoliapin_wire/src/lib.rs
@@ -3,11 +3,13 @@
 //! [`CallerRequest`] and [`CallerAnswer`] are what is left of a caller's HTTP exchange.
 //! [`PlatformRequest`] and [`TargetRequest`] are calls that an entry makes; their modules
 //! describe the HTTP form. [`PeerMessage`] travels in datagrams that [`PeerCodec`] encodes.
+//! [`rows`] holds what the entries keep in the platform's table.
 
 mod caller;
 mod codec;
 mod peer;
 mod platform;
+pub mod rows;
 mod target;
 
 pub use caller::CallerAnswer;
--- /dev/null
+++ b/crates/magnoliapin_wire/src/rows/entry_row.rs
@@ -0,0 +1,27 @@
+//! Row of an entry.
+
+use std::net::SocketAddr;
+
+use magnoliapin_model::plain_data;
+use magnoliapin_model::ZoneId;
+
+use crate::rows::RowValue;
+
+plain_data! {
+    /// One entry. It lives as long as `renewals` rises.
+    #[derive(Eq)]
+    pub struct EntryRow {
+        /// Its availability zone.
+        pub zone: ZoneId,
+        /// Its address for callers and operators.
+        pub caller_address: SocketAddr,
+        /// Its address for peers' datagrams.
+        pub peer_address: SocketAddr,
+        /// How often it has renewed its lease.
+        pub renewals: u64,
+    }
+}
+
+impl RowValue for EntryRow {
+    const KIND: &'static str = "entry";
+}
--- /dev/null
+++ b/crates/magnoliapin_wire/src/rows/row_value.rs
@@ -0,0 +1,54 @@
+//! Values of rows as JSON.
+
+use std::fmt;
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+/// Longest value of a row, in bytes; a job's input and output at their largest fit in.
+pub const MAX_ROW_BYTES: usize = 8 * 1024 * 1024;
+
+/// A value that a row holds as JSON.
+pub trait RowValue: Serialize + DeserializeOwned {
+    /// Name of the kind of row, for errors.
+    const KIND: &'static str;
+
+    /// Encodes the value.
+    ///
+    /// # Panics
+    ///
+    /// Never: rows hold nothing that JSON cannot express.
+    fn to_json(&self) -> String {
+        serde_json::to_string(self).expect("rows hold nothing that JSON cannot express")
+    }
+
+    /// Decodes a value.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`RowError`] if the value is too long or is not of this kind.
+    fn from_json(value: &str) -> Result<Self, RowError> {
+        let error = |fault| RowError { kind: Self::KIND, fault };
+        if value.len() > MAX_ROW_BYTES {
+            return Err(error(format!("it has more than {MAX_ROW_BYTES} bytes")));
+        }
+        serde_json::from_str(value).map_err(|fault| error(fault.to_string()))
+    }
+}
+
+/// The value of a row cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RowError {
+    /// Kind of the row.
+    pub kind: &'static str,
+    /// What is wrong with the value.
+    pub fault: String,
+}
+
+impl fmt::Display for RowError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "the value of a row of kind {} cannot be read: {}", self.kind, self.fault)
+    }
+}
+
+impl std::error::Error for RowError {}
