Give the command line's test document an operator with a key

Ruled out: easing the check; the rule is asked for.

Change: the test's document gets an operator team with a key. What the test expects stays as it was.

--- a/crates/magnoliapin/tests/offline.rs
+++ b/crates/magnoliapin/tests/offline.rs
@@ -12,6 +12,8 @@
 
 [teams.guides]
 limit = 4
+operator = true
+keys.first = "sha256:0000000000000000000000000000000000000000000000000000000000000000"
 
 [queues.booking]
 pool = "evening"
