Run an entry: driver, borders, callers' HTTP, datagrams and supervision

The machine of an entry had nothing around it. A machine that starts over or panics gets a new number and a new identifier, and answers of calls made for an earlier one are dropped and counted.

Ruled out: one shared set of tasks for all entries of a process, since a kill has to drop every task and socket of one entry at once; and judging whether a request left by the kind of the client's error, since only a count of written bytes, read after the connection's task is gone, proves it.

Bounds on slow and broken senders are written and not yet tested.

--- /dev/null
+++ b/crates/magnoliapin_entry/src/caller/connection.rs
@@ -0,0 +1,258 @@
+//! Serves one connection of a caller.
+
+use std::convert::Infallible;
+use std::net::TcpStream as StdStream;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use magnoliapin_model::ErrorKind;
+use magnoliapin_model::KeyHash;
+use magnoliapin_wire::CallerBody;
+use magnoliapin_wire::CallerRequest;
+use magnoliapin_wire::ConfigChange;
+use smol::io::AsyncReadExt;
+use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
+use smol::Async;
+use smol::Timer;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolTimer;
+
+use crate::caller::body::HeldBody;
+use crate::caller::fault::RequestFault;
+use crate::caller::headers::CallerHeaders;
+use crate::caller::response::body_response;
+use crate::caller::response::json_response;
+use crate::caller::response::raw_refusal;
+use crate::caller::response::CallerReply;
+use crate::caller::route::CallerRoute;
+use crate::caller::stream::CallerStream;
+use crate::caller::stream::StreamWatch;
+use crate::caller::CallerShared;
+
+/// Time in which a caller may still send what it had begun, so that it can read its answer.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Bytes that are read and thrown away in that time.
+const LINGER_BYTES: usize = 16 * 1024 * 1024;
+/// Time to write the refusal of broken or slow headers.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+
+/// One connection of a caller.
+#[derive(Debug)]
+pub(crate) struct CallerConnection {
+    shared: Arc<CallerShared>,
+    stream: TcpStream,
+    watch: Arc<StreamWatch>,
+}
+
+/// How the exchange on a connection ended.
+enum ConnectionEnd {
+    Closed,
+    Broken,
+    SlowHead,
+}
+
+impl CallerConnection {
+    /// Wraps a socket.
+    pub(crate) fn new(shared: Arc<CallerShared>, stream: Async<StdStream>) -> Self {
+        Self { shared, stream: TcpStream::from(stream), watch: Arc::default() }
+    }
+
+    /// Serves requests until the connection ends.
+    pub(crate) async fn run(self) {
+        // Without it small answers would wait for the caller's acknowledgement.
+        let _ = self.stream.set_nodelay(true);
+        let refusal = match self.serve().await {
+            ConnectionEnd::Closed => None,
+            ConnectionEnd::Broken => Some(RequestFault::new(
+                ErrorKind::BadRequest,
+                "the headers are broken, too many or too long",
+            )),
+            ConnectionEnd::SlowHead => {
+                Some(RequestFault::new(ErrorKind::SlowSender, "the headers took too long"))
+            }
+        };
+        if let Some(refusal) = refusal {
+            self.shared.metrics.count_answer(Some(refusal.kind), Duration::ZERO);
+            self.write_refusal(refusal).await;
+        }
+        self.linger().await;
+    }
+
+    async fn serve(&self) -> ConnectionEnd {
+        let limits = &self.shared.limits;
+        let stream = CallerStream::new(self.stream.clone(), Arc::clone(&self.watch));
+        let service = service_fn(|request| self.respond(request));
+        let connection = http1::Builder::new()
+            .timer(SmolTimer::new())
+            .header_read_timeout(limits.idle_timeout)
+            .max_headers(limits.header_count)
+            .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
+            .serve_connection(FuturesIo::new(stream), service);
+        let mut connection = pin!(connection);
+        let slow_head = async {
+            self.watch.slow_head(limits.header_timeout).await;
+            Some(ConnectionEnd::SlowHead)
+        };
+        let stopping = async {
+            self.shared.draining.wait().await;
+            None
+        };
+        let serving = async {
+            // Errors other than broken headers have nobody left to be told.
+            let _ = connection.as_mut().await;
+            Some(ConnectionEnd::Closed)
+        };
+        let end = match serving.or(slow_head).or(stopping).await {
+            Some(end) => end,
+            None => {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+                ConnectionEnd::Closed
+            }
+        };
+        if self.watch.is_broken() {
+            return ConnectionEnd::Broken;
+        }
+        end
+    }
+
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let started = Instant::now();
+        self.watch.begin_request();
+        let reply = self.answer(request).await.unwrap_or_else(CallerReply::from);
+        let mut response = reply.response;
+        if self.shared.desk.state().is_stopping() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        self.shared.metrics.count_answer(reply.kind, started.elapsed());
+        self.watch.end_request();
+        Ok(response)
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<CallerReply, RequestFault> {
+        let (head, body) = request.into_parts();
+        let route = CallerRoute::find(&head.method, head.uri.path())?;
+        let state = self.shared.desk.state();
+        let response = match route {
+            CallerRoute::Health => text_response("ok\n"),
+            CallerRoute::Ready if state.is_ready() => text_response("ready\n"),
+            CallerRoute::Ready => {
+                let message = "the entry takes no new work";
+                return Err(RequestFault::new(ErrorKind::NotReady, message));
+            }
+            CallerRoute::Metrics => metrics_response(self.shared.metrics.text()),
+            CallerRoute::Timeline => json_response(StatusCode::OK, &state.timeline().view()),
+            CallerRoute::Ask(body) => {
+                let headers = CallerHeaders::read(&head.headers)?;
+                return Ok(self.ask(headers.key, body).await);
+            }
+            CallerRoute::Run(_) | CallerRoute::Submit(_) | CallerRoute::Apply => {
+                // The headers are checked before a body is read for nothing.
+                let headers = CallerHeaders::read(&head.headers)?;
+                return self.ask_with_body(headers, route, body).await;
+            }
+        };
+        Ok(CallerReply::ok(response))
+    }
+
+    async fn ask_with_body(
+        &self,
+        headers: CallerHeaders,
+        route: CallerRoute,
+        body: Incoming,
+    ) -> Result<CallerReply, RequestFault> {
+        let mut held = HeldBody::read(body, &self.shared.bodies, &self.shared.limits).await?;
+        let payload = held.take_bytes();
+        let body = match route {
+            CallerRoute::Run(queue) => {
+                CallerBody::Run { queue, payload, timeout_ms: headers.timeout_ms }
+            }
+            CallerRoute::Submit(queue) => {
+                let idempotency_key = headers.idempotency_key;
+                CallerBody::Submit { queue, payload, idempotency_key }
+            }
+            _ => CallerBody::ApplyConfig(read_change(&payload)?),
+        };
+        let reply = self.ask(headers.key, body).await;
+        drop(held);
+        Ok(reply)
+    }
+
+    async fn ask(&self, key: Option<KeyHash>, body: CallerBody) -> CallerReply {
+        let answer = self.shared.desk.ask(CallerRequest { key, body }).await;
+        CallerReply::from(answer)
+    }
+
+    async fn write_refusal(&self, refusal: RequestFault) {
+        let mut stream = self.stream.clone();
+        let bytes = raw_refusal(refusal);
+        let write = async {
+            // A caller that is gone needs no answer.
+            let _ = stream.write_all(&bytes).await;
+        };
+        let timeout = async {
+            Timer::after(REFUSAL_TIME).await;
+        };
+        write.or(timeout).await;
+    }
+
+    /// Closes the connection so that the caller can still read its answer: bytes that are left
+    /// unread would make the operating system reset the connection.
+    async fn linger(&self) {
+        let mut stream = self.stream.clone();
+        if stream.shutdown(std::net::Shutdown::Write).is_err() {
+            return;
+        }
+        let discard = async {
+            let mut buffer = vec![0; 16 * 1024];
+            let mut discarded = 0;
+            while discarded < LINGER_BYTES {
+                match stream.read(&mut buffer).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(bytes) => discarded += bytes,
+                }
+            }
+        };
+        let timeout = async {
+            Timer::after(LINGER_TIME).await;
+        };
+        discard.or(timeout).await;
+    }
+}
+
+/// Least buffer that the library takes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+
+fn text_response(text: &'static str) -> Response<Full<Bytes>> {
+    body_response(StatusCode::OK, "text/plain; charset=utf-8", text.as_bytes().to_vec())
+}
+
+fn metrics_response(text: String) -> Response<Full<Bytes>> {
+    let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    body_response(StatusCode::OK, content_type, text.into_bytes())
+}
+
+fn read_change(payload: &[u8]) -> Result<ConfigChange, RequestFault> {
+    serde_json::from_slice(payload).map_err(|error| {
+        let message = format!("the body is no change of the configuration: {error}");
+        RequestFault::new(ErrorKind::BadRequest, message)
+    })
+}
--- /dev/null
+++ b/crates/magnoliapin_entry/src/caller/headers.rs
@@ -0,0 +1,98 @@
+//! Reads the headers that requests may carry.
+
+use std::str::FromStr;
+
+use hyper::header;
+use hyper::header::HeaderMap;
+use hyper::header::HeaderValue;
+use magnoliapin_model::ErrorKind;
+use magnoliapin_model::KeyHash;
+
+use crate::caller::fault::RequestFault;
+
+/// Longest idempotency key, in bytes.
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 200;
+
+/// What the headers of a request say.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct CallerHeaders {
+    /// Hash of the key; the secret is kept nowhere.
+    pub(crate) key: Option<KeyHash>,
+    /// Longest wait, in milliseconds.
+    pub(crate) timeout_ms: Option<u64>,
+    /// Makes a second submission find the first one's job.
+    pub(crate) idempotency_key: Option<String>,
+}
+
+impl CallerHeaders {
+    /// Reads the headers of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault if one of them is malformed or came more than once.
+    pub(crate) fn read(headers: &HeaderMap) -> Result<Self, RequestFault> {
+        Ok(Self {
+            key: read_key(headers)?,
+            timeout_ms: read_number(headers, "x-timeout-ms")?,
+            idempotency_key: read_idempotency_key(headers)?,
+        })
+    }
+}
+
+fn read_key(headers: &HeaderMap) -> Result<Option<KeyHash>, RequestFault> {
+    let Some(value) = read_single(headers, header::AUTHORIZATION.as_str())? else {
+        return Ok(None);
+    };
+    let secret = value.to_str().ok().and_then(|value| {
+        let (scheme, secret) = value.split_once(' ')?;
+        scheme.eq_ignore_ascii_case("bearer").then_some(secret.trim())
+    });
+    match secret {
+        Some(secret) if !secret.is_empty() => Ok(Some(KeyHash::new(secret))),
+        _ => {
+            let message = "the header authorization must be \"Bearer\", a space and a key";
+            Err(RequestFault::new(ErrorKind::BadKey, message))
+        }
+    }
+}
+
+fn read_idempotency_key(headers: &HeaderMap) -> Result<Option<String>, RequestFault> {
+    let Some(value) = read_single(headers, "idempotency-key")? else {
+        return Ok(None);
+    };
+    let key = value
+        .to_str()
+        .ok()
+        .filter(|key| !key.is_empty() && key.len() <= MAX_IDEMPOTENCY_KEY_BYTES && key.is_ascii());
+    key.map(|key| Some(key.to_owned())).ok_or_else(|| {
+        let message = format!(
+            "the header idempotency-key must have 1 to {MAX_IDEMPOTENCY_KEY_BYTES} ASCII characters"
+        );
+        RequestFault::new(ErrorKind::BadRequest, message)
+    })
+}
+
+fn read_number(headers: &HeaderMap, name: &str) -> Result<Option<u64>, RequestFault> {
+    let Some(value) = read_single(headers, name)? else {
+        return Ok(None);
+    };
+    let number = value.to_str().ok().and_then(|value| u64::from_str(value).ok());
+    number.filter(|number| *number > 0).map(Some).ok_or_else(|| {
+        let message = format!("the header {name} must be a number above 0");
+        RequestFault::new(ErrorKind::BadRequest, message)
+    })
+}
+
+/// Reads a header that may come once at most.
+fn read_single<'a>(
+    headers: &'a HeaderMap,
+    name: &str,
+) -> Result<Option<&'a HeaderValue>, RequestFault> {
+    let mut values = headers.get_all(name).into_iter();
+    let first = values.next();
+    if values.next().is_some() {
+        let message = format!("the header {name} came more than once");
+        return Err(RequestFault::new(ErrorKind::BadRequest, message));
+    }
+    Ok(first)
+}
--- /dev/null
+++ b/crates/magnoliapin_entry/src/caller/stream.rs
@@ -0,0 +1,128 @@
+//! The socket of a caller, watched for slow and broken headers.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
+
+use smol::io::AsyncRead;
+use smol::io::AsyncWrite;
+use smol::net::TcpStream;
+use smol::Timer;
+
+/// What is known of the exchange on a caller's connection.
+#[derive(Debug, Default)]
+pub(crate) struct StreamWatch {
+    head_since: Mutex<Option<Instant>>,
+    is_serving: AtomicBool,
+    is_broken: AtomicBool,
+}
+
+impl StreamWatch {
+    /// Notes that the headers of a request are complete.
+    pub(crate) fn begin_request(&self) {
+        self.is_serving.store(true, Ordering::SeqCst);
+        *self.head_since() = None;
+    }
+
+    /// Notes that the answer of a request is made.
+    pub(crate) fn end_request(&self) {
+        self.is_serving.store(false, Ordering::SeqCst);
+    }
+
+    /// Returns whether the library refused the headers of a request.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.is_broken.load(Ordering::SeqCst)
+    }
+
+    /// Waits until headers have been incomplete for at least `timeout`.
+    pub(crate) async fn slow_head(&self, timeout: Duration) {
+        loop {
+            let since = *self.head_since();
+            match since {
+                Some(since) if since.elapsed() >= timeout => return,
+                Some(since) => Timer::at(since + timeout).await,
+                None => Timer::after(timeout / 2).await,
+            };
+        }
+    }
+
+    fn note_read(&self) {
+        if !self.is_serving.load(Ordering::SeqCst) {
+            self.head_since().get_or_insert_with(Instant::now);
+        }
+    }
+
+    fn head_since(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.head_since.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The socket of a caller. It holds back the library's own answers to broken headers, which have
+/// no body, so that the entry can give its own.
+#[derive(Debug)]
+pub(crate) struct CallerStream {
+    stream: TcpStream,
+    watch: Arc<StreamWatch>,
+}
+
+impl CallerStream {
+    /// Wraps a socket.
+    pub(crate) fn new(stream: TcpStream, watch: Arc<StreamWatch>) -> Self {
+        Self { stream, watch }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if matches!(result, Poll::Ready(Ok(bytes)) if bytes > 0) {
+            self.watch.note_read();
+        }
+        result
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if is_library_refusal(buffer) {
+            self.watch.is_broken.store(true, Ordering::SeqCst);
+            return Poll::Ready(Ok(buffer.len()));
+        }
+        Pin::new(&mut self.stream).poll_write(context, buffer)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.watch.is_broken() {
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
+
+/// Returns whether these bytes are a refusal without a body. The entry's own all have one.
+fn is_library_refusal(bytes: &[u8]) -> bool {
+    const EMPTY_BODY: &[u8] = b"content-length: 0\r\n";
+    bytes.starts_with(b"HTTP/1.1 4")
+        && bytes.windows(EMPTY_BODY.len()).any(|window| window == EMPTY_BODY)
+}
--- /dev/null
+++ b/crates/magnoliapin_entry/src/clock.rs
@@ -0,0 +1,46 @@
+//! The clock of one entry.
+
+use std::fmt;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use magnoliapin_model::Moment;
+
+/// Tells the time of one process.
+pub trait MonotonicClock: Send + Sync + fmt::Debug {
+    /// Returns the time since the start of the process; never goes back.
+    fn now(&self) -> Moment;
+
+    /// Returns the wall clock in microseconds since 1970; may jump.
+    fn wall_micros(&self) -> u64;
+}
+
+/// The clocks of the operating system.
+#[derive(Clone, Copy, Debug)]
+pub struct SystemClock {
+    start: Instant,
+}
+
+impl SystemClock {
+    /// Makes a clock that starts now.
+    pub fn new() -> Self {
+        Self { start: Instant::now() }
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl MonotonicClock for SystemClock {
+    fn now(&self) -> Moment {
+        Moment::START + self.start.elapsed()
+    }
+
+    fn wall_micros(&self) -> u64 {
+        let age = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(age.as_micros()).unwrap_or(u64::MAX)
+    }
+}
--- a/crates/magnoliapin_entry/src/lib.rs
+++ b/crates/magnoliapin_entry/src/lib.rs
@@ -1,1 +1,55 @@
-//! Placeholder.
+//! The I/O around the pure state machine of an entry.
+//!
+//! [`EntryService::start`] opens the sockets of one entry and runs it until the planned stop of
+//! its [`EntryHandle`]. Inside, one driver task owns the machine and is the only one to touch it;
+//! everything else turns sockets into events and actions into calls. The borders are the traits
+//! [`PlatformClient`], [`TargetClient`], [`PeerTransport`] and [`MonotonicClock`]; a test or
+//! another bench replaces any of them through [`EntryBorders`].
+
+mod caller;
+mod clock;
+mod driver;
+mod entry_error;
+mod entry_handle;
+mod http_connection;
+mod http_pool;
+mod limits;
+mod metrics;
+mod options;
+mod peer_link;
+mod peer_transport;
+mod platform_client;
+mod runtime;
+mod service;
+mod stop_signal;
+mod supervisor;
+mod target_client;
+mod timeline;
+
+use std::future::Future;
+use std::pin::Pin;
+
+pub use clock::MonotonicClock;
+pub use clock::SystemClock;
+pub use entry_error::EntryError;
+pub use entry_handle::EntryHandle;
+pub use limits::EntryLimits;
+pub use limits::PoolLimits;
+pub use metrics::EntryMetrics;
+pub use options::EntryBorders;
+pub use options::EntryOptions;
+pub use peer_transport::PeerTransport;
+pub use peer_transport::UdpTransport;
+pub use platform_client::HttpPlatform;
+pub use platform_client::PlatformClient;
+pub use runtime::TaskRuntime;
+pub use runtime::TaskSpawner;
+pub use service::EntryService;
+pub use target_client::HttpTargets;
+pub use target_client::TargetCall;
+pub use target_client::TargetClient;
+pub use timeline::TimelineRecord;
+pub use timeline::TimelineView;
+
+/// Outcome of an asynchronous call through a trait object.
+pub type CallFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
--- /dev/null
+++ b/crates/magnoliapin_entry/src/runtime.rs
@@ -0,0 +1,95 @@
+//! Threads that run the tasks of one entry, and the way to drop them all at once.
+
+use std::future::Future;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::sync::Weak;
+use std::thread::Builder;
+use std::thread::JoinHandle;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use futures_lite::FutureExt;
+use smol::Executor;
+use smol::Task;
+
+use crate::stop_signal::StopSignal;
+use crate::EntryError;
+
+/// Owns an executor and its threads. Dropping it drops every task with its sockets.
+#[derive(Debug)]
+pub struct TaskRuntime {
+    executor: Arc<Executor<'static>>,
+    threads: Vec<JoinHandle<()>>,
+    ended: StopSignal,
+}
+
+impl TaskRuntime {
+    /// Starts `count` threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EntryError::Thread`] if a thread cannot be started.
+    pub fn start(count: usize) -> Result<Self, Report<EntryError>> {
+        let executor = Arc::new(Executor::new());
+        let mut runtime = Self { executor, threads: Vec::new(), ended: StopSignal::new() };
+        for number in 0..count.max(1) {
+            let executor = Arc::clone(&runtime.executor);
+            let ended = runtime.ended.clone();
+            let thread = Builder::new()
+                .name(format!("entry-{number}"))
+                .spawn(move || run_tasks(&executor, &ended))
+                .change_context(EntryError::Thread)?;
+            runtime.threads.push(thread);
+        }
+        Ok(runtime)
+    }
+
+    /// Returns a handle for starting tasks, which does not keep the executor alive.
+    pub fn spawner(&self) -> TaskSpawner {
+        TaskSpawner { executor: Arc::downgrade(&self.executor) }
+    }
+}
+
+impl Drop for TaskRuntime {
+    fn drop(&mut self) {
+        self.ended.raise();
+        for thread in self.threads.drain(..) {
+            // A thread that panicked has nothing left to stop.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Starts tasks on a [`TaskRuntime`].
+#[derive(Clone, Debug)]
+pub struct TaskSpawner {
+    executor: Weak<Executor<'static>>,
+}
+
+impl TaskSpawner {
+    /// Starts a task; dropping the result cancels it. None if the runtime is gone.
+    pub fn spawn<T: Send + 'static>(
+        &self,
+        future: impl Future<Output = T> + Send + 'static,
+    ) -> Option<Task<T>> {
+        self.executor.upgrade().map(|executor| executor.spawn(future))
+    }
+
+    /// Starts a task that runs until it ends or the runtime is dropped.
+    pub fn detach(&self, future: impl Future<Output = ()> + Send + 'static) {
+        if let Some(task) = self.spawn(future) {
+            task.detach();
+        }
+    }
+}
+
+fn run_tasks(executor: &Executor<'static>, ended: &StopSignal) {
+    // A task that panics unwinds through its thread, which then goes on with the others.
+    while !ended.is_raised() {
+        let run = AssertUnwindSafe(executor.run(ended.wait())).catch_unwind();
+        if smol::block_on(run).is_err() {
+            log::error!("a task of the entry panicked");
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_entry/src/service.rs
@@ -0,0 +1,231 @@
+//! Starts the tasks of one entry.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use error_stack::Report;
+use error_stack::ResultExt;
+use magnoliapin_model::EntryId;
+use magnoliapin_policy::EntryIdentity;
+use magnoliapin_wire::PeerCodec;
+use smol::Async;
+use smol::Timer;
+
+use crate::caller::CallerListener;
+use crate::caller::CallerShared;
+use crate::driver::CallerDesk;
+use crate::driver::DriverEvent;
+use crate::driver::DriverState;
+use crate::driver::EntryDriver;
+use crate::metrics::ChildName;
+use crate::peer_link::PeerLink;
+use crate::stop_signal::StopSignal;
+use crate::supervisor::Supervisor;
+use crate::EntryBorders;
+use crate::EntryError;
+use crate::EntryHandle;
+use crate::EntryMetrics;
+use crate::EntryOptions;
+use crate::HttpPlatform;
+use crate::HttpTargets;
+use crate::MonotonicClock;
+use crate::PeerTransport;
+use crate::SystemClock;
+use crate::TaskRuntime;
+use crate::UdpTransport;
+
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Starts entries.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryService;
+
+impl EntryService {
+    /// Opens the sockets of an entry and starts it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why a socket cannot be opened or a thread cannot be started.
+    pub fn start(options: EntryOptions) -> Result<EntryHandle, Report<EntryError>> {
+        Self::start_with(options, EntryBorders::default())
+    }
+
+    /// Starts an entry with other borders than the real ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns why a socket cannot be opened or a thread cannot be started.
+    pub fn start_with(
+        options: EntryOptions,
+        borders: EntryBorders,
+    ) -> Result<EntryHandle, Report<EntryError>> {
+        let (listener, caller_address) = listen(options.caller_listen)?;
+        let peers = match &borders.peers {
+            Some(peers) => Arc::clone(peers),
+            None => bind_peers(options.peer_listen)?,
+        };
+        let runtime = TaskRuntime::start(options.limits.threads)?;
+        let plan = EntryPlan::new(options, borders, peers, caller_address, &runtime);
+        plan.start_children(listener);
+        Ok(plan.into_handle(runtime))
+    }
+}
+
+/// Everything that the tasks of one entry share.
+struct EntryPlan {
+    options: EntryOptions,
+    driver: EntryDriver,
+    events: Sender<DriverEvent>,
+    supervisor: Supervisor,
+    finished: StopSignal,
+}
+
+impl EntryPlan {
+    fn new(
+        options: EntryOptions,
+        borders: EntryBorders,
+        peers: Arc<dyn PeerTransport>,
+        caller_address: SocketAddr,
+        runtime: &TaskRuntime,
+    ) -> Self {
+        let metrics = Arc::new(EntryMetrics::new());
+        let (sender, receiver) = async_channel::unbounded();
+        let clock = borders.clock.clone().unwrap_or_else(|| Arc::new(SystemClock::new()));
+        let identity = EntryIdentity {
+            entry: EntryId::default(),
+            zone: options.zone,
+            caller_address,
+            peer_address: peers.local_address(),
+        };
+        let links = DriverLinks { identity, clock, peers, events: receiver, replies: sender };
+        let events = links.replies.clone();
+        let driver = make_driver(&options, borders, links, runtime, Arc::clone(&metrics));
+        let supervisor = Supervisor::new(runtime.spawner(), metrics);
+        Self { options, driver, events, supervisor, finished: StopSignal::new() }
+    }
+
+    fn start_children(&self, listener: Async<TcpListener>) {
+        self.start_peers();
+        self.start_sweep();
+        let driver = self.driver.clone();
+        self.supervisor.start_child(ChildName::Driver, move || Box::pin(driver.clone().run()));
+        self.start_listener(listener);
+    }
+
+    fn start_peers(&self) {
+        let link = PeerLink {
+            transport: Arc::clone(&self.driver.peers),
+            codec: self.driver.codec.clone(),
+            events: self.events.clone(),
+            state: Arc::clone(&self.driver.state),
+            metrics: Arc::clone(&self.driver.metrics),
+            waiting_datagrams: self.options.limits.waiting_datagrams,
+        };
+        self.supervisor.start_child(ChildName::Peers, move || Box::pin(link.clone().run()));
+    }
+
+    fn start_listener(&self, socket: Async<TcpListener>) {
+        let desk = CallerDesk::new(self.events.clone(), Arc::clone(&self.driver.state));
+        let metrics = Arc::clone(&self.driver.metrics);
+        let shared = Arc::new(CallerShared::new(desk, metrics, self.options.limits.clone()));
+        let spawner = self.driver.spawner.clone();
+        let listener = CallerListener::new(socket, shared, spawner, self.finished.clone());
+        self.supervisor.start_child(ChildName::Listener, move || Box::pin(listener.clone().run()));
+    }
+
+    fn start_sweep(&self) {
+        let platform = Arc::clone(&self.driver.platform);
+        let targets = Arc::clone(&self.driver.targets);
+        self.supervisor.start_child(ChildName::PoolSweep, move || {
+            let platform = Arc::clone(&platform);
+            let targets = Arc::clone(&targets);
+            Box::pin(async move {
+                loop {
+                    Timer::after(SWEEP_INTERVAL).await;
+                    platform.sweep();
+                    targets.sweep();
+                }
+            })
+        });
+    }
+
+    fn into_handle(self, runtime: TaskRuntime) -> EntryHandle {
+        EntryHandle {
+            caller_address: self.driver.identity.caller_address,
+            peer_address: self.driver.identity.peer_address,
+            metrics: self.driver.metrics,
+            state: self.driver.state,
+            events: self.events,
+            finished: self.finished,
+            runtime: Mutex::new(Some(runtime)),
+        }
+    }
+}
+
+/// What the driver is linked to besides the borders that calls go through.
+struct DriverLinks {
+    identity: EntryIdentity,
+    clock: Arc<dyn MonotonicClock>,
+    peers: Arc<dyn PeerTransport>,
+    events: Receiver<DriverEvent>,
+    replies: Sender<DriverEvent>,
+}
+
+fn make_driver(
+    options: &EntryOptions,
+    borders: EntryBorders,
+    links: DriverLinks,
+    runtime: &TaskRuntime,
+    metrics: Arc<EntryMetrics>,
+) -> EntryDriver {
+    let limits = &options.limits;
+    let platform = borders.platform.unwrap_or_else(|| {
+        Arc::new(HttpPlatform::new(
+            options.platform,
+            limits.platform.clone(),
+            Arc::clone(&links.clock),
+            Arc::clone(&metrics),
+            runtime.spawner(),
+        ))
+    });
+    let targets = borders.targets.unwrap_or_else(|| {
+        Arc::new(HttpTargets::new(
+            limits.target.clone(),
+            Arc::clone(&links.clock),
+            Arc::clone(&metrics),
+            runtime.spawner(),
+        ))
+    });
+    EntryDriver {
+        identity: links.identity,
+        seed: options.seed,
+        times: options.times.clone(),
+        codec: PeerCodec::new(&options.peer_key),
+        platform,
+        targets,
+        peers: links.peers,
+        clock: links.clock,
+        metrics,
+        spawner: runtime.spawner(),
+        events: links.events,
+        replies: links.replies,
+        state: Arc::new(DriverState::new(limits.timeline_events)),
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), Report<EntryError>> {
+    let error = EntryError::CallerListen(address);
+    let listener = Async::<TcpListener>::bind(address).change_context(error)?;
+    let address = listener.get_ref().local_addr().change_context(error)?;
+    Ok((listener, address))
+}
+
+fn bind_peers(address: SocketAddr) -> Result<Arc<dyn PeerTransport>, Report<EntryError>> {
+    let transport = UdpTransport::bind(address).change_context(EntryError::PeerListen(address))?;
+    Ok(Arc::new(transport))
+}
--- /dev/null
+++ b/crates/magnoliapin_entry/src/target_client.rs
@@ -0,0 +1,154 @@
+//! Calls of targets.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Method;
+use magnoliapin_model::Moment;
+use magnoliapin_wire::CallFailure;
+use magnoliapin_wire::EntryTasks;
+use magnoliapin_wire::StartTask;
+use magnoliapin_wire::TargetReply;
+use magnoliapin_wire::TargetRequest;
+use magnoliapin_wire::TaskReply;
+use magnoliapin_wire::TaskState;
+
+use crate::http_connection::HttpAnswer;
+use crate::http_pool::HttpCall;
+use crate::http_pool::HttpPool;
+use crate::metrics::BorderName;
+use crate::metrics::CallResult;
+use crate::platform_client::decode;
+use crate::platform_client::encode;
+use crate::CallFuture;
+use crate::EntryMetrics;
+use crate::MonotonicClock;
+use crate::PoolLimits;
+use crate::TaskSpawner;
+
+/// One call of a target.
+#[derive(Clone, Debug)]
+pub struct TargetCall {
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// The request.
+    pub request: TargetRequest,
+    /// Time after which the call has failed.
+    pub timeout: Duration,
+    /// Whether the call needs a new connection, as an old one may have gone silent.
+    pub new_connection: bool,
+    /// The call is dropped as not sent if its first byte has not left by then.
+    pub send_before: Moment,
+}
+
+/// Calls targets.
+pub trait TargetClient: Send + Sync + fmt::Debug {
+    /// Makes a call. The reply is [`CallFailure::NotSent`] only if no byte of it has left.
+    fn call(&self, call: TargetCall) -> CallFuture<'_, TargetReply>;
+
+    /// Closes connections that nobody used for a while.
+    fn sweep(&self) {}
+}
+
+/// Targets over HTTP.
+#[derive(Debug)]
+pub struct HttpTargets {
+    pool: HttpPool,
+    metrics: Arc<EntryMetrics>,
+}
+
+impl HttpTargets {
+    /// Makes a client without connections.
+    pub fn new(
+        limits: PoolLimits,
+        clock: Arc<dyn MonotonicClock>,
+        metrics: Arc<EntryMetrics>,
+        spawner: TaskSpawner,
+    ) -> Self {
+        let pool = HttpPool::new(BorderName::Target, limits, clock, Arc::clone(&metrics), spawner);
+        Self { pool, metrics }
+    }
+
+    async fn exchange(&self, call: TargetCall) -> TargetReply {
+        let started = Instant::now();
+        let Some(http_call) = make_call(&call) else {
+            return TargetReply::Failed(CallFailure::NotSent);
+        };
+        let (reply, result) = match self.pool.exchange(http_call).await {
+            Ok(answer) => match read_answer(&call.request, &answer) {
+                Some(reply) => (reply, CallResult::Answered),
+                None => (TargetReply::Failed(CallFailure::Unknown), CallResult::Mismatched),
+            },
+            Err(failure) => (TargetReply::Failed(failure), CallResult::from(failure)),
+        };
+        self.metrics.count_call(BorderName::Target, result, started.elapsed());
+        reply
+    }
+}
+
+impl TargetClient for HttpTargets {
+    fn call(&self, call: TargetCall) -> CallFuture<'_, TargetReply> {
+        Box::pin(self.exchange(call))
+    }
+
+    fn sweep(&self) {
+        self.pool.sweep();
+    }
+}
+
+fn make_call(call: &TargetCall) -> Option<HttpCall> {
+    let (method, path, body) = match &call.request {
+        TargetRequest::Start(start) => (Method::POST, "/v1/tasks".to_owned(), encode(start)?),
+        TargetRequest::Query(task) => (Method::GET, format!("/v1/tasks/{task}"), Vec::new()),
+        TargetRequest::Fence(task) => (Method::POST, format!("/v1/tasks/{task}/fence"), Vec::new()),
+        TargetRequest::Stop(task) => (Method::DELETE, format!("/v1/tasks/{task}"), Vec::new()),
+        TargetRequest::Renew(entry, grant) => {
+            (Method::POST, format!("/v1/entries/{entry}/renew"), encode(grant)?)
+        }
+        TargetRequest::FenceEntry(entry, fence) => {
+            (Method::POST, format!("/v1/entries/{entry}/fence"), encode(fence)?)
+        }
+    };
+    Some(HttpCall {
+        address: call.address,
+        method,
+        path,
+        body,
+        timeout: call.timeout,
+        new_connection: call.new_connection,
+        send_before: Some(call.send_before),
+        control: !matches!(call.request, TargetRequest::Start(_)),
+    })
+}
+
+/// Reads an answer and checks that it fits the request and is whole.
+fn read_answer(request: &TargetRequest, answer: &HttpAnswer) -> Option<TargetReply> {
+    match request {
+        TargetRequest::Start(start) => {
+            let reply: TaskReply = decode(answer)?;
+            start_fits(start, &reply).then_some(TargetReply::Task(reply))
+        }
+        TargetRequest::Query(task) | TargetRequest::Fence(task) | TargetRequest::Stop(task) => {
+            let reply: TaskReply = decode(answer)?;
+            (reply.task == *task && is_whole(&reply)).then_some(TargetReply::Task(reply))
+        }
+        TargetRequest::Renew(..) | TargetRequest::FenceEntry(..) => {
+            let reply: EntryTasks = decode(answer)?;
+            let fits = reply.tasks.iter().all(|task| task.run == reply.run && is_whole(task));
+            fits.then_some(TargetReply::Entry(reply))
+        }
+    }
+}
+
+/// Returns whether a reply is about the started task. Only a refusal may come from another run.
+fn start_fits(start: &StartTask, reply: &TaskReply) -> bool {
+    let is_refusal = matches!(reply.state, TaskState::Refused(_));
+    reply.task == start.task && (is_refusal || reply.run == start.run) && is_whole(reply)
+}
+
+fn is_whole(reply: &TaskReply) -> bool {
+    reply.output.len() as u64 == reply.output_bytes
+}
--- /dev/null
+++ b/crates/magnoliapin_entry/tests/support/mod.rs
@@ -0,0 +1,142 @@
+//! Helpers of the tests: a raw HTTP client and entries with short bounds.
+
+#![allow(dead_code)]
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliapin_entry::EntryLimits;
+use magnoliapin_entry::EntryOptions;
+use magnoliapin_model::ZoneId;
+
+/// Longest wait for anything in a test.
+pub(crate) const TEST_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// One parsed HTTP response.
+#[derive(Clone, Debug)]
+pub(crate) struct RawResponse {
+    /// Status.
+    pub(crate) status: u16,
+    /// Headers, as they came, in lower case.
+    pub(crate) head: String,
+    /// Body.
+    pub(crate) body: Vec<u8>,
+}
+
+impl RawResponse {
+    /// Parses the first response of `bytes`; none if it is not whole.
+    pub(crate) fn parse(bytes: &[u8]) -> Option<Self> {
+        let end = bytes.windows(4).position(|window| window == b"\r\n\r\n")?;
+        let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        let length = head.split("content-length: ").nth(1)?.split("\r\n").next()?;
+        let length: usize = length.parse().ok()?;
+        let body = bytes.get(end + 4..end + 4 + length)?.to_vec();
+        Some(Self { status, head, body })
+    }
+
+    /// Returns the body as JSON.
+    pub(crate) fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).expect("the body is JSON")
+    }
+
+    /// Returns the kind of the error in the body.
+    pub(crate) fn kind(&self) -> String {
+        self.json()["kind"].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+/// Sends bytes on a new connection and reads until the other side closes or the time is over.
+pub(crate) fn send_raw(address: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = connect(address);
+    // The other side may close before it has read everything.
+    let _ = stream.write_all(bytes);
+    read_until_closed(&mut stream)
+}
+
+/// Connects with a bound on every later read.
+pub(crate) fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("the entry listens");
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a socket takes a timeout");
+    stream
+}
+
+/// Reads until the other side closes.
+pub(crate) fn read_until_closed(stream: &mut TcpStream) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    while let Ok(length) = stream.read(&mut buffer) {
+        if length == 0 {
+            break;
+        }
+        bytes.extend_from_slice(&buffer[..length]);
+    }
+    bytes
+}
+
+/// Makes a request on a new connection.
+pub(crate) fn request(address: SocketAddr, method: &str, path: &str, body: &[u8]) -> RawResponse {
+    request_with(address, method, path, "", body)
+}
+
+/// Makes a request with further header lines, each with its line end.
+pub(crate) fn request_with(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &[u8],
+) -> RawResponse {
+    let length = body.len();
+    let mut bytes = format!(
+        "{method} {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n{headers}content-length: {length}\r\n\r\n"
+    )
+    .into_bytes();
+    bytes.extend_from_slice(body);
+    let answer = send_raw(address, &bytes);
+    RawResponse::parse(&answer).unwrap_or_else(|| {
+        panic!("no whole answer to {method} {path}: {}", String::from_utf8_lossy(&answer))
+    })
+}
+
+/// Returns options with short bounds and a platform at an address that nobody listens on.
+pub(crate) fn options_without_platform() -> EntryOptions {
+    let limits = EntryLimits {
+        header_timeout: Duration::from_millis(300),
+        body_timeout: Duration::from_millis(600),
+        stop_linger: Duration::from_millis(50),
+        ..EntryLimits::default()
+    };
+    EntryOptions::new(ZoneId::new("zone-a").expect("a valid name"), unused_address())
+        .with_peer_key(b"key of the tests")
+        .with_seed(7)
+        .with_limits(limits)
+}
+
+/// Returns an address on which nobody listens.
+pub(crate) fn unused_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    listener.local_addr().expect("a bound socket has an address")
+}
+
+/// Waits until `condition` holds.
+pub(crate) fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + TEST_TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < deadline, "{what} did not happen in time");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Reads one metric's value from the text format; 0 if it is not there.
+pub(crate) fn metric(text: &str, start: &str) -> f64 {
+    text.lines()
+        .filter(|line| line.starts_with(start))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
