Keep ended jobs under keys of their own and mark entries that stopped

Cause: a takeover scans the jobs that have not ended; with ended ones among them the scan grows with history. A planned stop and a takeover need a mark in the entry's row. Change: done/<work> rows, EntryRow.stopped and EntryRow.heir; both default, so older rows read. Result: the tests of the wire crate pass; no figure is claimed.

--- a/crates/magnoliapin_wire/src/rows.rs
+++ b/crates/magnoliapin_wire/src/rows.rs
@@ -10,7 +10,8 @@
 //! | `config/section/<name>` | [`SectionRow`] |
 //! | `entry/<entry>` | [`EntryRow`] |
 //! | `allotment/<team>` | [`AllotmentRow`] |
-//! | `job/<work>` | [`JobRow`] |
+//! | `job/<work>` | [`JobRow`] of a job that has not ended |
+//! | `done/<work>` | [`JobRow`] of a job that has ended |
 
 mod allotment_row;
 mod config_row;
--- a/crates/magnoliapin_wire/src/rows/entry_row.rs
+++ b/crates/magnoliapin_wire/src/rows/entry_row.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use magnoliapin_model::plain_data;
+use magnoliapin_model::EntryId;
 use magnoliapin_model::ZoneId;
 
 use crate::rows::RowValue;
@@ -19,6 +20,12 @@
         pub peer_address: SocketAddr,
         /// How often it has renewed its lease.
         pub renewals: u64,
+        /// Whether it has finished a planned stop.
+        #[serde(default)]
+        pub stopped: bool,
+        /// Entry that takes its work over, once it was taken for lost.
+        #[serde(default)]
+        pub heir: Option<EntryId>,
     }
 }
 
--- a/crates/magnoliapin_wire/src/rows/row_key.rs
+++ b/crates/magnoliapin_wire/src/rows/row_key.rs
@@ -13,6 +13,7 @@
 const ENTRIES: &str = "entry/";
 const ALLOTMENTS: &str = "allotment/";
 const JOBS: &str = "job/";
+const DONE: &str = "done/";
 
 /// Key of a row that the entries share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -25,8 +26,10 @@
     Entry(EntryId),
     /// Allotment of one team.
     Allotment(TeamId),
-    /// One job.
+    /// One job that has not ended.
     Job(WorkId),
+    /// One job that has ended.
+    Done(WorkId),
 }
 
 impl RowKey {
@@ -39,8 +42,11 @@
     /// Start of the keys of every allotment.
     pub const ALLOTMENT_PREFIX: &'static str = ALLOTMENTS;
 
-    /// Start of the keys of every job.
+    /// Start of the keys of every job that has not ended.
     pub const JOB_PREFIX: &'static str = JOBS;
+
+    /// Start of the keys of every job that has ended.
+    pub const DONE_PREFIX: &'static str = DONE;
 }
 
 impl fmt::Display for RowKey {
@@ -51,6 +57,7 @@
             Self::Entry(entry) => write!(formatter, "{ENTRIES}{entry}"),
             Self::Allotment(team) => write!(formatter, "{ALLOTMENTS}{team}"),
             Self::Job(work) => write!(formatter, "{JOBS}{work}"),
+            Self::Done(work) => write!(formatter, "{DONE}{work}"),
         }
     }
 }
@@ -74,6 +81,9 @@
         if let Some(name) = text.strip_prefix(JOBS) {
             return Ok(Self::Job(parse(name)?));
         }
+        if let Some(name) = text.strip_prefix(DONE) {
+            return Ok(Self::Done(parse(name)?));
+        }
         Err(RowKeyError::UnknownKind)
     }
 }
