--- a/crates/magnoliapin/src/client.rs
+++ b/crates/magnoliapin/src/client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use error_stack::Report;
+use futures_lite::future;
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -148,14 +149,20 @@
         let broken = |error| Report::new(error).change_context(CallError::Broken);
         let (mut sender, connection) =
             http1::handshake(FuturesIo::new(stream)).await.map_err(broken)?;
-        let driver = smol::spawn(connection);
-        let answer = sender.send_request(request).await.map_err(broken)?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
-        let body =
-            body.map_err(|error| Report::new(CallError::Broken).attach(error.to_string()))?;
-        drop(driver);
-        Ok(EntryReply { status, body: body.to_bytes() })
+        let exchange = async {
+            let answer = sender.send_request(request).await.map_err(broken)?;
+            let status = answer.status();
+            let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
+            let body =
+                body.map_err(|error| Report::new(CallError::Broken).attach(error.to_string()))?;
+            Ok(EntryReply { status, body: body.to_bytes() })
+        };
+        // The exchange ends by itself once the connection has: its channel closes.
+        let driver = async {
+            let _ = connection.await;
+            future::pending().await
+        };
+        exchange.or(driver).await
     }
 
     fn request(
--- a/crates/magnoliapin/src/command.rs
+++ b/crates/magnoliapin/src/command.rs
@@ -1,9 +1,9 @@
 //! Commands that ask an entry, and what they share.
 
 pub(crate) mod config;
-pub(crate) mod diff;
 pub(crate) mod key;
 pub(crate) mod status;
+pub(crate) mod timeline;
 pub(crate) mod view;
 pub(crate) mod work;
 
@@ -13,8 +13,8 @@
 use std::net::SocketAddr;
 
 use error_stack::Report;
+use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::RefusalView;
-use serde::de::DeserializeOwned;
 use serde::Serialize;
 
 use crate::client::CallError;
@@ -25,6 +25,7 @@
 
 const ENTRY_VARIABLE: &str = "MAGNOLIAPIN_ENTRY";
 const KEY_VARIABLE: &str = "MAGNOLIAPIN_KEY";
+const UNREADABLE: &str = "the entry's answer cannot be understood";
 
 /// Result of a command.
 pub(crate) type CommandResult<T = ()> = Result<T, Report<CommandError>>;
@@ -80,16 +81,14 @@
         accept(&reply)
     }
 
-    /// Calls an entry and reads a good answer as JSON.
+    /// Calls an entry and reads a good answer.
     ///
     /// # Errors
     ///
     /// Returns a [`CommandError`] if there was no answer, a refusal, or another form of answer.
-    pub(crate) async fn ask_json<T: DeserializeOwned>(&self, call: EntryCall) -> CommandResult<T> {
+    pub(crate) async fn ask_answer(&self, call: EntryCall) -> CommandResult<CallerAnswer> {
         let body = self.ask(call).await?;
-        serde_json::from_slice(&body).map_err(|error| {
-            Report::new(CommandError::Refused(format!("the answer cannot be read: {error}")))
-        })
+        serde_json::from_slice(&body).map_err(|error| refused(format!("{UNREADABLE}: {error}")))
     }
 
     /// Prints `value` as JSON if that was asked for, else as text.
@@ -105,9 +104,8 @@
         if !self.json {
             return print_text(&text(value));
         }
-        let json = serde_json::to_string_pretty(value).map_err(|error| {
-            Report::new(CommandError::Refused(format!("the answer cannot be shown: {error}")))
-        })?;
+        let json = serde_json::to_string_pretty(value)
+            .map_err(|error| refused(format!("the answer cannot be shown: {error}")))?;
         print_text(&json)
     }
 }
@@ -130,9 +128,7 @@
 pub(crate) fn print_bytes(bytes: &[u8]) -> CommandResult {
     let mut output = io::stdout().lock();
     let written = output.write_all(bytes).and_then(|()| output.flush());
-    written.map_err(|error| {
-        Report::new(CommandError::Refused(format!("the output cannot be written: {error}")))
-    })
+    written.map_err(|error| refused(format!("the output cannot be written: {error}")))
 }
 
 /// Makes the error of wrong usage.
@@ -140,6 +136,16 @@
     Report::new(CommandError::Usage(message.into()))
 }
 
+/// Makes the error of a refusal or a failure.
+pub(crate) fn refused(message: impl Into<String>) -> Report<CommandError> {
+    Report::new(CommandError::Refused(message.into()))
+}
+
+/// Makes the error of an answer to another question.
+pub(crate) fn unexpected() -> Report<CommandError> {
+    refused(UNREADABLE)
+}
+
 /// Makes the error of a call without an answer.
 pub(crate) fn unanswered(report: Report<CallError>) -> Report<CommandError> {
     let message = report.current_context().to_string();
@@ -162,11 +168,11 @@
     if reply.status.is_success() {
         return Ok(reply.body.to_vec());
     }
-    let message = serde_json::from_slice::<RefusalView>(&reply.body).map_or_else(
-        |_| format!("the entry answered with status {}", reply.status.as_u16()),
-        |refusal| refusal_text(&refusal),
-    );
-    Err(Report::new(CommandError::Refused(message)))
+    let message = match serde_json::from_slice(&reply.body) {
+        Ok(CallerAnswer::Refused(refusal)) => refusal_text(&refusal),
+        _ => format!("the entry answered with status {}", reply.status.as_u16()),
+    };
+    Err(refused(message))
 }
 
 fn refusal_text(refusal: &RefusalView) -> String {
--- a/crates/magnoliapin/src/command/config.rs
+++ b/crates/magnoliapin/src/command/config.rs
@@ -9,7 +9,9 @@
 use magnoliapin_model::ConfigDocument;
 use magnoliapin_model::ConfigVersion;
 use magnoliapin_model::DocumentError;
+use magnoliapin_model::SectionDiff;
 use magnoliapin_model::SectionName;
+use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::ConfigChange;
 use magnoliapin_wire::ConfigView;
 use serde::Serialize;
@@ -17,8 +19,8 @@
 use toml::Value;
 
 use crate::client::EntryCall;
-use crate::command::diff;
-use crate::command::print_text;
+use crate::command::refused;
+use crate::command::unexpected;
 use crate::command::usage;
 use crate::command::CommandContext;
 use crate::command::CommandResult;
@@ -49,16 +51,28 @@
     }
 }
 
-/// Shows how a document differs from the configuration in force.
+/// Shows what applying a document would change.
 ///
 /// # Errors
 ///
 /// Returns a [`CommandError`] if the document is wrong or no entry answers.
 pub(crate) async fn diff(context: &CommandContext, flags: &flags::Diff) -> CommandResult {
     let wanted = sections_of_file(&flags.file)?;
-    let current = read_config(context).await?;
-    let differences = diff::compare(&current.sections, &wanted);
-    context.print(&differences, |differences| diff::text(differences))
+    let current = read_config(context).await?.sections;
+    let mut merged = current.clone();
+    merged.extend(wanted);
+    let merged = ConfigDocument::from_sections(&merged);
+    let merged = merged.map_err(|errors| document_errors(&flags.file, &errors))?;
+    // The configuration in force was checked before it was accepted; only its absence fails here.
+    let current = ConfigDocument::from_sections(&current).map(|current| current.sections());
+    let difference = SectionDiff::new(&current.unwrap_or_default(), &merged.sections());
+    context.print(&difference, |difference| {
+        if difference.is_empty() {
+            "no difference".to_owned()
+        } else {
+            difference.to_string()
+        }
+    })
 }
 
 /// Applies a document, or some sections of it.
@@ -87,18 +101,13 @@
 ///
 /// Returns a [`CommandError`] if no entry answers or there is no such section.
 pub(crate) async fn show(context: &CommandContext, flags: &flags::Show) -> CommandResult {
-    let mut view = read_config(context).await?;
-    if let Some(section) = flags.section {
-        view.sections.retain(|name, _| *name == section);
-        if view.sections.is_empty() {
-            let message = format!("there is no section {section}");
-            return Err(Report::new(CommandError::Refused(message)));
-        }
-    }
-    if context.json() {
-        return context.print(&view, |_| String::new());
-    }
-    print_text(&document_text(&view))
+    let view = read_config(context).await?;
+    let view = ConfigView { sections: canonical_sections(&view), ..view };
+    let view = match flags.section {
+        Some(section) => only_section(view, section)?,
+        None => view,
+    };
+    context.print(&view, document_text)
 }
 
 /// Reads the configuration in force.
@@ -107,7 +116,10 @@
 ///
 /// Returns a [`CommandError`] if no entry answers.
 pub(crate) async fn read_config(context: &CommandContext) -> CommandResult<ConfigView> {
-    context.ask_json(EntryCall::new(Method::GET, "/v1/config")).await
+    match context.ask_answer(EntryCall::new(Method::GET, "/v1/config")).await? {
+        CallerAnswer::Config(view) => Ok(view),
+        _ => Err(unexpected()),
+    }
 }
 
 /// Sends a change of the configuration.
@@ -124,7 +136,10 @@
     let call = EntryCall::new(Method::POST, "/v1/config")
         .with_body(body)
         .with_header("content-type", "application/json");
-    context.ask_json(call).await
+    match context.ask_answer(call).await? {
+        CallerAnswer::Applied { version } => Ok(AppliedView { version }),
+        _ => Err(unexpected()),
+    }
 }
 
 magnoliapin_model::plain_data! {
@@ -163,9 +178,9 @@
     fs::read_to_string(file).map_err(|error| usage(format!("{}: {error}", file.display())))
 }
 
+/// Reads the sections that a file holds. The entry checks them together with those in force.
 fn sections_of_file(file: &Path) -> CommandResult<SectionTexts> {
     let text = read_document(file)?;
-    ConfigDocument::parse(&text).map_err(|errors| document_errors(file, &errors))?;
     split_sections(&text).map_err(|message| usage(format!("{}: {message}", file.display())))
 }
 
@@ -201,33 +216,26 @@
     toml::to_string(table).map_err(|error| error.to_string())
 }
 
-/// Returns the sections as one document.
-fn document_text(view: &ConfigView) -> String {
-    let mut text = format!("# version {}\n", view.version);
-    for (name, section) in &view.sections {
-        text.push_str(&format!("\n[{}]\n", table_path(&name.to_string())));
-        text.push_str(&nested_text(&table_path(&name.to_string()), section));
-    }
-    text
+/// Returns the sections in canonical form, with their defaults.
+fn canonical_sections(view: &ConfigView) -> SectionTexts {
+    let document = ConfigDocument::from_sections(&view.sections);
+    document.map_or_else(|_| view.sections.clone(), |document| document.sections())
 }
 
-/// Quotes the name behind the first dot if it holds another dot.
-fn table_path(name: &str) -> String {
-    match name.split_once('.') {
-        Some((group, member)) if member.contains('.') => format!("{group}.\"{member}\""),
-        _ => name.to_owned(),
+fn only_section(mut view: ConfigView, section: SectionName) -> CommandResult<ConfigView> {
+    view.sections.retain(|name, _| *name == section);
+    if view.sections.is_empty() {
+        let message = format!("there is no section {section}");
+        return Err(refused(message));
     }
+    Ok(view)
 }
 
-/// Puts the path of the section before the headers of its inner tables.
-fn nested_text(path: &str, section: &str) -> String {
-    let mut text = String::new();
-    for line in section.lines() {
-        match line.strip_prefix('[') {
-            Some(inner) if line.ends_with(']') => text.push_str(&format!("[{path}.{inner}")),
-            _ => text.push_str(line),
-        }
-        text.push('\n');
+/// Returns the sections as one document.
+fn document_text(view: &ConfigView) -> String {
+    let mut text = format!("# version {}\n", view.version);
+    for (name, section) in &view.sections {
+        text.push_str(&format!("\n[{}]\n{section}", name.toml_header()));
     }
     text
 }
--- a/crates/magnoliapin/src/command/key.rs
+++ b/crates/magnoliapin/src/command/key.rs
@@ -1,50 +1,37 @@
 //! Keys of teams: `key new|list|withdraw`.
 
-use error_stack::Report;
 use indexmap::IndexMap;
 use magnoliapin_model::KeyHash;
 use magnoliapin_model::KeyId;
+use magnoliapin_model::KeySecret;
 use magnoliapin_model::SectionName;
 use magnoliapin_model::TeamId;
 use magnoliapin_wire::ConfigChange;
-use rand::rngs::OsRng;
-use rand::TryRngCore;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
 use serde::Serialize;
 use toml::Table;
 use toml::Value;
 
 use crate::command::config;
+use crate::command::refused;
 use crate::command::CommandContext;
 use crate::command::CommandResult;
-use crate::command_error::CommandError;
 use crate::flags;
 
-const SECRET_BYTES: usize = 32;
-
-/// Begins every secret, so that it is known for one wherever it turns up.
-const SECRET_PREFIX: &str = "mpk_";
-
 /// Draws a key and prints its secret and the line for the document.
 ///
 /// # Errors
 ///
 /// Returns a [`CommandError`] if the system has no random numbers.
 pub(crate) fn new(context: &CommandContext, flags: &flags::New) -> CommandResult {
-    let mut bytes = [0; SECRET_BYTES];
-    OsRng.try_fill_bytes(&mut bytes).map_err(|error| {
-        Report::new(CommandError::Refused(format!("no random numbers: {error}")))
-    })?;
-    let secret = make_secret(&bytes);
-    let key = NewKey { name: flags.name, hash: KeyHash::new(&secret), secret };
+    let mut generator = StdRng::try_from_os_rng()
+        .map_err(|error| refused(format!("no random numbers: {error}")))?;
+    let secret = KeySecret::new(&mut generator);
+    let key = NewKey { name: flags.name, secret: secret.expose().to_owned(), hash: secret.hash() };
     context.print(&key, NewKey::text)
 }
 
-/// Writes random bytes as the secret of a key.
-pub(crate) fn make_secret(bytes: &[u8]) -> String {
-    let digits: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
-    format!("{SECRET_PREFIX}{digits}")
-}
-
 /// Lists the names of the keys in force.
 ///
 /// # Errors
@@ -76,7 +63,7 @@
     let Some(text) = view.sections.get(&section).and_then(|text| remove_key(text, flags.name))
     else {
         let message = format!("team {} has no key {}", flags.team, flags.name);
-        return Err(Report::new(CommandError::Refused(message)));
+        return Err(refused(message));
     };
     let sections = IndexMap::from([(section, Some(text))]);
     let change = ConfigChange { base: Some(view.version), sections, whole: false };
--- a/crates/magnoliapin/src/command/status.rs
+++ b/crates/magnoliapin/src/command/status.rs
@@ -1,12 +1,14 @@
 //! The state of the system on one screen of 80 columns: `status`.
 
 use hyper::Method;
+use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::EntryState;
 use magnoliapin_wire::EntryView;
 use magnoliapin_wire::StatusView;
 use magnoliapin_wire::TeamView;
 
 use crate::client::EntryCall;
+use crate::command::unexpected;
 use crate::command::view;
 use crate::command::CommandContext;
 use crate::command::CommandResult;
@@ -27,7 +29,10 @@
 ///
 /// Returns a [`CommandError`](crate::command_error::CommandError) if no entry answers.
 pub(crate) async fn read_status(context: &CommandContext) -> CommandResult<StatusView> {
-    context.ask_json(EntryCall::new(Method::GET, "/v1/status")).await
+    match context.ask_answer(EntryCall::new(Method::GET, "/v1/status")).await? {
+        CallerAnswer::Status(status) => Ok(status),
+        _ => Err(unexpected()),
+    }
 }
 
 fn status_text(status: &StatusView) -> String {
--- a/crates/magnoliapin/src/command/view.rs
+++ b/crates/magnoliapin/src/command/view.rs
@@ -2,11 +2,13 @@
 
 use hyper::Method;
 use magnoliapin_model::InstanceId;
+use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::InstanceView;
 use magnoliapin_wire::PoolView;
 
 use crate::client::EntryCall;
 use crate::command::print_text;
+use crate::command::unexpected;
 use crate::command::CommandContext;
 use crate::command::CommandResult;
 
@@ -17,7 +19,9 @@
 /// Returns a [`CommandError`](crate::command_error::CommandError) if no entry answers.
 pub(crate) async fn pools(context: &CommandContext) -> CommandResult {
     let call = EntryCall::new(Method::GET, "/v1/pools");
-    let pools: Vec<PoolView> = context.ask_json(call).await?;
+    let CallerAnswer::Pools { pools } = context.ask_answer(call).await? else {
+        return Err(unexpected());
+    };
     context.print(&pools, |pools| pools_text(pools))
 }
 
@@ -28,7 +32,9 @@
 /// Returns a [`CommandError`](crate::command_error::CommandError) if no entry answers.
 pub(crate) async fn instances(context: &CommandContext) -> CommandResult {
     let call = EntryCall::new(Method::GET, "/v1/instances");
-    let instances: Vec<InstanceView> = context.ask_json(call).await?;
+    let CallerAnswer::Instances { instances } = context.ask_answer(call).await? else {
+        return Err(unexpected());
+    };
     context.print(&instances, |instances| instances_text(instances))
 }
 
--- a/crates/magnoliapin/src/command/work.rs
+++ b/crates/magnoliapin/src/command/work.rs
@@ -6,19 +6,20 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use error_stack::Report;
 use hyper::Method;
 use magnoliapin_model::WorkId;
+use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::JobState;
 use magnoliapin_wire::JobView;
 use smol::Timer;
 
 use crate::client::EntryCall;
 use crate::command::print_bytes;
+use crate::command::refused;
+use crate::command::unexpected;
 use crate::command::usage;
 use crate::command::CommandContext;
 use crate::command::CommandResult;
-use crate::command_error::CommandError;
 use crate::flags;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -41,7 +42,7 @@
     if let Some(key) = flags.idempotency_key {
         call = call.with_header("idempotency-key", key);
     }
-    let mut job: JobView = context.ask_json(call).await?;
+    let mut job = ask_job(context, call).await?;
     while flags.wait && job.state == JobState::Accepted {
         Timer::after(POLL_INTERVAL).await;
         job = read_job(context, job.id).await?;
@@ -49,7 +50,7 @@
     context.print(&job, if flags.wait { job_text } else { job_id_text })?;
     if flags.wait && job.state != JobState::Finished {
         let message = format!("job {} ended as {}", job.id, state_text(job.state));
-        return Err(Report::new(CommandError::Refused(message)));
+        return Err(refused(message));
     }
     Ok(())
 }
@@ -62,11 +63,13 @@
 pub(crate) async fn request(context: &CommandContext, flags: flags::Request) -> CommandResult {
     let payload = read_payload(flags.payload, flags.file)?;
     let wait = flags.timeout_ms.map_or(LONGEST_WAIT, Duration::from_millis);
-    let query = flags.timeout_ms.map(|millis| format!("?timeout_ms={millis}")).unwrap_or_default();
-    let path = format!("/v1/queues/{}/requests{query}", flags.queue);
-    let call = EntryCall::new(Method::POST, path)
+    let path = format!("/v1/queues/{}/requests", flags.queue);
+    let mut call = EntryCall::new(Method::POST, path)
         .with_body(payload)
         .with_timeout(wait.saturating_add(ANSWER_MARGIN));
+    if let Some(millis) = flags.timeout_ms {
+        call = call.with_header("x-timeout-ms", millis.to_string());
+    }
     let output = context.ask(call).await?;
     print_bytes(&output)
 }
@@ -88,12 +91,19 @@
 /// Returns a [`CommandError`] if it cannot be cancelled.
 pub(crate) async fn cancel(context: &CommandContext, flags: flags::Cancel) -> CommandResult {
     let call = EntryCall::new(Method::DELETE, format!("/v1/jobs/{}", flags.id));
-    let job: JobView = context.ask_json(call).await?;
+    let job = ask_job(context, call).await?;
     context.print(&job, job_text)
 }
 
 async fn read_job(context: &CommandContext, id: WorkId) -> CommandResult<JobView> {
-    context.ask_json(EntryCall::new(Method::GET, format!("/v1/jobs/{id}"))).await
+    ask_job(context, EntryCall::new(Method::GET, format!("/v1/jobs/{id}"))).await
+}
+
+async fn ask_job(context: &CommandContext, call: EntryCall) -> CommandResult<JobView> {
+    match context.ask_answer(call).await? {
+        CallerAnswer::Accepted(job) | CallerAnswer::Job(job) => Ok(job),
+        _ => Err(unexpected()),
+    }
 }
 
 fn read_payload(payload: Option<String>, file: Option<PathBuf>) -> CommandResult<Vec<u8>> {
--- a/crates/magnoliapin/src/main.rs
+++ b/crates/magnoliapin/src/main.rs
@@ -3,17 +3,15 @@
 //! `flags` holds the command line and `settings` the settings of an entry. `command` has the
 //! commands that ask an entry through `client`.
 
-#[expect(dead_code, reason = "the running entry is the next step")]
 mod client;
 mod command;
 mod command_error;
 mod entry;
 mod flags;
 mod help;
-#[expect(dead_code, reason = "the running entry is the next step")]
 mod logs;
-#[expect(dead_code, reason = "the running entry is the next step")]
 mod settings;
+mod signals;
 
 use std::env;
 use std::io;
@@ -68,10 +66,10 @@
             command::view::drain(context, flags.instance, false).await
         }
         MagnoliapinCmd::Status(_) => command::status::status(context).await,
-        MagnoliapinCmd::Timeline(_)
-        | MagnoliapinCmd::Entry(_)
-        | MagnoliapinCmd::StandIn(_)
-        | MagnoliapinCmd::Demo(_) => Err(command::usage("this command is not there yet")),
+        MagnoliapinCmd::Timeline(flags) => command::timeline::timeline(context, flags).await,
+        MagnoliapinCmd::Entry(_) | MagnoliapinCmd::StandIn(_) | MagnoliapinCmd::Demo(_) => {
+            Err(command::usage("this command is not there yet"))
+        }
     }
 }
 
--- a/crates/magnoliapin/src/settings.rs
+++ b/crates/magnoliapin/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of an entry, read from a TOML file and checked whole.
 
 mod fault;
+mod limits;
 mod reader;
 mod times;
 
@@ -11,6 +12,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use magnoliapin_entry::EntryLimits;
 use magnoliapin_model::ZoneId;
 use magnoliapin_policy::PolicyTimes;
 
@@ -44,6 +46,8 @@
     pub(crate) log_format: LogFormat,
     /// Time bounds of the entry's decisions.
     pub(crate) times: PolicyTimes,
+    /// Bounds on what the entry holds and how long it waits for callers.
+    pub(crate) limits: EntryLimits,
 }
 
 /// The key that all entries of a site share; never shown.
@@ -93,6 +97,7 @@
         let log_level = reader.optional("log.level", LogLevel::ALLOWED).unwrap_or_default();
         let log_format = reader.optional("log.format", LogFormat::ALLOWED).unwrap_or_default();
         let times = times::read_times(&mut reader);
+        let limits = limits::read_limits(&mut reader);
         reader.finish()?;
         let complete = (|| {
             Some(Self {
@@ -105,6 +110,7 @@
                 log_level,
                 log_format,
                 times,
+                limits,
             })
         })();
         complete
