Test every border that reads bytes; send identifiers between entries as numbers

Cause: nothing showed that arbitrary bytes, damaged messages and bad documents are refused without a panic, and a change of the bytes between entries would have gone unnoticed.

Ruled out: a second set of binary types for the peers' messages; the identifiers now write a number where the format is not for people.

--- a/crates/magnoliapin_model/src/derives.rs
+++ b/crates/magnoliapin_model/src/derives.rs
@@ -107,15 +107,14 @@
 }
 
 /// Declares `Copy` 64-bit or 128-bit identifiers shown as fixed-width hexadecimal text.
+///
+/// Formats that people read hold the text, others the number, which is shorter.
 #[macro_export]
 macro_rules! hex_id {
     ($($(#[$meta:meta])* $name:ident($inner:ty);)+) => {
         $(
             $(#[$meta])*
-            #[derive(
-                Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash,
-                serde_with::SerializeDisplay, serde_with::DeserializeFromStr,
-            )]
+            #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
             pub struct $name(pub $inner);
 
             impl std::fmt::Display for $name {
@@ -131,6 +130,29 @@
                     <$inner>::from_str_radix(text, 16).map(Self)
                 }
             }
+
+            impl serde::Serialize for $name {
+                fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                    if serializer.is_human_readable() {
+                        serializer.collect_str(self)
+                    } else {
+                        self.0.serialize(serializer)
+                    }
+                }
+            }
+
+            impl<'de> serde::Deserialize<'de> for $name {
+                fn deserialize<D: serde::Deserializer<'de>>(
+                    deserializer: D,
+                ) -> Result<Self, D::Error> {
+                    if deserializer.is_human_readable() {
+                        let text = String::deserialize(deserializer)?;
+                        text.parse().map_err(serde::de::Error::custom)
+                    } else {
+                        <$inner>::deserialize(deserializer).map(Self)
+                    }
+                }
+            }
         )+
     };
 }
--- /dev/null
+++ b/crates/magnoliapin_wire/tests/properties.rs
@@ -0,0 +1,333 @@
+//! Round trips of generated messages, and arbitrary bytes at every border that reads them.
+
+use std::net::SocketAddr;
+
+use hmac::Hmac;
+use hmac::Mac;
+use magnoliapin_model::ConfigVersion;
+use magnoliapin_model::EntryId;
+use magnoliapin_model::InstanceId;
+use magnoliapin_model::Moment;
+use magnoliapin_model::TeamId;
+use magnoliapin_model::ZoneId;
+use magnoliapin_wire::rows;
+use magnoliapin_wire::rows::RowKey;
+use magnoliapin_wire::rows::RowValue;
+use magnoliapin_wire::CallerAnswer;
+use magnoliapin_wire::CodecError;
+use magnoliapin_wire::ConfigChange;
+use magnoliapin_wire::EntryFacts;
+use magnoliapin_wire::EntryFence;
+use magnoliapin_wire::EntryState;
+use magnoliapin_wire::EntryTasks;
+use magnoliapin_wire::InstanceOrder;
+use magnoliapin_wire::InstanceRecord;
+use magnoliapin_wire::LeaseGrant;
+use magnoliapin_wire::PeerCodec;
+use magnoliapin_wire::PeerEnvelope;
+use magnoliapin_wire::PeerMessage;
+use magnoliapin_wire::StartTask;
+use magnoliapin_wire::TableRead;
+use magnoliapin_wire::TableRow;
+use magnoliapin_wire::TableTransaction;
+use magnoliapin_wire::TaskReply;
+use magnoliapin_wire::TeamUsage;
+use magnoliapin_wire::TransactionResult;
+use magnoliapin_wire::MAX_DATAGRAM_BYTES;
+use proptest::collection::vec;
+use proptest::option;
+use proptest::prelude::any;
+use proptest::prelude::Just;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::sample::Index;
+use proptest::test_runner::RngSeed;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use sha2::Sha256;
+
+const SITE_KEY: &[u8] = b"site key";
+const TAG_BYTES: usize = 16;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn name() -> impl Strategy<Value = String> {
+    "[a-z0-9_.-]{1,40}"
+}
+
+fn address() -> impl Strategy<Value = SocketAddr> {
+    prop_oneof![
+        any::<([u8; 4], u16)>().prop_map(SocketAddr::from),
+        any::<([u16; 8], u16)>().prop_map(SocketAddr::from),
+    ]
+}
+
+fn usage() -> impl Strategy<Value = TeamUsage> {
+    (name(), any::<u32>(), any::<u32>(), any::<u32>()).prop_map(|(team, running, waiting, part)| {
+        TeamUsage { team: TeamId::new(&team).expect("a name"), running, waiting, part }
+    })
+}
+
+fn facts() -> impl Strategy<Value = EntryFacts> {
+    let states = prop_oneof![
+        Just(EntryState::Starting),
+        Just(EntryState::Ready),
+        Just(EntryState::Stopping)
+    ];
+    let place = (name(), address(), address(), states);
+    let config = (any::<u64>(), option::of(any::<u64>()), any::<bool>(), any::<u32>());
+    (place, config, vec(usage(), 0..20)).prop_map(|(place, config, usage)| EntryFacts {
+        zone: ZoneId::new(&place.0).expect("a name"),
+        peer_address: place.1,
+        caller_address: place.2,
+        state: place.3,
+        config: ConfigVersion(config.0),
+        head_age_us: config.1,
+        apply_in_flight: config.2,
+        member_count: config.3,
+        usage,
+    })
+}
+
+fn message() -> impl Strategy<Value = PeerMessage> {
+    let instance = name().prop_map(|name| InstanceId::new(&name).expect("a name"));
+    let team = name().prop_map(|name| TeamId::new(&name).expect("a name"));
+    let probe = (any::<u64>(), facts());
+    let reply = (any::<u64>(), facts());
+    prop_oneof![
+        probe.prop_map(|(stamp, facts)| PeerMessage::Probe { stamp: Moment(stamp), facts }),
+        reply.prop_map(|(stamp, facts)| PeerMessage::Reply { stamp: Moment(stamp), facts }),
+        instance.prop_map(PeerMessage::TargetLeaving),
+        team.prop_map(PeerMessage::PartMoved),
+    ]
+}
+
+fn envelope() -> impl Strategy<Value = PeerEnvelope> {
+    let to = option::of(any::<u64>().prop_map(EntryId));
+    (any::<u64>(), to, any::<u64>(), message()).prop_map(|(from, to, sequence, message)| {
+        PeerEnvelope { from: EntryId(from), to, sequence, message }
+    })
+}
+
+/// Makes a datagram with a right tag around any body.
+fn signed(body: &[u8]) -> Vec<u8> {
+    let mac = Hmac::<Sha256>::new_from_slice(SITE_KEY).expect("any key");
+    let tag = mac.chain_update(body).finalize().into_bytes();
+    [&tag[..TAG_BYTES], body].concat()
+}
+
+/// Reads JSON; what is read must be written and read back the same.
+fn read_json<T: Serialize + DeserializeOwned>(bytes: &[u8]) -> bool {
+    let Ok(value) = serde_json::from_slice::<T>(bytes) else {
+        return false;
+    };
+    let written = serde_json::to_string(&value).expect("messages can be written");
+    let again = serde_json::from_str::<T>(&written).expect("a written message can be read");
+    assert_eq!(serde_json::to_string(&again).expect("messages can be written"), written);
+    true
+}
+
+fn read_row<T: RowValue>(bytes: &[u8]) -> bool {
+    let Ok(text) = std::str::from_utf8(bytes) else {
+        return false;
+    };
+    T::from_json(text).is_ok_and(|row| read_json::<T>(row.to_json().as_bytes()))
+}
+
+struct JsonBorder {
+    name: &'static str,
+    read: fn(&[u8]) -> bool,
+    sample: &'static str,
+}
+
+/// Every JSON message and row, with a right sample.
+const BORDERS: &[JsonBorder] = &[
+    JsonBorder {
+        name: "transaction",
+        read: read_json::<TableTransaction>,
+        sample: r#"{"token":"000000000000000000000000000000ff","guards":[{"key":"a","version":1}],"writes":[{"key":"a","value":"x"},{"key":"b","value":null}]}"#,
+    },
+    JsonBorder {
+        name: "transaction result",
+        read: read_json::<TransactionResult>,
+        sample: r#"{"conflict":[{"key":"a","version":1,"value":"x"}]}"#,
+    },
+    JsonBorder {
+        name: "read",
+        read: read_json::<TableRead>,
+        sample: r#"{"prefix":{"prefix":"job/","after":"","limit":100}}"#,
+    },
+    JsonBorder {
+        name: "rows",
+        read: read_json::<Vec<TableRow>>,
+        sample: r#"[{"key":"a","version":1,"value":"x"}]"#,
+    },
+    JsonBorder {
+        name: "instances",
+        read: read_json::<Vec<InstanceRecord>>,
+        sample: r#"[{"instance":"i-1","zone":"z1","rack":"r1","pool":"front","address":"127.0.0.1:80","run":"00000000000000ff","slots":8,"image":"a","state":"live"}]"#,
+    },
+    JsonBorder {
+        name: "order",
+        read: read_json::<InstanceOrder>,
+        sample: r#"{"run":"00000000000000ff","epoch":3,"act":{"reboot":{"image":"a"}}}"#,
+    },
+    JsonBorder {
+        name: "start of a task",
+        read: read_json::<StartTask>,
+        sample: r#"{"task":"000000000000000000000000000000ff-1","entry":"00000000000000ff","run":"00000000000000ff","team":"guides","queue":"booking","lease_ms":1,"max_run_ms":2,"payload":"aGk="}"#,
+    },
+    JsonBorder {
+        name: "reply of a task",
+        read: read_json::<TaskReply>,
+        sample: r#"{"task":"000000000000000000000000000000ff-1","run":"00000000000000ff","state":{"refused":"full"},"output":"aGk=","output_bytes":2,"free_slots":8}"#,
+    },
+    JsonBorder {
+        name: "tasks of an entry",
+        read: read_json::<EntryTasks>,
+        sample: r#"{"run":"00000000000000ff","leaving":false,"free_slots":8,"tasks":[]}"#,
+    },
+    JsonBorder { name: "lease", read: read_json::<LeaseGrant>, sample: r#"{"lease_ms":15000}"# },
+    JsonBorder {
+        name: "fence",
+        read: read_json::<EntryFence>,
+        sample: r#"{"heir":"00000000000000ff","lease_ms":15000}"#,
+    },
+    JsonBorder {
+        name: "change of the configuration",
+        read: read_json::<ConfigChange>,
+        sample: r#"{"base":7,"sections":{"teams.guides":"limit = 4","weights":null},"whole":false}"#,
+    },
+    JsonBorder {
+        name: "answer",
+        read: read_json::<CallerAnswer>,
+        sample: r#"{"answer":"refused","kind":"conflict","outcome":"not_run","message":"m","errors":[],"current":{"teams.guides":null}}"#,
+    },
+    JsonBorder {
+        name: "config head",
+        read: read_row::<rows::ConfigHead>,
+        sample: r#"{"version":7,"recent":[{"version":7,"section":"teams.guides"}]}"#,
+    },
+    JsonBorder {
+        name: "section",
+        read: read_row::<rows::SectionRow>,
+        sample: r#"{"owner":"guides","version":7,"text":"limit = 4"}"#,
+    },
+    JsonBorder {
+        name: "entry",
+        read: read_row::<rows::EntryRow>,
+        sample: r#"{"zone":"z1","caller_address":"127.0.0.1:80","peer_address":"[::1]:81","renewals":2}"#,
+    },
+    JsonBorder {
+        name: "allotment",
+        read: read_row::<rows::AllotmentRow>,
+        sample: r#"{"limit":10,"parts":{"00000000000000ff":4}}"#,
+    },
+    JsonBorder {
+        name: "job",
+        read: read_row::<rows::JobRow>,
+        sample: r#"{"team":"guides","queue":"booking","pool":"front","state":"accepted","holder":"00000000000000ff","idempotent":true,"max_run_ms":1,"max_attempts":3,"payload":"aGk=","output":"aGk="}"#,
+    },
+];
+
+#[test]
+fn the_samples_are_right() {
+    for border in BORDERS {
+        assert!((border.read)(border.sample.as_bytes()), "{}", border.name);
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn envelopes_are_read_back(envelope in envelope()) {
+        let codec = PeerCodec::new(SITE_KEY);
+        let datagram = codec.encode(&envelope).unwrap();
+        prop_assert!(datagram.len() <= MAX_DATAGRAM_BYTES);
+        prop_assert_eq!(codec.decode(&datagram), Ok(envelope));
+    }
+
+    #[test]
+    fn strangers_datagrams_are_dropped(datagram in vec(any::<u8>(), 0..300)) {
+        let error = PeerCodec::new(SITE_KEY).decode(&datagram).unwrap_err();
+        let expected =
+            if datagram.len() < TAG_BYTES { CodecError::Malformed } else { CodecError::BadTag };
+        prop_assert_eq!(error, expected);
+    }
+
+    #[test]
+    fn signed_bytes_are_an_envelope_or_dropped(body in vec(any::<u8>(), 0..300)) {
+        let codec = PeerCodec::new(SITE_KEY);
+        match codec.decode(&signed(&body)) {
+            Ok(envelope) => prop_assert!(codec.encode(&envelope).is_ok()),
+            Err(error) => prop_assert_eq!(error, CodecError::Malformed),
+        }
+    }
+
+    #[test]
+    fn damaged_envelopes_are_an_envelope_or_dropped(
+        envelope in envelope(),
+        edits in vec((any::<Index>(), any::<u8>()), 1..4),
+    ) {
+        let codec = PeerCodec::new(SITE_KEY);
+        let mut body = codec.encode(&envelope).unwrap().split_off(TAG_BYTES);
+        for (place, byte) in edits {
+            let place = place.index(body.len());
+            body[place] = byte;
+        }
+        match codec.decode(&signed(&body)) {
+            Ok(envelope) => prop_assert!(codec.encode(&envelope).is_ok()),
+            Err(error) => prop_assert_eq!(error, CodecError::Malformed),
+        }
+    }
+
+    #[test]
+    fn arbitrary_bytes_are_no_message(bytes in vec(any::<u8>(), 0..200)) {
+        for border in BORDERS {
+            (border.read)(&bytes);
+        }
+    }
+
+    #[test]
+    fn damaged_messages_are_read_or_refused(
+        edits in vec((any::<Index>(), "[\\[\\]{}\",:a-z0-9.-]{0,2}", 0..3_usize), 1..5),
+    ) {
+        for border in BORDERS {
+            let mut text = border.sample.to_owned();
+            for (place, insert, removed) in &edits {
+                let start = place.index(text.len() + 1);
+                let end = (start + removed).min(text.len());
+                text.replace_range(start..end, insert);
+            }
+            (border.read)(text.as_bytes());
+        }
+    }
+
+    #[test]
+    fn arbitrary_text_is_no_key_or_is_read_back(text in "(job/|entry/|allotment/|config/section/)?.{0,40}") {
+        if let Ok(key) = text.parse::<RowKey>() {
+            prop_assert_eq!(key.to_string(), text);
+        }
+    }
+}
+
+#[test]
+fn messages_nested_too_deep_are_refused() {
+    for border in BORDERS {
+        for open in ["[", "{\"a\":"] {
+            assert!(!(border.read)(open.repeat(100_000).as_bytes()), "{}", border.name);
+        }
+    }
+}
