Serve the platform and target stand-ins over HTTP

Cause: entries, the demo and the tests of separate processes need a platform and targets on sockets.

The instance list showed nothing of its lag in the first second of a clock, found by its test and mended.

Ruled out: marking an instance as gone only because it did not register. Ruled out as well: giving up a delayed call when its caller goes away; a real service carries it out.

Conclusion: both protocols are served as described in magnoliapin_wire.

--- a/crates/magnoliapin_standin/src/instance_list.rs
+++ b/crates/magnoliapin_standin/src/instance_list.rs
@@ -1,12 +1,13 @@
 //! The platform's lagging list of instances.
 
 use std::collections::VecDeque;
+use std::fmt;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::Moment;
-use magnoliapin_model::TargetRun;
+use magnoliapin_model::RowVersion;
 use magnoliapin_wire::InstanceOrder;
 use magnoliapin_wire::InstanceRecord;
 use magnoliapin_wire::ListedState;
@@ -32,7 +33,9 @@
     /// Changes of the record, oldest first; never empty.
     history: VecDeque<RecordChange>,
     last_seen: Moment,
-    order: Option<PendingOrder>,
+    order: Option<InstanceOrder>,
+    /// Highest epoch of an order that was taken.
+    epoch: RowVersion,
 }
 
 #[derive(Clone, Debug)]
@@ -41,13 +44,29 @@
     record: InstanceRecord,
 }
 
-#[derive(Clone, Debug)]
-struct PendingOrder {
-    /// Run that the order is for; a newer run has carried it out.
-    run: TargetRun,
-    order: InstanceOrder,
+/// Why an order was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderRefusal {
+    /// No such instance is listed, or it is gone.
+    NoInstance,
+    /// The order is meant for another run.
+    OtherRun,
+    /// An order with a higher epoch was taken before.
+    OldEpoch,
+}
+
+impl fmt::Display for OrderRefusal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.pad(match self {
+            Self::NoInstance => "the instance is not listed or is gone",
+            Self::OtherRun => "the instance is in another run",
+            Self::OldEpoch => "the instance took an order with a higher epoch",
+        })
+    }
 }
 
+impl std::error::Error for OrderRefusal {}
+
 impl Default for InstanceList {
     fn default() -> Self {
         Self::new()
@@ -74,21 +93,33 @@
         let listed = self.instances.entry(record.instance).or_insert_with(ListedInstance::new);
         listed.last_seen = now;
         listed.change(now, record);
-        listed.order.take_if(|pending| pending.run != record.run);
-        listed.order.as_ref().map(|pending| pending.order.clone())
+        listed.order.take_if(|order| order.run != record.run);
+        listed.order.clone()
     }
 
-    /// Takes an order for an instance and returns whether there is one to take it.
-    pub fn order(&mut self, instance: InstanceId, order: InstanceOrder) -> bool {
-        let Some(listed) = self.instances.get_mut(&instance) else {
-            return false;
-        };
-        let Some(record) = listed.newest().filter(|record| record.state != ListedState::Gone)
-        else {
-            return false;
-        };
-        listed.order = Some(PendingOrder { run: record.run, order });
-        true
+    /// Takes an order for an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`OrderRefusal`] if the instance is not there, is in another run, or took an
+    /// order with a higher epoch.
+    pub fn order(
+        &mut self,
+        instance: InstanceId,
+        order: InstanceOrder,
+    ) -> Result<(), OrderRefusal> {
+        let listed = self.instances.get_mut(&instance).ok_or(OrderRefusal::NoInstance)?;
+        let record = listed.newest().filter(|record| record.state != ListedState::Gone);
+        let record = record.ok_or(OrderRefusal::NoInstance)?;
+        if record.run != order.run {
+            return Err(OrderRefusal::OtherRun);
+        }
+        if order.epoch < listed.epoch {
+            return Err(OrderRefusal::OldEpoch);
+        }
+        listed.epoch = order.epoch;
+        listed.order = Some(order);
+        Ok(())
     }
 
     /// Returns the instances that have not registered for [`REGISTRATION_TIMEOUT`].
@@ -124,12 +155,12 @@
 
     /// Returns the list as it was one lag ago.
     pub fn view(&mut self, now: Moment) -> Vec<InstanceRecord> {
-        let seen = now.before(self.lag);
-        self.instances.retain(|_, listed| !listed.is_forgotten(seen));
+        let lag = self.lag;
+        self.instances.retain(|_, listed| now < listed.forgotten_at() + lag);
         for listed in self.instances.values_mut() {
-            listed.forget_before(seen);
+            listed.forget_history(now, lag);
         }
-        self.instances.values().filter_map(|listed| listed.record_at(seen)).cloned().collect()
+        self.instances.values().filter_map(|listed| listed.record_at(now, lag)).cloned().collect()
     }
 
     /// Returns the list without its lag.
@@ -140,7 +171,12 @@
 
 impl ListedInstance {
     fn new() -> Self {
-        Self { history: VecDeque::new(), last_seen: Moment::START, order: None }
+        Self {
+            history: VecDeque::new(),
+            last_seen: Moment::START,
+            order: None,
+            epoch: RowVersion(0),
+        }
     }
 
     fn newest(&self) -> Option<&InstanceRecord> {
@@ -153,19 +189,21 @@
         }
     }
 
-    fn record_at(&self, seen: Moment) -> Option<&InstanceRecord> {
-        self.history.iter().rev().find(|change| change.at <= seen).map(|change| &change.record)
+    fn record_at(&self, now: Moment, lag: Duration) -> Option<&InstanceRecord> {
+        let visible = self.history.iter().rev().find(|change| now >= change.at + lag);
+        visible.map(|change| &change.record)
     }
 
-    fn forget_before(&mut self, seen: Moment) {
-        while self.history.get(1).is_some_and(|change| change.at <= seen) {
+    fn forget_history(&mut self, now: Moment, lag: Duration) {
+        while self.history.get(1).is_some_and(|change| now >= change.at + lag) {
             self.history.pop_front();
         }
     }
 
-    fn is_forgotten(&self, seen: Moment) -> bool {
-        self.history.back().is_some_and(|change| {
-            change.record.state == ListedState::Gone && seen >= change.at + GONE_RETENTION
-        })
+    fn forgotten_at(&self) -> Moment {
+        let newest = self.history.back();
+        newest
+            .filter(|change| change.record.state == ListedState::Gone)
+            .map_or(Moment(u64::MAX), |change| change.at + GONE_RETENTION)
     }
 }
--- a/crates/magnoliapin_standin/src/platform_mode.rs
+++ b/crates/magnoliapin_standin/src/platform_mode.rs
@@ -53,12 +53,15 @@
 pub struct PlatformFaults {
     mode: PlatformMode,
     generator: Pcg64Mcg,
+    unanswered: u64,
+    delayed: u64,
 }
 
 impl PlatformFaults {
     /// Makes a service without faults; `seed` decides on later draws.
     pub fn new(seed: u64) -> Self {
-        Self { mode: PlatformMode::Ok, generator: Pcg64Mcg::seed_from_u64(seed) }
+        let generator = Pcg64Mcg::seed_from_u64(seed);
+        Self { mode: PlatformMode::Ok, generator, unanswered: 0, delayed: 0 }
     }
 
     /// Changes the mode of the service.
@@ -73,6 +76,23 @@
 
     /// Draws the fate of one call.
     pub fn draw(&mut self) -> CallFate {
+        let fate = self.draw_fate();
+        self.unanswered += u64::from(matches!(fate, CallFate::Dropped | CallFate::Lost));
+        self.delayed += u64::from(matches!(fate, CallFate::Delayed { .. }));
+        fate
+    }
+
+    /// Returns how many calls were dropped or had their answers lost.
+    pub fn unanswered(&self) -> u64 {
+        self.unanswered
+    }
+
+    /// Returns how many calls were delayed.
+    pub fn delayed(&self) -> u64 {
+        self.delayed
+    }
+
+    fn draw_fate(&mut self) -> CallFate {
         match self.mode {
             PlatformMode::Down => CallFate::Dropped,
             PlatformMode::Slow => self.draw_delay(),
--- a/crates/magnoliapin_standin/src/target_state.rs
+++ b/crates/magnoliapin_standin/src/target_state.rs
@@ -48,6 +48,7 @@
     image: String,
     slots: SlotCount,
     mode: TargetMode,
+    is_draining: bool,
     running: IndexMap<TaskId, RunningTask>,
     ended: EndedTasks,
     fenced_tasks: IndexSet<TaskId>,
@@ -90,6 +91,7 @@
             image: image.to_owned(),
             slots: DEFAULT_SLOTS,
             mode: TargetMode::Ok,
+            is_draining: false,
             running: IndexMap::new(),
             ended: EndedTasks::default(),
             fenced_tasks: IndexSet::new(),
@@ -206,6 +208,7 @@
         self.halt(now);
         self.run = run;
         self.image = image.to_owned();
+        self.is_draining = false;
         self.ended = EndedTasks::default();
         self.fenced_tasks.clear();
         self.fenced_entries.clear();
@@ -221,6 +224,16 @@
         self.mode
     }
 
+    /// Starts or ends a drain: while it lasts, new tasks are refused and those that run go on.
+    pub fn set_draining(&mut self, is_draining: bool) {
+        self.is_draining = is_draining;
+    }
+
+    /// Returns whether new tasks are refused because the target leaves or drains.
+    pub fn is_leaving(&self) -> bool {
+        self.is_draining || self.mode == TargetMode::Leaving
+    }
+
     /// Returns the current run.
     pub fn run(&self) -> TargetRun {
         self.run
@@ -253,7 +266,7 @@
         if is_fenced {
             return Some(RefusalReason::Fenced);
         }
-        if self.mode == TargetMode::Leaving {
+        if self.is_leaving() {
             return Some(RefusalReason::Leaving);
         }
         if plan.unfit {
@@ -330,7 +343,7 @@
         }
         EntryTasks {
             run: self.run,
-            leaving: self.mode == TargetMode::Leaving,
+            leaving: self.is_leaving(),
             free_slots: self.free_slots(),
             tasks,
         }
--- /dev/null
+++ b/crates/magnoliapin_standin/tests/platform_standin.rs
@@ -0,0 +1,154 @@
+//! The platform's service over sockets.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use hyper::StatusCode;
+use magnoliapin_model::ClientToken;
+use magnoliapin_model::RowVersion;
+use magnoliapin_standin::HttpAnswer;
+use magnoliapin_standin::HttpClient;
+use magnoliapin_standin::PlatformCounts;
+use magnoliapin_standin::PlatformHandle;
+use magnoliapin_standin::PlatformMode;
+use magnoliapin_standin::PlatformOptions;
+use magnoliapin_standin::PlatformStandin;
+use magnoliapin_standin::MAX_BODY_BYTES;
+use magnoliapin_wire::RowWrite;
+use magnoliapin_wire::TableRead;
+use magnoliapin_wire::TableRow;
+use magnoliapin_wire::TableTransaction;
+use magnoliapin_wire::TransactionResult;
+
+const TRANSACTIONS: &str = "/v1/table/transactions";
+
+async fn start() -> (PlatformHandle, HttpClient) {
+    let options = PlatformOptions::default().with_seed(7).with_lag(Duration::ZERO);
+    let platform = PlatformStandin::start(options).await.expect("a free port");
+    let client = HttpClient::new(platform.address());
+    (platform, client)
+}
+
+async fn counts(client: &mut HttpClient) -> PlatformCounts {
+    let answer = client.call(Method::GET, "/stand-in/counts").await.expect("an answer");
+    answer.value().expect("counts")
+}
+
+async fn set_mode(client: &mut HttpClient, mode: &'static str) -> HttpAnswer {
+    let body = Bytes::from_static(mode.as_bytes());
+    client.send(Method::PUT, "/stand-in/mode", body).await.expect("an answer")
+}
+
+fn write(token: u128) -> TableTransaction {
+    let writes = vec![RowWrite { key: "job/1".to_owned(), value: Some("x".to_owned()) }];
+    TableTransaction { token: ClientToken(token), guards: Vec::new(), writes }
+}
+
+#[test]
+fn a_lost_answer_is_resolved_by_its_token() {
+    smol::block_on(async {
+        let (_platform, mut client) = start().await;
+        set_mode(&mut client, r#"{"mode":"lose_answers"}"#).await;
+        let mut lost = 0;
+        for token in 0..20 {
+            while client.call_with(Method::POST, TRANSACTIONS, &write(token)).await.is_err() {
+                lost += 1;
+            }
+        }
+        assert!(lost > 0, "no answer was lost");
+        set_mode(&mut client, r#"{"mode":"ok"}"#).await;
+        let counts = counts(&mut client).await;
+        assert_eq!((counts.table.commits, counts.table.row_writes), (20, 20));
+        assert_eq!((counts.table.repeats, counts.unanswered), (lost, lost));
+        let path = format!("/v1/table/tokens/{}", ClientToken(3));
+        let resolved = client.call(Method::GET, &path).await.expect("an answer");
+        let result = TransactionResult::Committed(vec![RowVersion(4)]);
+        assert_eq!(resolved.value::<Option<TransactionResult>>(), Some(Some(result)));
+        let path = format!("/v1/table/tokens/{}", ClientToken(99));
+        let unknown = client.call(Method::GET, &path).await.expect("an answer");
+        assert_eq!(&unknown.body[..], b"null");
+    });
+}
+
+#[test]
+fn a_service_that_is_down_carries_nothing_out() {
+    smol::block_on(async {
+        let (platform, mut client) = start().await;
+        set_mode(&mut client, r#"{"mode":"down"}"#).await;
+        for _ in 0..3 {
+            assert!(client.call_with(Method::POST, TRANSACTIONS, &write(1)).await.is_err());
+        }
+        assert_eq!(counts(&mut client).await.table.transactions, 0);
+        platform.set_mode(PlatformMode::Ok);
+        assert!(client.call_with(Method::POST, TRANSACTIONS, &write(1)).await.is_ok());
+        let read = TableRead::Keys(vec!["job/1".to_owned()]);
+        let rows = client.call_with(Method::POST, "/v1/table/reads", &read).await;
+        let rows: Vec<TableRow> = rows.expect("an answer").value().expect("rows");
+        assert_eq!(rows[0].value, "x");
+        platform.stop().await;
+        assert!(client.call(Method::GET, "/stand-in/counts").await.is_err());
+    });
+}
+
+#[test]
+fn a_slow_service_carries_out_what_its_caller_gave_up() {
+    smol::block_on(async {
+        let (_platform, mut client) = start().await;
+        set_mode(&mut client, r#"{"mode":"slow"}"#).await;
+        client = client.with_timeout(Duration::from_millis(200));
+        assert!(client.call_with(Method::POST, TRANSACTIONS, &write(1)).await.is_err());
+        smol::Timer::after(Duration::from_millis(3200)).await;
+        assert_eq!(counts(&mut client).await.table.commits, 1);
+    });
+}
+
+#[test]
+fn objects_are_kept_as_they_are() {
+    smol::block_on(async {
+        let (_platform, mut client) = start().await;
+        let path = "/v1/objects/photos/pack-1";
+        let bytes = Bytes::from(vec![0, 159, 255]);
+        client.send(Method::PUT, path, bytes.clone()).await.expect("an answer");
+        assert_eq!(client.call(Method::GET, path).await.expect("an answer").body, bytes);
+        client.call(Method::DELETE, path).await.expect("an answer");
+        let missing = client.call(Method::GET, path).await.expect("an answer");
+        assert_eq!(missing.status, StatusCode::NOT_FOUND);
+    });
+}
+
+#[test]
+fn bad_calls_get_an_error_in_json() {
+    smol::block_on(async {
+        let (_platform, mut client) = start().await;
+        let cases = [
+            (Method::POST, TRANSACTIONS, Bytes::from_static(b"{"), StatusCode::BAD_REQUEST),
+            (Method::GET, TRANSACTIONS, Bytes::new(), StatusCode::METHOD_NOT_ALLOWED),
+            (Method::GET, "/v1/tables", Bytes::new(), StatusCode::NOT_FOUND),
+            (Method::GET, "/v1/table/tokens/x", Bytes::new(), StatusCode::BAD_REQUEST),
+            (
+                Method::PUT,
+                "/stand-in/mode",
+                Bytes::from_static(br#"{"mode":"off"}"#),
+                StatusCode::BAD_REQUEST,
+            ),
+        ];
+        for (method, path, body, status) in cases {
+            let answer = client.send(method, path, body).await.expect("an answer");
+            assert_eq!(answer.status, status);
+            let error: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
+            assert!(error["error"].is_string());
+        }
+    });
+}
+
+#[test]
+fn a_body_over_the_limit_is_refused() {
+    smol::block_on(async {
+        let (_platform, mut client) = start().await;
+        let body = Bytes::from(vec![b' '; MAX_BODY_BYTES + 1]);
+        let answer = client.send(Method::POST, TRANSACTIONS, body).await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::PAYLOAD_TOO_LARGE);
+        assert!(client.call_with(Method::POST, TRANSACTIONS, &write(1)).await.is_ok());
+    });
+}
--- /dev/null
+++ b/crates/magnoliapin_standin/tests/target_standin.rs
@@ -0,0 +1,226 @@
+//! A target over sockets.
+
+mod support;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Method;
+use hyper::StatusCode;
+use indexmap::IndexMap;
+use magnoliapin_model::InstanceId;
+use magnoliapin_model::RackId;
+use magnoliapin_model::RowVersion;
+use magnoliapin_model::TargetRun;
+use magnoliapin_model::TaskId;
+use magnoliapin_model::ZoneId;
+use magnoliapin_standin::HttpClient;
+use magnoliapin_standin::PlatformHandle;
+use magnoliapin_standin::PlatformOptions;
+use magnoliapin_standin::PlatformStandin;
+use magnoliapin_standin::TargetHandle;
+use magnoliapin_standin::TargetMode;
+use magnoliapin_standin::TargetOptions;
+use magnoliapin_standin::TargetStandin;
+use magnoliapin_wire::InstanceOrder;
+use magnoliapin_wire::InstanceRecord;
+use magnoliapin_wire::ListedState;
+use magnoliapin_wire::OrderAct;
+use magnoliapin_wire::RefusalReason;
+use magnoliapin_wire::TaskReply;
+use magnoliapin_wire::TaskState;
+use support::start_of;
+use support::task_id;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct TestSite {
+    platform: PlatformHandle,
+    target: TargetHandle,
+}
+
+async fn start_site(connections: usize) -> TestSite {
+    let options = PlatformOptions::default().with_lag(Duration::ZERO);
+    let platform = PlatformStandin::start(options).await.expect("a free port");
+    let instance = InstanceId::new("i1").expect("a name");
+    let zone = ZoneId::new("z1").expect("a name");
+    let rack = RackId::new("r1").expect("a name");
+    let options = TargetOptions::new(instance, zone, rack, platform.address())
+        .with_connections(connections)
+        .with_image("one");
+    let target = TargetStandin::start(options).await.expect("a free port");
+    TestSite { platform, target }
+}
+
+impl TestSite {
+    fn client(&self) -> HttpClient {
+        HttpClient::new(self.target.address())
+    }
+
+    fn run(&self) -> TargetRun {
+        self.target.state().lock().expect("no panic").run()
+    }
+
+    async fn start(&self, work: u128, payload: &str) -> Option<TaskReply> {
+        let start = start_of(work, self.run(), payload);
+        let answer = self.client().call_with(Method::POST, "/v1/tasks", &start).await;
+        answer.ok().and_then(|answer| answer.value())
+    }
+
+    async fn effects(&self) -> IndexMap<TaskId, u32> {
+        let answer = self.client().call(Method::GET, "/stand-in/effects").await;
+        answer.expect("an answer").value().expect("effects")
+    }
+
+    async fn record_when(&self, is_met: impl Fn(&InstanceRecord) -> bool) -> InstanceRecord {
+        let mut client = HttpClient::new(self.platform.address());
+        let deadline = Instant::now() + PATIENCE;
+        while Instant::now() < deadline {
+            let answer = client.call(Method::GET, "/v1/instances").await.expect("an answer");
+            let records: Vec<InstanceRecord> = answer.value().expect("records");
+            if let Some(record) = records.into_iter().find(&is_met) {
+                return record;
+            }
+            smol::Timer::after(Duration::from_millis(20)).await;
+        }
+        panic!("the list does not show it in time");
+    }
+
+    async fn order(&self, order: &InstanceOrder) -> StatusCode {
+        let mut client = HttpClient::new(self.platform.address());
+        let answer = client.call_with(Method::POST, "/v1/instances/i1/orders", order).await;
+        answer.expect("an answer").status
+    }
+}
+
+#[test]
+fn a_task_is_answered_when_it_has_ended() {
+    smol::block_on(async {
+        let site = start_site(64).await;
+        let reply = site.start(1, "hello").await.expect("an answer");
+        assert_eq!((reply.state, &reply.output[..]), (TaskState::Finished, &b"hello"[..]));
+        assert_eq!(site.start(1, "hello").await, Some(reply));
+        let other = start_of(2, TargetRun(0), "");
+        let answer = site.client().call_with(Method::POST, "/v1/tasks", &other).await;
+        let reply: TaskReply = answer.expect("an answer").value().expect("a reply");
+        assert_eq!(reply.state, TaskState::Refused(RefusalReason::OtherRun));
+        assert_eq!(site.effects().await, IndexMap::from([(task_id(1), 1)]));
+    });
+}
+
+#[test]
+fn a_task_goes_on_without_its_connection() {
+    smol::block_on(async {
+        let site = start_site(64).await;
+        let start = start_of(1, site.run(), r#"{"run_ms":300}"#);
+        let mut client = site.client().with_timeout(Duration::from_millis(100));
+        assert!(client.call_with(Method::POST, "/v1/tasks", &start).await.is_err());
+        let reply = site.start(1, r#"{"run_ms":300}"#).await.expect("an answer");
+        assert_eq!(reply.state, TaskState::Finished);
+        assert_eq!(site.effects().await[&task_id(1)], 1);
+    });
+}
+
+#[test]
+fn silent_connections_stay_silent_and_new_ones_work() {
+    smol::block_on(async {
+        let site = start_site(2).await;
+        let mut old = site.client().with_timeout(Duration::from_millis(500));
+        assert!(old.call(Method::GET, "/stand-in/effects").await.is_ok());
+        site.target.set_mode(TargetMode::Silent);
+        assert!(old.call(Method::GET, "/stand-in/effects").await.is_err());
+        let reply = site.start(1, "").await.expect("an answer");
+        assert_eq!(reply.state, TaskState::Finished);
+    });
+}
+
+#[test]
+fn a_task_whose_connection_goes_silent_takes_effect_once() {
+    smol::block_on(async {
+        let site = start_site(64).await;
+        let start = start_of(1, site.run(), r#"{"run_ms":400}"#);
+        let mut caller = site.client().with_timeout(Duration::from_millis(1500));
+        let call = caller.call_with(Method::POST, "/v1/tasks", &start);
+        let silence = async {
+            smol::Timer::after(Duration::from_millis(150)).await;
+            site.target.set_mode(TargetMode::Silent);
+        };
+        let (answer, ()) = futures_lite::future::zip(call, silence).await;
+        assert!(answer.is_err());
+        let path = format!("/v1/tasks/{}", task_id(1));
+        let reply = site.client().call(Method::GET, &path).await.expect("an answer");
+        assert_eq!(reply.value::<TaskReply>().expect("a reply").state, TaskState::Finished);
+        assert_eq!(site.effects().await[&task_id(1)], 1);
+    });
+}
+
+#[test]
+fn connections_over_the_limit_are_closed() {
+    smol::block_on(async {
+        let site = start_site(2).await;
+        let (mut first, mut second) = (site.client(), site.client());
+        assert!(first.call(Method::GET, "/stand-in/effects").await.is_ok());
+        assert!(second.call(Method::GET, "/stand-in/effects").await.is_ok());
+        assert!(site.client().call(Method::GET, "/stand-in/effects").await.is_err());
+        assert!(first.call(Method::GET, "/stand-in/effects").await.is_ok());
+    });
+}
+
+#[test]
+fn orders_drain_and_reboot_an_instance() {
+    smol::block_on(async {
+        let site = start_site(64).await;
+        let first = site.record_when(|record| record.state == ListedState::Live).await;
+        assert_eq!((first.run, first.image.as_str()), (site.run(), "one"));
+        let order = |epoch, act| InstanceOrder { run: first.run, epoch: RowVersion(epoch), act };
+        let drain = order(2, OrderAct::Drain);
+        assert_eq!(site.order(&drain).await, StatusCode::NO_CONTENT);
+        site.record_when(|record| record.state == ListedState::Leaving).await;
+        let refused = site.start(1, "").await.expect("an answer");
+        assert_eq!(refused.state, TaskState::Refused(RefusalReason::Leaving));
+        assert_eq!(site.order(&order(1, OrderAct::Undrain)).await, StatusCode::CONFLICT);
+        let reboot = order(3, OrderAct::Reboot { image: "two".to_owned() });
+        assert_eq!(site.order(&reboot).await, StatusCode::NO_CONTENT);
+        let second = site.record_when(|record| record.image == "two").await;
+        assert_eq!(second.state, ListedState::Live);
+        assert_ne!(second.run, first.run);
+        assert_eq!(site.order(&reboot).await, StatusCode::CONFLICT);
+        let reply = site.start(2, "").await.expect("an answer");
+        assert_eq!(reply.state, TaskState::Finished);
+    });
+}
+
+#[test]
+fn a_killed_target_has_no_more_effects_and_is_gone() {
+    smol::block_on(async {
+        let site = start_site(64).await;
+        site.record_when(|record| record.state == ListedState::Live).await;
+        site.start(1, "").await.expect("an answer");
+        let kill = async {
+            smol::Timer::after(Duration::from_millis(100)).await;
+            site.target.kill().await;
+        };
+        let (cut, ()) = futures_lite::future::zip(site.start(2, r#"{"run_ms":500}"#), kill).await;
+        assert_eq!(cut, None);
+        assert_eq!(site.start(3, "").await, None);
+        site.record_when(|record| record.state == ListedState::Gone).await;
+        let state = site.target.state();
+        let state = state.lock().expect("no panic");
+        assert_eq!(*state.ledger().effects(), IndexMap::from([(task_id(1), 1)]));
+        assert_eq!(state.ledger().starts().len(), 2);
+    });
+}
+
+#[test]
+fn a_stopped_target_answers_what_runs() {
+    smol::block_on(async {
+        let site = start_site(64).await;
+        let stop = async {
+            smol::Timer::after(Duration::from_millis(100)).await;
+            site.target.stop().await;
+        };
+        let call = site.start(1, r#"{"run_ms":400}"#);
+        let (reply, ()) = futures_lite::future::zip(call, stop).await;
+        assert_eq!(reply.expect("an answer").state, TaskState::Finished);
+    });
+}
