Decide everything of an entry in one state machine

Cause: the whole path needs its decisions: admission, dispatch, limits, jobs, membership, takeovers and configuration. Ruled out: leases that bound an entry by time, as a paused entry cannot know that its lease is over; instead the target an attempt is bound to is its judge, a lost entry is fenced at every target before its work or its parts of allotments move, and a member row guards all it commits. Change: EntryMachine with group commit, grouped reads, freshness by reads, peers' reads and quiet members, weighted max-min dispatch, allotment parts, attempts, jobs, takeovers, planned stops.

--- a/crates/magnoliapin_policy/src/lib.rs
+++ b/crates/magnoliapin_policy/src/lib.rs
@@ -4,10 +4,24 @@
 //! [`EntryAction`]s. A driver carries them out: the real one over sockets, the soak in virtual
 //! time over fakes. Randomness comes from a generator seeded by the caller.
 
+mod allotment;
+mod commit;
+mod config;
+mod counts;
 mod event;
+mod invariant;
+mod line;
 mod machine;
+mod outbox;
+mod pace;
+mod peers;
+mod reads;
 mod settings;
+mod targets;
+mod tasks;
+mod work;
 
+pub use counts::PolicyCounts;
 pub use event::CallId;
 pub use event::EntryAction;
 pub use event::EntryEvent;
--- /dev/null
+++ b/crates/magnoliapin_policy/src/machine/admission.rs
@@ -0,0 +1,260 @@
+//! Who may hand in work, and what is taken.
+
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use magnoliapin_model::Attempt;
+use magnoliapin_model::ErrorKind;
+use magnoliapin_model::KeyHash;
+use magnoliapin_model::Moment;
+use magnoliapin_model::QueueId;
+use magnoliapin_model::QueueSection;
+use magnoliapin_model::TeamId;
+use magnoliapin_model::WorkId;
+use magnoliapin_wire::rows::JobRow;
+use magnoliapin_wire::JobState;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::work::JobHold;
+use crate::work::WorkEntry;
+use crate::work::WorkKind;
+use crate::work::WorkStage;
+use crate::CallId;
+use crate::EntryMachine;
+
+/// Why work is not taken.
+#[derive(Clone, Debug)]
+pub(crate) struct AdmissionError {
+    pub(crate) kind: ErrorKind,
+    pub(crate) message: String,
+}
+
+impl AdmissionError {
+    pub(crate) fn new(kind: ErrorKind, message: impl Into<String>) -> Self {
+        Self { kind, message: message.into() }
+    }
+}
+
+impl EntryMachine {
+    pub(crate) fn admit_request(
+        &mut self,
+        call: CallId,
+        key: Option<KeyHash>,
+        queue: QueueId,
+        payload: Vec<u8>,
+        timeout_ms: Option<u64>,
+    ) {
+        match self.admit(key, queue, payload.len()) {
+            Ok((team, section)) => {
+                let bound = section.timeout_ms;
+                let timeout = Duration::from_millis(timeout_ms.unwrap_or(bound).min(bound));
+                self.take_on(call, team, queue, &section, payload, timeout);
+            }
+            Err(error) => self.reject(call, error),
+        }
+    }
+
+    fn take_on(
+        &mut self,
+        call: CallId,
+        team: TeamId,
+        queue: QueueId,
+        section: &QueueSection,
+        payload: Vec<u8>,
+        timeout: Duration,
+    ) {
+        let ahead = self.request_lines.waiting(team);
+        let wait = self.pace.expected_wait(section.pool, team, ahead);
+        if ahead > 0 && wait.is_some_and(|wait| wait > timeout) {
+            let message = format!("{ahead} requests wait and the deadline cannot be met");
+            self.reject(call, AdmissionError::new(ErrorKind::Overloaded, message));
+            return;
+        }
+        let kind = WorkKind::Request { call: Some(call) };
+        let mut entry = new_entry(kind, team, queue, section, payload);
+        entry.deadline = self.out.now + timeout;
+        entry.max_run = timeout;
+        let work = self.out.draw_work();
+        self.work.insert(work, entry, Some(call));
+        self.wait_for_slot(work);
+    }
+
+    pub(crate) fn admit_job(
+        &mut self,
+        call: CallId,
+        key: Option<KeyHash>,
+        queue: QueueId,
+        payload: Vec<u8>,
+        idempotency_key: Option<String>,
+    ) {
+        let (team, section) = match self.admit(key, queue, payload.len()) {
+            Ok(admitted) => admitted,
+            Err(error) => {
+                self.reject(call, error);
+                return;
+            }
+        };
+        let work = match idempotency_key {
+            Some(key) => derived_work(team, queue, &key),
+            None => self.out.draw_work(),
+        };
+        if self.join_accept(call, work) {
+            return;
+        }
+        let row = JobRow {
+            team,
+            queue,
+            pool: section.pool,
+            state: JobState::Accepted,
+            attempt: Attempt(0),
+            holder: self.identity.entry,
+            target: None,
+            idempotent: section.idempotent,
+            max_run_ms: section.max_run_ms,
+            max_attempts: section.max_attempts,
+            failures: 0,
+            cancel_requested: false,
+            payload: payload.clone(),
+            output: None,
+            reason: None,
+            accepted_at: Default::default(),
+        };
+        let hold = JobHold::new(row, call);
+        let mut entry = new_entry(WorkKind::Job(Box::new(hold)), team, queue, &section, payload);
+        entry.deadline = self.out.now + Duration::from_millis(section.timeout_ms);
+        entry.staged_at = self.out.now;
+        self.work.insert(work, entry, None);
+        self.store_job(work);
+    }
+
+    /// Checks who hands work in, and whether the queue has room. Returns the team it counts for.
+    fn admit(
+        &mut self,
+        key: Option<KeyHash>,
+        queue: QueueId,
+        payload_bytes: usize,
+    ) -> Result<(TeamId, QueueSection), AdmissionError> {
+        if !self.is_ready() {
+            return Err(AdmissionError::new(ErrorKind::NotReady, "this entry takes no work now"));
+        }
+        let Some(section) = self.config.document.queues.get(&queue).cloned() else {
+            let message = format!("there is no queue {queue}");
+            return Err(AdmissionError::new(ErrorKind::NotFound, message));
+        };
+        let team = self.team_for(key, &section)?;
+        if payload_bytes as u64 > section.max_body_bytes.0 {
+            let message = format!("queue {queue} takes at most {} bytes", section.max_body_bytes);
+            return Err(AdmissionError::new(ErrorKind::BodyTooLarge, message));
+        }
+        if self.work.in_queue(queue) >= section.max_waiting {
+            let message = format!("queue {queue} is full with {} here", section.max_waiting);
+            return Err(AdmissionError::new(ErrorKind::Overloaded, message));
+        }
+        Ok((team, section))
+    }
+
+    fn team_for(
+        &mut self,
+        key: Option<KeyHash>,
+        section: &QueueSection,
+    ) -> Result<TeamId, AdmissionError> {
+        let keyed = key.map(|key| self.team_of(key));
+        if let (true, Some(open_team)) = (section.open, section.open_team) {
+            let team = keyed.and_then(Result::ok).unwrap_or(open_team);
+            return Ok(team);
+        }
+        let Some(keyed) = keyed else {
+            return Err(AdmissionError::new(ErrorKind::BadKey, "this queue needs a team's key"));
+        };
+        let team = keyed?;
+        if !section.teams.is_empty() && !section.teams.contains(&team) {
+            let message = format!("team {team} may not use this queue");
+            return Err(AdmissionError::new(ErrorKind::NotAllowed, message));
+        }
+        Ok(team)
+    }
+
+    /// Finds the team of a key, which needs a configuration that is known to be current.
+    pub(crate) fn team_of(&mut self, key: KeyHash) -> Result<TeamId, AdmissionError> {
+        if !self.is_fresh(self.out.now) {
+            self.out.counts.stale_refusals += 1;
+            let message = "this entry cannot know whether the key still holds";
+            return Err(AdmissionError::new(ErrorKind::StaleConfig, message));
+        }
+        match self.config.document.team_of_key(&key) {
+            Some((team, _)) => Ok(team),
+            None => Err(AdmissionError::new(ErrorKind::BadKey, "no team has this key")),
+        }
+    }
+
+    /// Checks that a key belongs to a team of operators.
+    pub(crate) fn operator_of(&mut self, key: Option<KeyHash>) -> Result<TeamId, AdmissionError> {
+        let Some(key) = key else {
+            return Err(AdmissionError::new(ErrorKind::BadKey, "this needs an operator's key"));
+        };
+        let team = self.team_of(key)?;
+        let section = self.config.document.teams.get(&team);
+        if section.is_some_and(|section| section.operator) {
+            return Ok(team);
+        }
+        let message = format!("team {team} is not a team of operators");
+        Err(AdmissionError::new(ErrorKind::NotAllowed, message))
+    }
+
+    pub(crate) fn reject(&mut self, call: CallId, error: AdmissionError) {
+        self.out.refuse(call, error.kind, error.message);
+    }
+
+    /// Forgets a caller that hung up. Work that waits is dropped, work that runs goes on.
+    pub(crate) fn drop_caller(&mut self, call: CallId) {
+        let Some(work) = self.work.request_of(call) else { return };
+        let Some(entry) = self.work.get_mut(work) else { return };
+        if entry.stage == WorkStage::Waiting {
+            let (pool, team, place) = (entry.pool, entry.team, entry.place(work));
+            self.request_lines.remove(pool, team, place);
+            self.work.remove(work);
+        } else {
+            entry.kind = WorkKind::Request { call: None };
+        }
+    }
+}
+
+fn new_entry(
+    kind: WorkKind,
+    team: TeamId,
+    queue: QueueId,
+    section: &QueueSection,
+    payload: Vec<u8>,
+) -> WorkEntry {
+    WorkEntry {
+        kind,
+        team,
+        queue,
+        pool: section.pool,
+        payload,
+        idempotent: section.idempotent,
+        max_run: Duration::from_millis(section.max_run_ms),
+        deadline: Moment::START,
+        staged_at: Moment::START,
+        attempt: Attempt(0),
+        stage: WorkStage::Storing,
+        failed_at: IndexSet::new(),
+        unfit_at: IndexSet::new(),
+        was_started: false,
+    }
+}
+
+/// Derives a job's identifier from its idempotency key, so that a resubmission finds the job.
+fn derived_work(team: TeamId, queue: QueueId, key: &str) -> WorkId {
+    let hash = Sha256::new()
+        .chain_update(team.as_str())
+        .chain_update([0])
+        .chain_update(queue.as_str())
+        .chain_update([0])
+        .chain_update(key)
+        .finalize();
+    let mut bytes = [0; 16];
+    bytes.copy_from_slice(&hash[..16]);
+    WorkId(u128::from_be_bytes(bytes))
+}
--- /dev/null
+++ b/crates/magnoliapin_policy/src/machine/applies.rs
@@ -0,0 +1,244 @@
+//! Changes of the configuration: compare-and-set by section, on the head's row.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use magnoliapin_model::ConfigDocument;
+use magnoliapin_model::ConfigVersion;
+use magnoliapin_model::ErrorKind;
+use magnoliapin_model::KeyHash;
+use magnoliapin_model::Moment;
+use magnoliapin_model::SectionName;
+use magnoliapin_model::TeamId;
+use magnoliapin_wire::rows::ConfigHead;
+use magnoliapin_wire::rows::RowKey;
+use magnoliapin_wire::rows::RowValue;
+use magnoliapin_wire::rows::SectionRow;
+use magnoliapin_wire::CallerAnswer;
+use magnoliapin_wire::ConfigChange;
+use magnoliapin_wire::RefusalView;
+
+use crate::commit::ChangeOutcome;
+use crate::commit::ChangeTag;
+use crate::commit::RowChange;
+use crate::machine::jobs::first;
+use crate::CallId;
+use crate::EntryMachine;
+
+/// An operator is answered at the latest after this long.
+const APPLY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A change that an operator asked for.
+#[derive(Debug)]
+pub(crate) struct PendingApply {
+    call: Option<CallId>,
+    /// Team of the operator; none for the first document.
+    team: Option<TeamId>,
+    change: ConfigChange,
+    deadline: Moment,
+    /// The configuration that the change in flight makes.
+    flight: Option<NextConfig>,
+}
+
+#[derive(Clone, Debug)]
+struct NextConfig {
+    head: ConfigHead,
+    sections: IndexMap<SectionName, String>,
+}
+
+impl EntryMachine {
+    /// Returns whether a change that this entry sent may still be accepted.
+    pub(crate) fn has_apply_in_flight(&self) -> bool {
+        self.applies.iter().any(|apply| apply.flight.is_some())
+    }
+
+    pub(crate) fn admit_apply(&mut self, call: CallId, key: Option<KeyHash>, change: ConfigChange) {
+        if self.membership.is_stopping() || !self.config.is_known() {
+            self.out.refuse(call, ErrorKind::NotReady, "this entry knows no configuration yet");
+            return;
+        }
+        let is_first = self.config.version == ConfigVersion(0);
+        let team = match key {
+            _ if is_first => None,
+            key => match self.operator_of(key) {
+                Ok(team) => Some(team),
+                Err(error) => {
+                    self.reject(call, error);
+                    return;
+                }
+            },
+        };
+        let deadline = self.out.now + APPLY_TIMEOUT;
+        self.applies.push(PendingApply { call: Some(call), team, change, deadline, flight: None });
+    }
+
+    /// Sends the next change, one at a time, so that each is based on the one before.
+    pub(crate) fn advance_applies(&mut self) {
+        let is_allowed = self.membership.is_registered()
+            && self.config.is_fresh(self.out.now, &self.times)
+            && self.peers.all_acknowledged(self.out.now, &self.times);
+        if !is_allowed || self.has_apply_in_flight() {
+            return;
+        }
+        while let Some(index) = self.applies.iter().position(|apply| apply.call.is_some()) {
+            match self.next_config(&self.applies[index]) {
+                Ok(Some(next)) => {
+                    self.send_apply(index, next);
+                    return;
+                }
+                Ok(None) => {
+                    let version = self.config.version;
+                    self.finish_apply(index, CallerAnswer::Applied { version });
+                }
+                Err(refusal) => self.finish_apply(index, CallerAnswer::Refused(*refusal)),
+            }
+        }
+    }
+
+    fn finish_apply(&mut self, index: usize, answer: CallerAnswer) {
+        let apply = self.applies.remove(index);
+        if let Some(call) = apply.call {
+            self.out.answer(call, answer);
+        }
+    }
+
+    /// Returns what a change makes of the configuration in force, or none if it changes nothing.
+    fn next_config(&self, apply: &PendingApply) -> Result<Option<NextConfig>, Box<RefusalView>> {
+        let changes = self.effective_changes(&apply.change);
+        if changes.is_empty() {
+            return Ok(None);
+        }
+        self.check_base(&apply.change, &changes)?;
+        self.check_owners(apply.team, &changes)?;
+        let mut sections = self.config.sections.clone();
+        for (name, text) in &changes {
+            match text {
+                Some(text) => sections.insert(*name, text.clone()),
+                None => sections.shift_remove(name),
+            };
+        }
+        ConfigDocument::from_sections(&sections).map_err(|errors| {
+            let mut refusal = RefusalView::new(ErrorKind::BadDocument, "the document has errors");
+            refusal.errors = errors;
+            Box::new(refusal)
+        })?;
+        let mut head = self.config.head.clone();
+        head.record(&changes.keys().copied().collect::<Vec<_>>());
+        Ok(Some(NextConfig { head, sections }))
+    }
+
+    /// Returns the sections that a change gives another text than they have.
+    fn effective_changes(&self, change: &ConfigChange) -> IndexMap<SectionName, Option<String>> {
+        let mut wanted = change.sections.clone();
+        if change.whole {
+            for name in self.config.sections.keys() {
+                wanted.entry(*name).or_insert(None);
+            }
+        }
+        wanted.retain(|name, text| self.config.sections.get(name) != text.as_ref());
+        wanted
+    }
+
+    /// Checks that nobody changed the same sections after the operator looked at them.
+    fn check_base(
+        &self,
+        change: &ConfigChange,
+        changes: &IndexMap<SectionName, Option<String>>,
+    ) -> Result<(), Box<RefusalView>> {
+        let Some(base) = change.base else { return Ok(()) };
+        let is_newer = |name: &&SectionName| {
+            self.config.changed_at.get(*name).is_some_and(|version| *version > base)
+        };
+        let newer = changes.keys().filter(is_newer).copied().collect::<IndexSet<_>>();
+        if newer.is_empty() {
+            return Ok(());
+        }
+        let message = format!("{} sections changed after version {base}", newer.len());
+        let mut refusal = RefusalView::new(ErrorKind::Conflict, message);
+        let current = |name: SectionName| (name, self.config.sections.get(&name).cloned());
+        refusal.current = newer.into_iter().map(current).collect();
+        Err(Box::new(refusal))
+    }
+
+    fn check_owners(
+        &self,
+        team: Option<TeamId>,
+        changes: &IndexMap<SectionName, Option<String>>,
+    ) -> Result<(), Box<RefusalView>> {
+        let Some(team) = team else { return Ok(()) };
+        for name in changes.keys() {
+            if let Err(not_owner) = self.config.document.may_change(team, *name) {
+                let refusal = RefusalView::new(ErrorKind::NotAllowed, not_owner.to_string());
+                return Err(Box::new(refusal));
+            }
+        }
+        Ok(())
+    }
+
+    fn send_apply(&mut self, index: usize, next: NextConfig) {
+        let version = next.head.version;
+        let mut change = RowChange::new(ChangeTag::Apply)
+            .with_guard(RowKey::ConfigHead, self.config.head_row)
+            .with_write(RowKey::ConfigHead, Some(next.head.to_json()));
+        let changed = next.head.recent.iter().filter(|change| change.version == version);
+        for name in changed.map(|change| change.section) {
+            let text = next.sections.get(&name).cloned();
+            let owner = self.config.document.owner(name);
+            let row = SectionRow { owner, version, text };
+            change = change.with_write(RowKey::Section(name), Some(row.to_json()));
+        }
+        self.applies[index].flight = Some(next);
+        let change = self.guard_member(change);
+        self.control_commits.push(change);
+    }
+
+    /// Takes word of what became of the change in flight.
+    pub(crate) fn take_applied(&mut self, outcome: &ChangeOutcome) {
+        let Some(index) = self.applies.iter().position(|apply| apply.flight.is_some()) else {
+            return;
+        };
+        let flight = self.applies[index].flight.take();
+        match (outcome, flight) {
+            (ChangeOutcome::Committed(versions), Some(next)) => {
+                let version = next.head.version;
+                self.config.take_committed(
+                    next.head,
+                    first(versions),
+                    next.sections,
+                    &mut self.out,
+                );
+                self.finish_apply(index, CallerAnswer::Applied { version });
+            }
+            _ => {
+                if self.applies[index].call.is_none() {
+                    self.applies.remove(index);
+                }
+                self.config.distrust();
+            }
+        }
+    }
+
+    /// Answers operators whose changes could not be settled in time.
+    pub(crate) fn expire_applies(&mut self) {
+        let now = self.out.now;
+        let due = |apply: &PendingApply| apply.deadline <= now && apply.call.is_some();
+        while let Some(index) = self.applies.iter().position(due) {
+            self.expire_apply(index);
+        }
+    }
+
+    fn expire_apply(&mut self, index: usize) {
+        let is_flying = self.applies[index].flight.is_some();
+        let is_withdrawn = is_flying && self.control_commits.withdraw(ChangeTag::Apply);
+        let Some(call) = self.applies[index].call.take() else { return };
+        if is_flying && !is_withdrawn {
+            let message = "whether the change was accepted is not known yet";
+            self.out.refuse(call, ErrorKind::PlatformUnknown, message);
+        } else {
+            self.applies.remove(index);
+            let message = "the platform's store or another entry did not answer in time";
+            self.out.refuse(call, ErrorKind::PlatformDown, message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_policy/src/machine/limits.rs
@@ -0,0 +1,143 @@
+//! Parts of the teams' allotments: when they are changed, and what follows.
+
+use magnoliapin_model::EntryId;
+use magnoliapin_model::SlotCount;
+use magnoliapin_model::TeamId;
+use magnoliapin_wire::rows::AllotmentRow;
+use magnoliapin_wire::rows::RowKey;
+use magnoliapin_wire::rows::RowValue;
+use magnoliapin_wire::PeerMessage;
+use magnoliapin_wire::TableRow;
+
+use crate::allotment::TeamDemand;
+use crate::commit::ChangeOutcome;
+use crate::reads::ReadTag;
+use crate::EntryMachine;
+use crate::TimelineEvent;
+use crate::TimelineName;
+
+/// Most teams planned in one tick.
+const TEAMS_PER_TICK: usize = 32;
+
+impl EntryMachine {
+    /// Plans changes of the parts that this entry holds, a few teams at a time.
+    pub(crate) fn plan_parts(&mut self) {
+        if !self.has_started() || !self.membership.is_platform_up() {
+            return;
+        }
+        let teams = self.config.document.teams.keys().copied().collect::<Vec<_>>();
+        let gone = self.allotments.parts.keys().copied();
+        let gone = gone.filter(|team| !self.config.document.teams.contains_key(team));
+        let teams = teams.into_iter().chain(gone.collect::<Vec<_>>()).collect::<Vec<_>>();
+        if teams.is_empty() {
+            return;
+        }
+        let first = self.membership.take_turn(teams.len(), TEAMS_PER_TICK);
+        for offset in 0..teams.len().min(TEAMS_PER_TICK) {
+            self.plan_part(teams[(first + offset) % teams.len()]);
+        }
+    }
+
+    fn plan_part(&mut self, team: TeamId) {
+        if self.membership.is_stopping() {
+            return;
+        }
+        let own = self.identity.entry;
+        let section = self.config.document.teams.get(&team);
+        let limit = section.map_or(SlotCount(0), |section| section.limit);
+        let demand = self.demand(team);
+        let Some((change, receiver)) =
+            self.allotments.plan(team, own, limit, &demand, &mut self.out)
+        else {
+            return;
+        };
+        if !demand.unlisted.is_empty() {
+            self.out.counts.parts_reclaimed += 1;
+            self.out.record(TimelineEvent::new(TimelineName::PartReclaimed));
+        }
+        let change = self.guard_member(change);
+        let change = change.with_guard(RowKey::ConfigHead, self.config.head_row);
+        if let Some(receiver) = receiver {
+            self.part_receivers.insert(team, receiver);
+        }
+        self.control_commits.push(change);
+    }
+
+    fn demand(&self, team: TeamId) -> TeamDemand {
+        let now = self.out.now;
+        let ready = self.peers.ready(now, &self.times);
+        let usage = |id| {
+            let record = self.peers.records.get(&id)?;
+            record.usage.get(&team).map(|(_, usage)| (id, *usage))
+        };
+        let others = ready.iter().filter_map(|id| usage(*id)).collect();
+        let waiting = self.request_lines.waiting(team) + self.job_lines.waiting(team);
+        let entries = u32::try_from(ready.len() + 1).unwrap_or(u32::MAX);
+        TeamDemand { waiting, others, entries, unlisted: self.unlisted_holders(team) }
+    }
+
+    /// Returns the entries that hold a part of a team's allotment but are members no more.
+    fn unlisted_holders(&self, team: TeamId) -> Vec<EntryId> {
+        let Some(part) = self.allotments.parts.get(&team) else { return Vec::new() };
+        if self.peers.listed_at.is_none() {
+            return Vec::new();
+        }
+        let own = self.identity.entry;
+        let is_known = |id: &EntryId| *id == own || self.peers.records.contains_key(id);
+        part.row.parts.keys().copied().filter(|id| !is_known(id)).collect()
+    }
+
+    /// Takes word of what became of a change of a team's row.
+    pub(crate) fn take_part_change(&mut self, team: TeamId, outcome: ChangeOutcome) {
+        let receiver = self.part_receivers.swap_remove(&team);
+        match outcome {
+            ChangeOutcome::Committed(versions) => {
+                let version = versions.first().copied().unwrap_or_default();
+                self.allotments.take_committed(team, version);
+                let record = receiver.and_then(|id| self.peers.records.get(&id));
+                if let Some(record) = record {
+                    self.out.send(record.address, receiver, PeerMessage::PartMoved(team));
+                }
+            }
+            ChangeOutcome::Conflict(rows) => {
+                let head = RowKey::ConfigHead.to_string();
+                if rows.iter().any(|row| row.key == head && row.version > self.config.head_row) {
+                    self.config.poll_now();
+                }
+                let current = find_allotment(team, &rows);
+                self.allotments.take_conflict(team, current, &mut self.out);
+            }
+        }
+    }
+
+    /// Reads a team's row after another entry moved a part of it here.
+    pub(crate) fn check_part(&mut self, team: TeamId) {
+        let key = RowKey::Allotment(team).to_string();
+        let give_up_at = self.out.now + self.times.entry_lease;
+        self.reads.push(ReadTag::CheckPart(team), vec![key], give_up_at);
+    }
+
+    /// Takes rows of allotments that were read.
+    pub(crate) fn take_allotments(&mut self, rows: &[TableRow]) {
+        for row in rows {
+            let Ok(RowKey::Allotment(team)) = row.key.parse() else { continue };
+            match AllotmentRow::from_json(&row.value) {
+                Ok(allotment) => self.allotments.part(team).take_row(row.version, allotment),
+                Err(_) => self.out.counts.unreadable_rows += 1,
+            }
+        }
+        for team in self.config.document.teams.keys() {
+            self.allotments.part(*team).known = true;
+        }
+    }
+}
+
+/// Finds a team's row among rows that were read.
+pub(crate) fn find_allotment(
+    team: TeamId,
+    rows: &[TableRow],
+) -> Option<(magnoliapin_model::RowVersion, AllotmentRow)> {
+    let key = RowKey::Allotment(team).to_string();
+    let row = rows.iter().find(|row| row.key == key && row.version.0 > 0)?;
+    Some((row.version, AllotmentRow::from_json(&row.value).ok()?))
+}
--- a/crates/magnoliapin_wire/src/rows.rs
+++ b/crates/magnoliapin_wire/src/rows.rs
@@ -9,6 +9,7 @@
 //! | `config/head` | [`ConfigHead`] |
 //! | `config/section/<name>` | [`SectionRow`] |
 //! | `entry/<entry>` | [`EntryRow`] |
+//! | `member/<entry>` | empty; the entry's changes are guarded by it |
 //! | `allotment/<team>` | [`AllotmentRow`] |
 //! | `job/<work>` | [`JobRow`] of a job that has not ended |
 //! | `done/<work>` | [`JobRow`] of a job that has ended |
--- a/crates/magnoliapin_wire/src/rows/row_key.rs
+++ b/crates/magnoliapin_wire/src/rows/row_key.rs
@@ -11,6 +11,7 @@
 const HEAD: &str = "config/head";
 const SECTIONS: &str = "config/section/";
 const ENTRIES: &str = "entry/";
+const MEMBERS: &str = "member/";
 const ALLOTMENTS: &str = "allotment/";
 const JOBS: &str = "job/";
 const DONE: &str = "done/";
@@ -24,6 +25,8 @@
     Section(SectionName),
     /// One entry.
     Entry(EntryId),
+    /// Whether one entry may still take anything on: there from its start until it is lost.
+    Member(EntryId),
     /// Allotment of one team.
     Allotment(TeamId),
     /// One job that has not ended.
@@ -55,6 +58,7 @@
             Self::ConfigHead => formatter.write_str(HEAD),
             Self::Section(section) => write!(formatter, "{SECTIONS}{section}"),
             Self::Entry(entry) => write!(formatter, "{ENTRIES}{entry}"),
+            Self::Member(entry) => write!(formatter, "{MEMBERS}{entry}"),
             Self::Allotment(team) => write!(formatter, "{ALLOTMENTS}{team}"),
             Self::Job(work) => write!(formatter, "{JOBS}{work}"),
             Self::Done(work) => write!(formatter, "{DONE}{work}"),
@@ -75,6 +79,9 @@
         if let Some(name) = text.strip_prefix(ENTRIES) {
             return Ok(Self::Entry(parse(name)?));
         }
+        if let Some(name) = text.strip_prefix(MEMBERS) {
+            return Ok(Self::Member(parse(name)?));
+        }
         if let Some(name) = text.strip_prefix(ALLOTMENTS) {
             return Ok(Self::Allotment(parse(name)?));
         }
