Plan the fleet: rows, steps as guarded transactions, planner and machine

Cause: there was no planner of pools, moves, maintenance and roll-outs.

Ruled out: a budget checked by the lease's holder alone, as a paused holder would break it; counters kept apart from the instances' rows, as they drift.

Change: rows of instances, pools, racks, roll-outs, switches and the planner's lease; one function that checks a step against every rule and gives its transaction; a pure plan (upkeep, progress, roll-outs, waves, moves); the check of the maintenance period with its arithmetic; the machine that every entry runs.

--- a/crates/magnoliapin_fleet/src/lib.rs
+++ b/crates/magnoliapin_fleet/src/lib.rs
@@ -1,1 +1,61 @@
-//! Placeholder.
+//! The pure planner of pools, moves, maintenance waves and roll-outs.
+//!
+//! [`plan`] turns a [`FleetSnapshot`], the document and the [`DemandHistory`] into
+//! [`FleetStep`]s. [`StepWrites`] checks one step against every rule and gives the one
+//! transaction that carries it out; the rows that it guards make it safe for several planners to
+//! race. [`InstanceBook`] rebuilds the counters of pools from the rows of instances.
+//! [`check_feasible`] says whether the maintenance can be done in its period.
+
+mod book;
+mod demand;
+mod feasibility;
+mod machine;
+mod plan;
+mod rows;
+mod snapshot;
+mod step;
+mod step_refusal;
+mod step_writes;
+mod transition;
+
+pub use book::BookMismatch;
+pub use book::InstanceBook;
+pub use demand::DemandHistory;
+pub use demand::DEMAND_SPAN_SECONDS;
+pub use feasibility::check_feasible;
+pub use feasibility::Infeasible;
+pub use feasibility::MaintenanceLoad;
+pub use feasibility::RESTART_SECONDS;
+pub use machine::FleetAction;
+pub use machine::FleetCall;
+pub use machine::FleetCounters;
+pub use machine::FleetEvent;
+pub use machine::FleetMachine;
+pub use machine::FleetTimes;
+pub use machine::MaintenanceDeadline;
+pub use machine::MaintenanceView;
+pub use machine::OperatorAnswer;
+pub use machine::OperatorRequest;
+pub use machine::PoolForecast;
+pub use plan::plan;
+pub use rows::CauseCounts;
+pub use rows::ControlRow;
+pub use rows::InstanceRow;
+pub use rows::InstanceState;
+pub use rows::LeaseRow;
+pub use rows::PoolRow;
+pub use rows::RackRow;
+pub use rows::RolloutRow;
+pub use rows::RolloutStage;
+pub use rows::RowKey;
+pub use rows::StepGoal;
+pub use rows::UnavailableCause;
+pub use rows::UnixSeconds;
+pub use rows::VersionedRow;
+pub use snapshot::FleetSnapshot;
+pub use snapshot::InstanceFacts;
+pub use snapshot::TargetLoad;
+pub use step::FleetStep;
+pub use step::InstanceChange;
+pub use step_refusal::StepRefusal;
+pub use step_writes::StepWrites;
--- /dev/null
+++ b/crates/magnoliapin_fleet/src/machine.rs
@@ -0,0 +1,442 @@
+//! The fleet's state machine, which every entry runs.
+
+mod counters;
+mod desk;
+mod event;
+mod lane;
+mod lease;
+mod operator;
+mod orders;
+mod reader;
+mod times;
+
+use std::collections::VecDeque;
+
+use indexmap::IndexSet;
+use magnoliapin_model::ClientToken;
+use magnoliapin_model::ConfigDocument;
+use magnoliapin_model::EntryId;
+use magnoliapin_model::InstanceId;
+use magnoliapin_model::Moment;
+use magnoliapin_wire::PlatformReply;
+use magnoliapin_wire::PlatformRequest;
+use magnoliapin_wire::TableRow;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+pub use counters::FleetCounters;
+pub use event::FleetAction;
+pub use event::FleetCall;
+pub use event::FleetEvent;
+pub use operator::MaintenanceDeadline;
+pub use operator::MaintenanceView;
+pub use operator::OperatorAnswer;
+pub use operator::OperatorRequest;
+pub use operator::PoolForecast;
+pub use times::FleetTimes;
+
+use self::desk::DeskVerdict;
+use self::desk::OperatorCase;
+use self::desk::OperatorDesk;
+use self::lane::LaneOutcome;
+use self::lane::LaneStep;
+use self::lane::StepLane;
+use self::lease::PlannerLease;
+use self::orders::OrderBook;
+use self::reader::FleetReader;
+use self::reader::ReadResult;
+use crate::plan;
+use crate::BookMismatch;
+use crate::DemandHistory;
+use crate::FleetSnapshot;
+use crate::FleetStep;
+use crate::InstanceBook;
+use crate::RowKey;
+use crate::StepRefusal;
+use crate::StepWrites;
+use crate::UnixSeconds;
+
+/// How often an operator's step is tried again after a conflict.
+const MAX_CONFLICTS: u32 = 5;
+
+/// Decides what becomes of the fleet. It does no I/O and reads no clock.
+///
+/// Every entry runs one. The holder of the planner's lease plans; the others only carry out what
+/// their operators ask and report failures that they find. Whoever acts, each step is one
+/// transaction that guards what it was decided from.
+#[derive(Debug)]
+pub struct FleetMachine {
+    times: FleetTimes,
+    random: Pcg64,
+    document: Option<ConfigDocument>,
+    snapshot: FleetSnapshot,
+    demand: DemandHistory,
+    lease: PlannerLease,
+    reader: FleetReader,
+    lane: StepLane,
+    orders: OrderBook,
+    steps: VecDeque<FleetStep>,
+    cases: VecDeque<OperatorCase>,
+    reports: IndexSet<InstanceId>,
+    counters: FleetCounters,
+    wall: UnixSeconds,
+    last_call: u64,
+}
+
+impl FleetMachine {
+    /// Makes the machine of an entry that has just started.
+    pub fn new(entry: EntryId, seed: u64) -> Self {
+        let times = FleetTimes::default();
+        Self {
+            random: Pcg64::seed_from_u64(seed),
+            document: None,
+            snapshot: FleetSnapshot::default(),
+            demand: DemandHistory::default(),
+            lease: PlannerLease::new(entry),
+            reader: FleetReader::new(times.page_rows),
+            lane: StepLane::default(),
+            orders: OrderBook::default(),
+            steps: VecDeque::new(),
+            cases: VecDeque::new(),
+            reports: IndexSet::new(),
+            counters: FleetCounters::default(),
+            wall: UnixSeconds(0),
+            last_call: 0,
+            times,
+        }
+    }
+
+    /// Sets other time bounds.
+    #[must_use]
+    pub fn with_times(mut self, times: FleetTimes) -> Self {
+        self.reader = FleetReader::new(times.page_rows);
+        self.times = times;
+        self
+    }
+
+    /// Returns the fleet as this entry last read it.
+    pub fn snapshot(&self) -> &FleetSnapshot {
+        &self.snapshot
+    }
+
+    /// Returns whether this entry plans.
+    pub fn is_planner(&self, now: Moment) -> bool {
+        self.lease.is_held(now)
+    }
+
+    /// Returns what has been counted so far.
+    pub fn counters(&self) -> &FleetCounters {
+        &self.counters
+    }
+
+    /// Takes one event and adds what is to be done to `actions`.
+    pub fn handle(&mut self, now: Moment, event: FleetEvent, actions: &mut Vec<FleetAction>) {
+        match event {
+            FleetEvent::Tick { wall } => self.wall = wall,
+            FleetEvent::Document(document) => self.document = Some(*document),
+            FleetEvent::Platform { call, reply } => self.take_reply(now, call, reply, actions),
+            FleetEvent::Load { instance, load } => {
+                if let Some(facts) = self.snapshot.instances.get_mut(&instance) {
+                    facts.load = Some(load);
+                }
+            }
+            FleetEvent::Health { instance, healthy } => {
+                self.snapshot.instances.entry(instance).or_default().healthy = Some(healthy);
+                self.reports.insert(instance);
+            }
+            FleetEvent::Suspect { instance, suspect } => {
+                self.snapshot.instances.entry(instance).or_default().suspect = Some(suspect);
+                self.reports.insert(instance);
+            }
+            FleetEvent::Demand { queue, slots } => self.demand.observe(queue, slots, self.wall),
+            FleetEvent::Operator { call, request } => {
+                let (asked_at, conflicts) = (now, 0);
+                self.cases.push_back(OperatorCase {
+                    call,
+                    request,
+                    came_at: now,
+                    asked_at,
+                    conflicts,
+                });
+            }
+        }
+        self.proceed(now, actions);
+    }
+
+    /// Does whatever can be done now.
+    fn proceed(&mut self, now: Moment, actions: &mut Vec<FleetAction>) {
+        self.drop_late_cases(now, actions);
+        let (call, token) = (self.next_call(), self.next_token());
+        if let Some(request) = self.lease.next_request(now, &self.times, call, token) {
+            self.call(call, request, actions);
+        }
+        if self.wants_read(now) {
+            self.reader.start(now);
+        }
+        let call = self.next_call();
+        if let Some(request) = self.reader.next_request(call) {
+            self.call(call, request, actions);
+        }
+        if self.lane.is_free() && !self.reader.is_reading() {
+            self.start_step(now, actions);
+        }
+        let call = self.next_call();
+        if let Some(request) = self.lane.next_request(now, call) {
+            self.call(call, request, actions);
+        }
+    }
+
+    fn wants_read(&self, now: Moment) -> bool {
+        let is_idle = !self.reader.is_reading() && self.lane.is_free() && self.steps.is_empty();
+        let has_work =
+            self.lease.is_held(now) || !self.cases.is_empty() || !self.reports.is_empty();
+        let is_due = self.reader.is_due(now, &self.times);
+        let has_new_case = self.cases.front().is_some_and(|case| !self.has_read_since(case));
+        let is_asked = has_new_case && self.reader.may_start(now, &self.times);
+        is_idle && self.document.is_some() && has_work && (is_due || is_asked)
+    }
+
+    fn has_read_since(&self, case: &OperatorCase) -> bool {
+        self.reader.finished_start().is_some_and(|started_at| started_at >= case.asked_at)
+    }
+
+    fn take_reply(
+        &mut self,
+        now: Moment,
+        call: FleetCall,
+        reply: PlatformReply,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        if self.lease.owns(call) {
+            self.lease.take_reply(now, &self.times, &reply);
+        } else if self.reader.owns(call) {
+            if let Some(result) = self.reader.take_reply(reply) {
+                self.take_snapshot(now, result, actions);
+            }
+        } else if self.lane.owns(call) {
+            if let Some((step, outcome)) = self.lane.take_reply(now, &self.times, reply) {
+                self.end_step(now, step, outcome, actions);
+            }
+        }
+    }
+
+    /// Takes a snapshot that was read to its end and plans if this entry is the planner.
+    fn take_snapshot(&mut self, now: Moment, result: ReadResult, actions: &mut Vec<FleetAction>) {
+        let old = std::mem::replace(&mut self.snapshot, result.snapshot);
+        for (instance, facts) in &mut self.snapshot.instances {
+            if let Some(old) = old.instances.get(instance) {
+                facts.load = old.load;
+                facts.healthy = old.healthy;
+                facts.suspect = old.suspect;
+            }
+        }
+        let is_sound = self.check_counters(result.is_consistent);
+        let Some(document) = &self.document else { return };
+        let is_planner = self.lease.is_held(now);
+        if is_sound && (is_planner || !self.reports.is_empty()) {
+            let steps = plan(&self.snapshot, document, &self.demand, self.wall);
+            let reports = std::mem::take(&mut self.reports);
+            self.steps =
+                steps.into_iter().filter(|step| is_planner || is_report(step, &reports)).collect();
+            self.counters.plans += u64::from(is_planner);
+        }
+        if is_planner {
+            self.send_orders(now, actions);
+        }
+    }
+
+    /// Returns whether counters and rows agree; only rows read together can be compared.
+    fn check_counters(&mut self, is_consistent: bool) -> bool {
+        if !is_consistent {
+            return true;
+        }
+        let book = InstanceBook::new(self.snapshot.rows().map(|(_, _, row)| row));
+        let checked = book.check(&self.snapshot);
+        let is_sound = !matches!(checked, Err(BookMismatch::Pool { .. }));
+        debug_assert!(is_sound, "counters differ from rows: {checked:?}");
+        self.counters.counter_mismatches += u64::from(!is_sound);
+        is_sound
+    }
+
+    fn start_step(&mut self, now: Moment, actions: &mut Vec<FleetAction>) {
+        self.start_case(actions);
+        while self.lane.is_free() {
+            let Some(step) = self.steps.pop_front() else { return };
+            if !self.lease.is_held(now) && !is_report_step(&step) {
+                continue;
+            }
+            let Some(document) = &self.document else { return };
+            match StepWrites::new(&self.snapshot, document, &step, self.wall) {
+                Ok(writes) => {
+                    let token = self.next_token();
+                    self.lane.start(step, writes, None, token);
+                }
+                Err(_) => self.counters.steps_refused += 1,
+            }
+        }
+    }
+
+    /// Judges the oldest request of an operator by rows that were read after it came.
+    fn start_case(&mut self, actions: &mut Vec<FleetAction>) {
+        while self.lane.is_free() {
+            let Some(document) = &self.document else { return };
+            let is_ready = self.cases.front().is_some_and(|case| self.has_read_since(case));
+            let Some(case) = self.cases.front().filter(|_| is_ready) else { return };
+            let (snapshot, demand, wall) = (&self.snapshot, &self.demand, self.wall);
+            let desk = OperatorDesk { snapshot, document, demand, wall };
+            match desk.judge(&case.request) {
+                DeskVerdict::Answer(answer) => {
+                    let call = case.call;
+                    self.cases.pop_front();
+                    actions.push(FleetAction::Answer { call, answer });
+                }
+                DeskVerdict::Step(step, writes) => {
+                    let (call, token) = (case.call, self.next_token());
+                    self.lane.start(step, *writes, Some(call), token);
+                }
+            }
+        }
+    }
+
+    fn end_step(
+        &mut self,
+        now: Moment,
+        step: LaneStep,
+        outcome: LaneOutcome,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        match outcome {
+            LaneOutcome::Committed(versions) => {
+                step.writes.apply_to(&mut self.snapshot, &versions);
+                self.counters.steps_committed += 1;
+                self.answer(step.operator, OperatorAnswer::Done, actions);
+                actions.push(FleetAction::Record(step.step));
+                self.send_orders(now, actions);
+            }
+            LaneOutcome::Conflict(rows) => {
+                self.counters.steps_conflicted += 1;
+                self.take_rows(&rows);
+                self.put_off(now, &step);
+                self.count_conflict(step.operator, actions);
+            }
+            LaneOutcome::NotSent => self.put_off(now, &step),
+        }
+    }
+
+    /// Lets a step that was not taken be decided again after the next read.
+    fn put_off(&mut self, now: Moment, step: &LaneStep) {
+        self.steps.clear();
+        if let Some(case) = self.cases.iter_mut().find(|case| Some(case.call) == step.operator) {
+            case.asked_at = now;
+        }
+        if let Some(instance) = step.step.instance().filter(|_| is_report_step(&step.step)) {
+            self.reports.insert(instance);
+        }
+    }
+
+    fn count_conflict(&mut self, operator: Option<FleetCall>, actions: &mut Vec<FleetAction>) {
+        let Some(call) = operator else { return };
+        let Some(case) = self.cases.iter_mut().find(|case| case.call == call) else { return };
+        case.conflicts += 1;
+        if case.conflicts > MAX_CONFLICTS {
+            self.answer(operator, OperatorAnswer::Refused(StepRefusal::Conflict), actions);
+        }
+    }
+
+    /// Answers the operator behind a step, if there is one who still waits.
+    fn answer(
+        &mut self,
+        operator: Option<FleetCall>,
+        answer: OperatorAnswer,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let Some(call) = operator else { return };
+        let Some(place) = self.cases.iter().position(|case| case.call == call) else { return };
+        self.cases.remove(place);
+        actions.push(FleetAction::Answer { call, answer });
+    }
+
+    fn drop_late_cases(&mut self, now: Moment, actions: &mut Vec<FleetAction>) {
+        let deadline = self.times.operator_deadline;
+        while let Some(case) = self.cases.iter().find(|case| now.since(case.came_at) >= deadline) {
+            let call = case.call;
+            let is_doubtful = self.lane.operator() == Some(call) && self.lane.may_be_taken();
+            let refusal =
+                if is_doubtful { StepRefusal::PlatformUnknown } else { StepRefusal::PlatformDown };
+            if self.lane.operator() == Some(call) {
+                self.lane.forget_operator();
+            }
+            self.answer(Some(call), OperatorAnswer::Refused(refusal), actions);
+        }
+    }
+
+    /// Takes rows out of a conflict, so that the next step is not decided from old ones.
+    fn take_rows(&mut self, rows: &[TableRow]) {
+        for row in rows {
+            match row.key.parse() {
+                Ok(RowKey::Instance(instance)) => {
+                    self.snapshot.instances.entry(instance).or_default().row = reader::parse(row);
+                }
+                Ok(RowKey::Pool(pool)) => {
+                    let value = reader::parse(row).unwrap_or_default();
+                    self.snapshot.pools.insert(pool, value);
+                }
+                Ok(RowKey::Rollout(pool)) => match reader::parse(row) {
+                    Some(value) => drop(self.snapshot.rollouts.insert(pool, value)),
+                    None => drop(self.snapshot.rollouts.shift_remove(&pool)),
+                },
+                Ok(RowKey::Racks) => {
+                    self.snapshot.racks = reader::parse(row).unwrap_or_default();
+                }
+                Ok(RowKey::Control) => {
+                    self.snapshot.control = reader::parse(row).unwrap_or_default();
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn send_orders(&mut self, now: Moment, actions: &mut Vec<FleetAction>) {
+        let Some(document) = &self.document else { return };
+        if !self.lease.is_held(now) {
+            return;
+        }
+        let needs = self.orders.needs(&self.snapshot, document, &self.times, now, self.wall);
+        for (instance, need) in needs {
+            if let Some(order) = need.order {
+                let call = self.next_call();
+                self.call(call, PlatformRequest::Order(instance, order), actions);
+            }
+            if need.ask_load {
+                actions.push(FleetAction::AskLoad(instance));
+            }
+            if let Some(run) = need.stop_run {
+                actions.push(FleetAction::StopWork { instance, run });
+            }
+        }
+    }
+
+    fn call(&self, call: FleetCall, request: PlatformRequest, actions: &mut Vec<FleetAction>) {
+        let timeout = self.times.platform_timeout;
+        actions.push(FleetAction::Platform { call, request, timeout });
+    }
+
+    fn next_call(&mut self) -> FleetCall {
+        self.last_call += 1;
+        FleetCall(self.last_call)
+    }
+
+    fn next_token(&mut self) -> ClientToken {
+        ClientToken(self.random.random())
+    }
+}
+
+/// Returns whether a step only writes down what this entry found out about an instance.
+fn is_report(step: &FleetStep, reports: &IndexSet<InstanceId>) -> bool {
+    step.instance().is_some_and(|instance| reports.contains(&instance)) && is_report_step(step)
+}
+
+fn is_report_step(step: &FleetStep) -> bool {
+    matches!(step, FleetStep::Instance { change, .. } if change.is_report())
+}
--- /dev/null
+++ b/crates/magnoliapin_fleet/src/plan/upkeep.rs
@@ -0,0 +1,90 @@
+//! Steps that bring the rows in line with what has happened to the instances.
+
+use magnoliapin_model::InstanceId;
+use magnoliapin_model::PoolId;
+use magnoliapin_wire::ListedState;
+
+use super::draft::PlanDraft;
+use crate::InstanceChange;
+use crate::InstanceFacts;
+use crate::InstanceRow;
+use crate::InstanceState;
+use crate::StepGoal;
+use crate::UnixSeconds;
+
+/// An instance that has not restarted after this many seconds has failed.
+const REBOOT_LIMIT_SECONDS: u64 = 900;
+/// An instance that has not joined after this many seconds has failed.
+const JOIN_LIMIT_SECONDS: u64 = 300;
+/// A serving instance may be listed as leaving for this many seconds, as the list lags.
+const LEAVING_LIMIT_SECONDS: u64 = 60;
+
+/// Adds the steps.
+pub(super) fn add_steps(draft: &mut PlanDraft<'_>) {
+    for instance in draft.instances() {
+        if let Some(change) = upkeep_change(draft, instance) {
+            draft.try_change(instance, change);
+        }
+    }
+}
+
+fn upkeep_change(draft: &PlanDraft<'_>, instance: InstanceId) -> Option<InstanceChange> {
+    let facts = draft.snapshot.instances.get(&instance)?;
+    let Some(versioned) = &facts.row else {
+        let is_new = facts.is_listed_live();
+        return is_new
+            .then(|| first_pool(draft, facts))?
+            .map(|pool| InstanceChange::Adopt { pool });
+    };
+    let row = &versioned.row;
+    if facts.listed_state() == Some(ListedState::Gone) {
+        return Some(InstanceChange::Retire);
+    }
+    match row.state {
+        InstanceState::Failed => is_back(facts).then_some(InstanceChange::Recover),
+        InstanceState::Quarantined => {
+            (facts.suspect == Some(false)).then_some(InstanceChange::Release)
+        }
+        _ if has_failed(facts, row, draft.now) => Some(InstanceChange::Fail),
+        InstanceState::Serving if facts.suspect == Some(true) => Some(InstanceChange::Quarantine),
+        _ => None,
+    }
+}
+
+/// Returns the pool that a new instance belongs to: the one it was made for, else the spare pool.
+fn first_pool(draft: &PlanDraft<'_>, facts: &InstanceFacts) -> Option<PoolId> {
+    let pools = &draft.document.pools;
+    let made_for = facts.record.as_ref()?.pool;
+    let known = made_for.filter(|pool| pools.contains_key(pool));
+    let spare = || pools.iter().find(|(_, section)| section.spare).map(|(pool, _)| *pool);
+    known.or_else(spare).or_else(|| pools.keys().next().copied())
+}
+
+fn is_back(facts: &InstanceFacts) -> bool {
+    facts.is_listed_live() && facts.healthy == Some(true)
+}
+
+fn has_failed(facts: &InstanceFacts, row: &InstanceRow, now: UnixSeconds) -> bool {
+    let age_seconds = now.since(row.changed_at);
+    match row.state {
+        InstanceState::Rebooting => {
+            age_seconds > REBOOT_LIMIT_SECONDS || runs_wrong_image(facts, row)
+        }
+        InstanceState::Joining => age_seconds > JOIN_LIMIT_SECONDS || facts.healthy == Some(false),
+        InstanceState::Serving => {
+            let is_leaving = facts.listed_state() == Some(ListedState::Leaving);
+            facts.healthy == Some(false) || (is_leaving && age_seconds > LEAVING_LIMIT_SECONDS)
+        }
+        _ => facts.healthy == Some(false),
+    }
+}
+
+/// Returns whether a restarted instance came up with another image than ordered.
+fn runs_wrong_image(facts: &InstanceFacts, row: &InstanceRow) -> bool {
+    let Some(StepGoal::Reboot { image }) = &row.goal else { return true };
+    let is_live = facts.is_listed_live();
+    facts
+        .record
+        .as_ref()
+        .is_some_and(|record| is_live && record.run != row.run && record.image != *image)
+}
