Test the entry's borders with broken, slow and silent connections

Ruled out: leaving the library's own answers to broken headers, which have no body, and the library's single timeout for both headers and idle connections.

Closing without reading what the caller still sends does not fail a test on loopback; that part is not proved.

--- a/crates/magnoliapin_entry/src/caller/connection.rs
+++ b/crates/magnoliapin_entry/src/caller/connection.rs
@@ -47,6 +47,8 @@
 const LINGER_TIME: Duration = Duration::from_secs(1);
 /// Bytes that are read and thrown away in that time.
 const LINGER_BYTES: usize = 16 * 1024 * 1024;
+/// Buffer of one connection, in bytes, unless the headers may be longer.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Time to write the refusal of broken or slow headers.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
@@ -100,7 +102,8 @@
             .timer(SmolTimer::new())
             .header_read_timeout(limits.idle_timeout)
             .max_headers(limits.header_count)
-            .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
+            .max_header_size(limits.header_bytes)
+            .max_buf_size(READ_BUFFER_BYTES.max(limits.header_bytes))
             .serve_connection(FuturesIo::new(stream), service);
         let mut connection = pin!(connection);
         let slow_head = async {
@@ -238,9 +241,6 @@
     }
 }
 
-/// Least buffer that the library takes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
-
 fn text_response(text: &'static str) -> Response<Full<Bytes>> {
     body_response(StatusCode::OK, "text/plain; charset=utf-8", text.as_bytes().to_vec())
 }
--- /dev/null
+++ b/crates/magnoliapin_entry/tests/callers.rs
@@ -0,0 +1,223 @@
+//! What callers get for malformed, slow and oversized requests.
+
+mod support;
+
+use std::io::Write;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliapin_entry::EntryHandle;
+use magnoliapin_entry::EntryService;
+use support::connect;
+use support::metric;
+use support::options_without_platform;
+use support::read_until_closed;
+use support::request;
+use support::request_with;
+use support::send_raw;
+use support::wait_for;
+use support::RawResponse;
+
+const RUN_PATH: &str = "/v1/queues/booking/requests";
+
+fn start() -> EntryHandle {
+    EntryService::start(options_without_platform()).expect("the test can set this up")
+}
+
+fn assert_refused(response: &RawResponse, status: u16, kind: &str) {
+    assert_eq!((response.status, response.kind().as_str()), (status, kind));
+    assert_eq!(response.json()["outcome"], "not_run");
+    assert!(response.head.contains("x-magnoliapin-outcome: not_run"), "{}", response.head);
+}
+
+/// Sends raw bytes and reads the one answer that ends the connection.
+fn answer_to(handle: &EntryHandle, bytes: &[u8]) -> RawResponse {
+    let answer = send_raw(handle.caller_address(), bytes);
+    RawResponse::parse(&answer)
+        .unwrap_or_else(|| panic!("no whole answer: {}", String::from_utf8_lossy(&answer)))
+}
+
+#[test]
+fn unknown_paths_and_methods_are_told_apart() {
+    let handle = start();
+    let address = handle.caller_address();
+    for path in
+        ["/", "/v1", "/v1/queues/booking", "/v1/jobs/xyz", "/v1/queues/NO/jobs", "/a/b/c/d/e"]
+    {
+        assert_refused(&request(address, "GET", path, b""), 404, "not_found");
+    }
+    assert_refused(&request(address, "GET", RUN_PATH, b""), 405, "method_not_allowed");
+    assert_refused(&request(address, "PUT", "/v1/config", b""), 405, "method_not_allowed");
+    assert_refused(&request(address, "DELETE", "/healthz", b""), 405, "method_not_allowed");
+}
+
+#[test]
+fn broken_headers_get_an_answer_of_the_common_form() {
+    let handle = start();
+    let broken: [&[u8]; 5] = [
+        b"GET / HTTP/1.1\r\nno colon here\r\n\r\n",
+        b"\x00\x01\x02\x03\r\n\r\n",
+        b"GET /healthz HTTP/1.1\r\nhost: a\r\ncontent-length: minus\r\n\r\n",
+        b"POST /healthz HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n",
+        b"GET /healthz HTTP/9.9\r\n\r\n",
+    ];
+    for bytes in broken {
+        assert_refused(&answer_to(&handle, bytes), 400, "bad_request");
+    }
+}
+
+#[test]
+fn long_and_many_headers_are_refused() {
+    let handle = start();
+    let long = format!("GET /healthz HTTP/1.1\r\nlong: {}\r\n\r\n", "x".repeat(100_000));
+    assert_refused(&answer_to(&handle, long.as_bytes()), 400, "bad_request");
+    let many = format!("GET /healthz HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(1_000));
+    assert_refused(&answer_to(&handle, many.as_bytes()), 400, "bad_request");
+    let path = format!("GET /{} HTTP/1.1\r\n\r\n", "p".repeat(100_000));
+    assert_refused(&answer_to(&handle, path.as_bytes()), 400, "bad_request");
+}
+
+#[test]
+fn half_sent_headers_are_refused_as_slow() {
+    let handle = start();
+    let started = Instant::now();
+    let mut stream = connect(handle.caller_address());
+    stream.write_all(b"POST /v1/queues/booking/requests HTTP/1.1\r\nhos").unwrap();
+    let answer = RawResponse::parse(&read_until_closed(&mut stream)).unwrap();
+    assert_refused(&answer, 408, "slow_sender");
+    assert!(started.elapsed() < Duration::from_secs(3), "{:?}", started.elapsed());
+}
+
+#[test]
+fn headers_that_trickle_are_refused_as_slow() {
+    let handle = start();
+    let started = Instant::now();
+    let mut stream = connect(handle.caller_address());
+    let mut writer = stream.try_clone().unwrap();
+    let sender = std::thread::spawn(move || {
+        for byte in b"GET /healthz HTTP/1.1\r\nhost: a very slow sender of headers\r\n\r\n" {
+            if writer.write_all(&[*byte]).is_err() {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(25));
+        }
+    });
+    let answer = RawResponse::parse(&read_until_closed(&mut stream)).unwrap();
+    assert_refused(&answer, 408, "slow_sender");
+    assert!(started.elapsed() < Duration::from_secs(3), "{:?}", started.elapsed());
+    sender.join().unwrap();
+}
+
+#[test]
+fn half_sent_bodies_are_refused_as_slow() {
+    let handle = start();
+    let head = b"POST /v1/queues/booking/requests HTTP/1.1\r\ncontent-length: 10\r\n\r\nhalf";
+    assert_refused(&answer_to(&handle, head), 408, "slow_sender");
+}
+
+#[test]
+fn a_long_body_is_refused_before_it_is_read() {
+    let handle = start();
+    let head = b"POST /v1/queues/booking/requests HTTP/1.1\r\ncontent-length: 99999999\r\n\r\n";
+    assert_refused(&answer_to(&handle, head), 413, "body_too_large");
+}
+
+#[test]
+fn a_long_body_is_refused_while_the_caller_still_sends() {
+    let handle = start();
+    let mut bytes =
+        b"POST /v1/queues/booking/requests HTTP/1.1\r\ncontent-length: 4000000\r\n\r\n".to_vec();
+    bytes.resize(bytes.len() + 4_000_000, b'x');
+    assert_refused(&answer_to(&handle, &bytes), 413, "body_too_large");
+}
+
+#[test]
+fn a_long_chunked_body_is_refused() {
+    let handle = start();
+    let mut bytes =
+        b"POST /v1/queues/booking/requests HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
+    for _ in 0..40 {
+        bytes.extend_from_slice(b"10000\r\n");
+        bytes.resize(bytes.len() + 0x10000, b'x');
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    assert_refused(&answer_to(&handle, &bytes), 413, "body_too_large");
+}
+
+#[test]
+fn malformed_keys_and_options_are_refused() {
+    let handle = start();
+    let address = handle.caller_address();
+    let cases = [
+        ("authorization: Basic abc\r\n", 401, "bad_key"),
+        ("authorization: Bearer \r\n", 401, "bad_key"),
+        ("authorization: Bearer a\r\nauthorization: Bearer b\r\n", 400, "bad_request"),
+        ("idempotency-key: \r\n", 400, "bad_request"),
+        ("x-timeout-ms: soon\r\n", 400, "bad_request"),
+        ("x-timeout-ms: 0\r\n", 400, "bad_request"),
+    ];
+    for (headers, status, kind) in cases {
+        let response = request_with(address, "POST", RUN_PATH, headers, b"work");
+        assert_refused(&response, status, kind);
+    }
+    let response = request(address, "POST", "/v1/config", b"{");
+    assert_refused(&response, 400, "bad_request");
+}
+
+#[test]
+fn slow_senders_cost_nobody_else_anything() {
+    let handle = start();
+    let address = handle.caller_address();
+    let mut slow: Vec<_> = (0..200).map(|_| connect(address)).collect();
+    for stream in &mut slow {
+        stream.write_all(b"GET /healthz HTTP/1.1\r\n").unwrap();
+    }
+    for _ in 0..20 {
+        let started = Instant::now();
+        assert_eq!(request(address, "GET", "/healthz", b"").status, 200);
+        assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
+    }
+    for stream in &mut slow {
+        let answer = RawResponse::parse(&read_until_closed(stream)).unwrap();
+        assert_refused(&answer, 408, "slow_sender");
+    }
+}
+
+#[test]
+fn connections_over_the_bound_are_refused_and_room_comes_back() {
+    let mut options = options_without_platform();
+    options.limits.caller_connections = 3;
+    let handle = EntryService::start(options).unwrap();
+    let address = handle.caller_address();
+    let open: Vec<_> = (0..3).map(|_| connect(address)).collect();
+    wait_for("three connections", || {
+        metric(&handle.metrics_text(), "magnoliapin_connections{border=\"caller\"}") >= 3.0
+    });
+    let refused = RawResponse::parse(&read_until_closed(&mut connect(address))).unwrap();
+    assert_refused(&refused, 429, "overloaded");
+    drop(open);
+    wait_for("room", || {
+        metric(&handle.metrics_text(), "magnoliapin_connections{border=\"caller\"}") < 1.0
+    });
+    assert_eq!(request(address, "GET", "/healthz", b"").status, 200);
+}
+
+#[test]
+fn an_unused_connection_is_closed() {
+    let mut options = options_without_platform();
+    options.limits.idle_timeout = Duration::from_millis(200);
+    let handle = EntryService::start(options).unwrap();
+    let mut stream = connect(handle.caller_address());
+    assert!(read_until_closed(&mut stream).is_empty());
+}
+
+#[test]
+fn several_requests_share_a_connection() {
+    let handle = start();
+    let get = "GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n";
+    let last = "GET /healthz HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let answer = send_raw(handle.caller_address(), format!("{get}{get}{last}").as_bytes());
+    let text = String::from_utf8(answer).unwrap();
+    assert_eq!(text.matches("HTTP/1.1 200 OK").count(), 3, "{text}");
+}
--- a/crates/magnoliapin_entry/tests/support/mod.rs
+++ b/crates/magnoliapin_entry/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod fake_server;
+
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
