--- a/crates/magnoliapin_model/src/document.rs
+++ b/crates/magnoliapin_model/src/document.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod document_error;
+mod document_snapshot;
 mod key_hash;
 mod key_ring;
 mod key_secret;
@@ -20,6 +21,8 @@
 
 pub use document_error::DocumentError;
 pub use document_error::MAX_DOCUMENT_ERRORS;
+pub use document_snapshot::DocumentSnapshot;
+pub use document_snapshot::SnapshotError;
 pub use key_hash::KeyHash;
 pub use key_hash::KeyHashError;
 pub use key_ring::KeyRing;
--- a/crates/magnoliapin_model/src/document/parse.rs
+++ b/crates/magnoliapin_model/src/document/parse.rs
@@ -15,7 +15,7 @@
 use crate::TeamSection;
 use crate::WeightSection;
 
-/// Longest text of a document, and of all its sections together.
+/// Longest text of a document, as it is written and in canonical form with every default.
 pub const MAX_DOCUMENT_BYTES: usize = 2 * 1024 * 1024;
 
 const HEADERS: &str = "the sections [pools.<name>], [teams.<name>], [queues.<name>], \
@@ -74,6 +74,9 @@
         // References into a section that could not be read would only be errors of the reading.
         let found = if all_sections_known { document.check() } else { document.check_ranges() };
         errors.append_new(found);
+        if errors.is_empty() && document.to_toml().len() > MAX_DOCUMENT_BYTES {
+            errors.push(too_long(""));
+        }
         let errors = errors.into_vec();
         if errors.is_empty() {
             Ok(document)
@@ -174,6 +177,6 @@
         section: section.to_owned(),
         key: String::new(),
         value: "a longer text".to_owned(),
-        allowed: format!("at most {MAX_DOCUMENT_BYTES} bytes in all sections together"),
+        allowed: format!("at most {MAX_DOCUMENT_BYTES} bytes, also with every default written out"),
     }
 }
--- a/crates/magnoliapin_model/src/lib.rs
+++ b/crates/magnoliapin_model/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub use document::ConfigDocument;
 pub use document::DocumentError;
+pub use document::DocumentSnapshot;
 pub use document::KeyHash;
 pub use document::KeyHashError;
 pub use document::KeyRing;
@@ -26,6 +27,7 @@
 pub use document::SectionEdit;
 pub use document::SectionName;
 pub use document::SectionNameError;
+pub use document::SnapshotError;
 pub use document::TeamSection;
 pub use document::WeightSection;
 pub use document::MAX_DOCUMENT_BYTES;
--- a/crates/magnoliapin_model/tests/bad_documents.rs
+++ b/crates/magnoliapin_model/tests/bad_documents.rs
@@ -170,3 +170,12 @@
     let long = format!("{GOOD}#{}", " ".repeat(MAX_DOCUMENT_BYTES));
     insta::assert_snapshot!(ConfigDocument::parse(&long).unwrap_err()[0]);
 }
+
+#[test]
+fn a_document_that_is_too_long_in_canonical_form_is_refused() {
+    let queues: String =
+        (0..15_000).map(|queue| format!("queues.q{queue}.pool = \"front\"\n")).collect();
+    let text = format!("{queues}{GOOD}").replace("[queues.booking]\npool = \"front\"", "");
+    assert!(text.len() < MAX_DOCUMENT_BYTES);
+    insta::assert_snapshot!(ConfigDocument::parse(&text).unwrap_err()[0]);
+}
--- a/crates/magnoliapin_model/tests/properties.rs
+++ b/crates/magnoliapin_model/tests/properties.rs
@@ -8,6 +8,8 @@
 use magnoliapin_model::Attempt;
 use magnoliapin_model::ByteSize;
 use magnoliapin_model::ConfigDocument;
+use magnoliapin_model::ConfigVersion;
+use magnoliapin_model::DocumentSnapshot;
 use magnoliapin_model::EntryId;
 use magnoliapin_model::KeyHash;
 use magnoliapin_model::KeyId;
@@ -245,6 +247,23 @@
         prop_assert_eq!(&ConfigDocument::parse(&document.to_toml()).unwrap(), &document);
     }
 
+    #[test]
+    fn snapshots_are_read_back_whole_or_refused(
+        document in documents(),
+        version: u64,
+        length in any::<prop::sample::Index>(),
+        change in any::<prop::sample::Index>(),
+    ) {
+        let snapshot = DocumentSnapshot::new(ConfigVersion(version), document);
+        let text = snapshot.to_string();
+        prop_assert_eq!(text.parse::<DocumentSnapshot>(), Ok(snapshot));
+        prop_assert!(text[..length.index(text.len())].parse::<DocumentSnapshot>().is_err());
+        let place = change.index(text.len());
+        let other = if &text[place..=place] == "7" { "8" } else { "7" };
+        let changed = [&text[..place], other, &text[place + 1..]].concat();
+        prop_assert!(changed.parse::<DocumentSnapshot>().is_err());
+    }
+
     #[test]
     fn every_key_is_found_with_and_without_the_ring(document in documents()) {
         let ring = KeyRing::new(&document);
