Carry out any target call on the pure state; wait for events in its tests

Cause: a test in virtual time needs one call from request to reply, as the platform's state has it; and socket tests that slept for a fixed time could fail on a busy machine.

Change: TargetState::carry_out, also used by the server. Tests wait, with a bound, for the start of the task or the draw of the delay in place of sleeping. New tests for forgotten outputs and for long lists.

--- a/crates/magnoliapin_standin/src/target_core.rs
+++ b/crates/magnoliapin_standin/src/target_core.rs
@@ -9,6 +9,7 @@
 use async_channel::Sender;
 use futures_lite::future;
 use hyper::Method;
+use hyper::StatusCode;
 use indexmap::IndexMap;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::Moment;
@@ -18,7 +19,7 @@
 use magnoliapin_wire::InstanceRecord;
 use magnoliapin_wire::ListedState;
 use magnoliapin_wire::OrderAct;
-use magnoliapin_wire::StartTask;
+use magnoliapin_wire::TargetReply;
 use magnoliapin_wire::TargetRequest;
 use magnoliapin_wire::TaskReply;
 use rand::RngCore;
@@ -35,7 +36,6 @@
 use crate::target_call::TargetCall;
 use crate::HttpClient;
 use crate::StandinClock;
-use crate::StartOutcome;
 use crate::TargetMode;
 use crate::TargetOptions;
 use crate::TargetState;
@@ -184,62 +184,48 @@
         state.next_end()
     }
 
-    async fn start(&self, start: StartTask) -> HttpOutcome {
+    async fn carry_out(&self, request: TargetRequest) -> HttpOutcome {
         let (sender, receiver) = async_channel::bounded(1);
-        if let Some(reply) = self.start_or_wait(start, sender) {
-            return HttpOutcome::Answer(HttpAnswer::json(&reply));
-        }
+        let reply = self.carry_out_or_wait(request, sender);
         let _ = self.changed.try_send(());
+        if let Some(reply) = reply {
+            return HttpOutcome::Answer(target_answer(&reply));
+        }
         match receiver.recv().await {
             Ok(reply) => HttpOutcome::Answer(HttpAnswer::json(&reply)),
             Err(_) => HttpOutcome::Close,
         }
     }
 
-    fn start_or_wait(&self, start: StartTask, waiter: Sender<TaskReply>) -> Option<TaskReply> {
-        let task = start.task;
+    fn carry_out_or_wait(
+        &self,
+        request: TargetRequest,
+        waiter: Sender<TaskReply>,
+    ) -> Option<TargetReply> {
+        let started = match &request {
+            TargetRequest::Start(start) => Some(start.task),
+            _ => None,
+        };
         let mut state = lock(&self.state);
-        match state.start(self.clock().now(), start) {
-            StartOutcome::Ended(reply) => Some(reply),
-            StartOutcome::Running => {
-                // Added while the state is locked, so that the end cannot come in between.
-                lock(&self.waiters).entry(task).or_default().push(waiter);
-                None
-            }
+        let reply = state.carry_out(self.clock().now(), request);
+        // Added while the state is locked, so that the end cannot come in between.
+        if let (None, Some(task)) = (&reply, started) {
+            lock(&self.waiters).entry(task).or_default().push(waiter);
         }
-    }
-
-    fn answer_now(&self, request: &TargetRequest) -> Option<HttpAnswer> {
-        let now = self.clock().now();
-        let mut state = lock(&self.state);
-        let answer = match request {
-            TargetRequest::Start(_) => return None,
-            TargetRequest::Query(task) => HttpAnswer::json(&state.query(now, *task)),
-            TargetRequest::Fence(task) => HttpAnswer::json(&state.fence(now, *task)),
-            TargetRequest::Stop(task) => HttpAnswer::json(&state.stop(now, *task)),
-            TargetRequest::Renew(entry, grant) => {
-                HttpAnswer::json(&state.renew(now, *entry, grant))
-            }
-            TargetRequest::FenceEntry(entry, fence) => {
-                HttpAnswer::json(&state.fence_entry(now, *entry, fence))
-            }
-        };
-        let _ = self.changed.try_send(());
-        Some(answer)
+        reply
     }
 
     async fn respond(&self, connection: u64, call: TargetCall) -> HttpOutcome {
         let answer = match call {
-            TargetCall::Target(TargetRequest::Start(start)) => return self.start(start).await,
-            TargetCall::Target(request) => self.answer_now(&request),
+            TargetCall::Target(request) => return self.carry_out(request).await,
             TargetCall::SetMode(mode) => {
                 self.set_mode(mode, Some(connection));
-                Some(HttpAnswer::done())
+                HttpAnswer::done()
             }
-            TargetCall::Effects => Some(HttpAnswer::json(lock(&self.state).ledger().effects())),
-            TargetCall::Starts => Some(HttpAnswer::json(lock(&self.state).ledger().starts())),
+            TargetCall::Effects => HttpAnswer::json(lock(&self.state).ledger().effects()),
+            TargetCall::Starts => HttpAnswer::json(lock(&self.state).ledger().starts()),
         };
-        answer.map_or(HttpOutcome::Close, HttpOutcome::Answer)
+        HttpOutcome::Answer(answer)
     }
 }
 
@@ -253,3 +239,11 @@
         })
     }
 }
+
+fn target_answer(reply: &TargetReply) -> HttpAnswer {
+    match reply {
+        TargetReply::Task(reply) => HttpAnswer::json(reply),
+        TargetReply::Entry(tasks) => HttpAnswer::json(tasks),
+        TargetReply::Failed(_) => HttpAnswer::error(StatusCode::BAD_GATEWAY, "no answer"),
+    }
+}
--- a/crates/magnoliapin_standin/src/target_state.rs
+++ b/crates/magnoliapin_standin/src/target_state.rs
@@ -15,6 +15,8 @@
 use magnoliapin_wire::LeaseGrant;
 use magnoliapin_wire::RefusalReason;
 use magnoliapin_wire::StartTask;
+use magnoliapin_wire::TargetReply;
+use magnoliapin_wire::TargetRequest;
 use magnoliapin_wire::TaskReply;
 use magnoliapin_wire::TaskState;
 
@@ -108,6 +110,28 @@
         self
     }
 
+    /// Carries out any call.
+    ///
+    /// None says that the task of a start runs; [`TargetState::poll`] returns it when it has ended.
+    pub fn carry_out(&mut self, now: Moment, request: TargetRequest) -> Option<TargetReply> {
+        let reply = match request {
+            TargetRequest::Start(start) => match self.start(now, start) {
+                StartOutcome::Ended(reply) => TargetReply::Task(reply),
+                StartOutcome::Running => return None,
+            },
+            TargetRequest::Query(task) => TargetReply::Task(self.query(now, task)),
+            TargetRequest::Fence(task) => TargetReply::Task(self.fence(now, task)),
+            TargetRequest::Stop(task) => TargetReply::Task(self.stop(now, task)),
+            TargetRequest::Renew(entry, grant) => {
+                TargetReply::Entry(self.renew(now, entry, &grant))
+            }
+            TargetRequest::FenceEntry(entry, fence) => {
+                TargetReply::Entry(self.fence_entry(now, entry, &fence))
+            }
+        };
+        Some(reply)
+    }
+
     /// Starts a task unless it has been started before.
     pub fn start(&mut self, now: Moment, start: StartTask) -> StartOutcome {
         self.settle(now);
--- a/crates/magnoliapin_standin/tests/platform_standin.rs
+++ b/crates/magnoliapin_standin/tests/platform_standin.rs
@@ -1,5 +1,7 @@
 //! The platform's service over sockets.
 
+mod patience;
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +22,7 @@
 use magnoliapin_wire::TableRow;
 use magnoliapin_wire::TableTransaction;
 use magnoliapin_wire::TransactionResult;
+use patience::until;
 
 const TRANSACTIONS: &str = "/v1/table/transactions";
 
@@ -94,12 +97,21 @@
 #[test]
 fn a_slow_service_carries_out_what_its_caller_gave_up() {
     smol::block_on(async {
-        let (_platform, mut client) = start().await;
+        let (platform, mut client) = start().await;
         set_mode(&mut client, r#"{"mode":"slow"}"#).await;
-        client = client.with_timeout(Duration::from_millis(200));
-        assert!(client.call_with(Method::POST, TRANSACTIONS, &write(1)).await.is_err());
-        smol::Timer::after(Duration::from_millis(3200)).await;
-        assert_eq!(counts(&mut client).await.table.commits, 1);
+        let state = platform.state();
+        let mut caller = HttpClient::new(platform.address());
+        let call = async {
+            let transaction = write(1);
+            caller.call_with(Method::POST, TRANSACTIONS, &transaction).await.is_ok()
+        };
+        let give_up = async {
+            until(|| state.lock().expect("no panic").faults.delayed() == 1).await;
+            false
+        };
+        assert!(!futures_lite::future::or(call, give_up).await);
+        drop(caller);
+        until(|| state.lock().expect("no panic").table.counts().commits == 1).await;
     });
 }
 
--- a/crates/magnoliapin_standin/tests/target_property.rs
+++ b/crates/magnoliapin_standin/tests/target_property.rs
@@ -1,6 +1,6 @@
 //! Random sequences of calls never run a task twice in a run, nor a fenced one.
 
-mod support;
+mod task_values;
 
 use std::time::Duration;
 
@@ -24,8 +24,8 @@
 use proptest::prop_oneof;
 use proptest::proptest;
 use proptest::test_runner::RngSeed;
-use support::start_of;
-use support::task_id;
+use task_values::start_of;
+use task_values::task_id;
 
 const SEED: u64 = 20_261_204;
 const PAYLOADS: [&str; 4] =
--- a/crates/magnoliapin_standin/tests/target_standin.rs
+++ b/crates/magnoliapin_standin/tests/target_standin.rs
@@ -1,6 +1,7 @@
 //! A target over sockets.
 
-mod support;
+mod patience;
+mod task_values;
 
 use std::time::Duration;
 use std::time::Instant;
@@ -29,10 +30,10 @@
 use magnoliapin_wire::RefusalReason;
 use magnoliapin_wire::TaskReply;
 use magnoliapin_wire::TaskState;
-use support::start_of;
-use support::task_id;
-
-const PATIENCE: Duration = Duration::from_secs(20);
+use patience::until;
+use patience::PATIENCE;
+use task_values::start_of;
+use task_values::task_id;
 
 struct TestSite {
     platform: PlatformHandle,
@@ -67,6 +68,12 @@
         answer.ok().and_then(|answer| answer.value())
     }
 
+    async fn until_started(&self, work: u128) {
+        let state = self.target.state();
+        until(|| state.lock().expect("no panic").ledger().starts().contains_key(&task_id(work)))
+            .await;
+    }
+
     async fn effects(&self) -> IndexMap<TaskId, u32> {
         let answer = self.client().call(Method::GET, "/stand-in/effects").await;
         answer.expect("an answer").value().expect("effects")
@@ -142,7 +149,7 @@
         let mut caller = site.client().with_timeout(Duration::from_millis(1500));
         let call = caller.call_with(Method::POST, "/v1/tasks", &start);
         let silence = async {
-            smol::Timer::after(Duration::from_millis(150)).await;
+            site.until_started(1).await;
             site.target.set_mode(TargetMode::Silent);
         };
         let (answer, ()) = futures_lite::future::zip(call, silence).await;
@@ -197,10 +204,10 @@
         site.record_when(|record| record.state == ListedState::Live).await;
         site.start(1, "").await.expect("an answer");
         let kill = async {
-            smol::Timer::after(Duration::from_millis(100)).await;
+            site.until_started(2).await;
             site.target.kill().await;
         };
-        let (cut, ()) = futures_lite::future::zip(site.start(2, r#"{"run_ms":500}"#), kill).await;
+        let (cut, ()) = futures_lite::future::zip(site.start(2, r#"{"run_ms":5000}"#), kill).await;
         assert_eq!(cut, None);
         assert_eq!(site.start(3, "").await, None);
         site.record_when(|record| record.state == ListedState::Gone).await;
@@ -216,7 +223,7 @@
     smol::block_on(async {
         let site = start_site(64).await;
         let stop = async {
-            smol::Timer::after(Duration::from_millis(100)).await;
+            site.until_started(1).await;
             site.target.stop().await;
         };
         let call = site.start(1, r#"{"run_ms":400}"#);
--- a/crates/magnoliapin_standin/tests/target_state.rs
+++ b/crates/magnoliapin_standin/tests/target_state.rs
@@ -1,6 +1,6 @@
 //! Tasks, leases and fences of a target in virtual time.
 
-mod support;
+mod task_values;
 
 use magnoliapin_model::Attempt;
 use magnoliapin_model::EntryId;
@@ -13,12 +13,13 @@
 use magnoliapin_standin::StartOutcome;
 use magnoliapin_standin::TargetMode;
 use magnoliapin_standin::TargetState;
+use magnoliapin_standin::OUTPUT_RETENTION;
 use magnoliapin_wire::EntryFence;
 use magnoliapin_wire::LeaseGrant;
 use magnoliapin_wire::RefusalReason;
 use magnoliapin_wire::TaskState;
-use support::start_of;
-use support::task_id;
+use task_values::start_of;
+use task_values::task_id;
 
 const RUN: TargetRun = TargetRun(1);
 
@@ -185,3 +186,33 @@
     assert_eq!(first.ledger().running_by_team()[&TeamId::new("walks").unwrap()], 1);
     assert_eq!(task_id(1), TaskId::new(WorkId(1), Attempt(1)));
 }
+
+#[test]
+fn an_old_output_is_forgotten_and_its_task_is_not() {
+    let mut state = target();
+    let payload = r#"{"run_ms":5,"output_bytes":100}"#;
+    state.start(at(0), start_of(1, RUN, payload));
+    state.poll(at(5));
+    let (before, end) = (Moment::START + OUTPUT_RETENTION, at(5) + OUTPUT_RETENTION);
+    state.start(before, start_of(2, RUN, payload));
+    assert_eq!(state.query(before, task_id(1)).output.len(), 100);
+    state.poll(end);
+    let reply = state.query(end, task_id(1));
+    assert_eq!((reply.state, reply.output_bytes), (TaskState::Finished, 100));
+    assert!(reply.output.is_empty());
+    assert_eq!(state.start(end, start_of(1, RUN, payload)), StartOutcome::Ended(reply));
+    assert_eq!(state.query(end, task_id(2)).output.len(), 100);
+    assert_eq!(state.ledger().starts()[&task_id(1)], 1);
+}
+
+#[test]
+fn long_lists_leave_outputs_out() {
+    let mut state = target();
+    let payload = r#"{"run_ms":5,"output_bytes":700000}"#;
+    for work in 1..=2 {
+        state.start(at(0), start_of(work, RUN, payload));
+    }
+    let tasks = state.renew(at(5), EntryId(5), &LeaseGrant { lease_ms: 1000 }).tasks;
+    let sizes: Vec<_> = tasks.iter().map(|task| (task.output.len(), task.output_bytes)).collect();
+    assert_eq!(sizes, [(700_000, 700_000), (0, 700_000)]);
+}
--- a/crates/magnoliapin_standin/tests/support/mod.rs
+++ b/crates/magnoliapin_standin/tests/task_values/mod.rs
@@ -1,4 +1,4 @@
-//! Values that several tests share.
+//! Tasks that several tests share.
 
 use magnoliapin_model::Attempt;
 use magnoliapin_model::EntryId;
