Keep the sockets to one address under their bound while they are replaced

The test of the bound counted connections at the server, which sees a close late, and failed once on a busy machine with 23. Its count is now taken where sockets live and die, without the tolerance of 4, and it found a fault: a surplus connection was no longer counted while it closed, so that 17 sockets were open (9 of 15 runs). A connection stays counted until its socket is gone. A second test counts at the server with nothing replaced: exactly 16.

A call that waited for half of its timeout without getting a connection is now given up as not sent: before, it could leave with no time for its answer (seen in 3 of 8 runs of starts_leave_room_for_questions_and_calls_without_room_are_not_sent).

--- a/crates/magnoliapin_entry/src/http_connection.rs
+++ b/crates/magnoliapin_entry/src/http_connection.rs
@@ -47,7 +47,6 @@
     driver: Task<()>,
     guard: Arc<SendGuard>,
     idle_since: Instant,
-    _gauge: ConnectionGauge,
 }
 
 impl HttpConnection {
@@ -63,10 +62,11 @@
         metrics: Arc<EntryMetrics>,
         spawner: &TaskSpawner,
     ) -> io::Result<Self> {
+        let gauge = ConnectionGauge::new(border, metrics);
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let guard = Arc::new(SendGuard::new(clock));
-        let stream = GuardedStream { stream, guard: Arc::clone(&guard) };
+        let stream = GuardedStream { stream, guard: Arc::clone(&guard), _gauge: gauge };
         let (sender, connection) =
             http1::handshake(FuturesIo::new(stream)).await.map_err(io::Error::other)?;
         let driver = spawner.spawn(async move {
@@ -74,8 +74,7 @@
             let _ = connection.await;
         });
         let driver = driver.ok_or(io::ErrorKind::NotConnected)?;
-        let gauge = ConnectionGauge::new(border, metrics);
-        Ok(Self { sender, driver, guard, idle_since: Instant::now(), _gauge: gauge })
+        Ok(Self { sender, driver, guard, idle_since: Instant::now() })
     }
 
     /// Returns since when the connection has not been used.
@@ -163,6 +162,7 @@
 struct GuardedStream {
     stream: TcpStream,
     guard: Arc<SendGuard>,
+    _gauge: ConnectionGauge,
 }
 
 impl AsyncRead for GuardedStream {
@@ -200,7 +200,7 @@
     }
 }
 
-/// Counts a connection as open while it lives.
+/// Counts a socket as open while it lives.
 #[derive(Debug)]
 pub(crate) struct ConnectionGauge {
     border: BorderName,
--- a/crates/magnoliapin_entry/src/http_pool.rs
+++ b/crates/magnoliapin_entry/src/http_pool.rs
@@ -80,11 +80,14 @@
     ///
     /// Returns [`CallFailure::NotSent`] only if no byte of the request has left.
     pub(crate) async fn exchange(&self, call: HttpCall) -> Result<HttpAnswer, CallFailure> {
-        let deadline = Instant::now() + call.timeout;
+        let started = Instant::now();
+        let deadline = started + call.timeout;
         let lane = self.lane(call.address);
-        let permit = within(deadline, lane.acquire(call.control)).await;
+        // A call that waited longer would have too little time left for its answer.
+        let permit = within(started + call.timeout / 2, lane.acquire(call.control)).await;
         let _permit = permit.ok_or(CallFailure::NotSent)?;
-        let slot = lane.take_slot(call.new_connection, &self.limits);
+        let (slot, surplus) = lane.take_slot(call.new_connection, &self.limits);
+        close_all(surplus).await;
         let connection = within(deadline, self.connect(&lane, &call)).await;
         let mut connection = connection.flatten().ok_or(CallFailure::NotSent)?;
         let request = make_request(&call).ok_or(CallFailure::NotSent)?;
@@ -92,8 +95,9 @@
         let Some(Ok(answer)) = within(deadline, exchange).await else {
             return Err(connection.close().await);
         };
-        drop(slot);
-        lane.give_back(connection, &self.limits);
+        if let Some((_slot, surplus)) = lane.give_back(slot, connection, &self.limits) {
+            surplus.close().await;
+        }
         Ok(answer)
     }
 
@@ -158,15 +162,19 @@
         kept.or(self.work_permits.acquire_arc()).await
     }
 
-    /// Counts one more connection in use, and makes room for it if it will be a new one.
-    fn take_slot(self: &Arc<Self>, new_connection: bool, limits: &PoolLimits) -> LaneSlot {
+    /// Counts one more connection in use. Returns the unused ones that have to be closed first
+    /// if it will be a new one.
+    fn take_slot(
+        self: &Arc<Self>,
+        new_connection: bool,
+        limits: &PoolLimits,
+    ) -> (LaneSlot, Vec<HttpConnection>) {
         let mut state = lock(&self.state);
         state.used += 1;
-        if new_connection {
-            let room = limits.connections.saturating_sub(state.used);
-            state.idle.truncate(room);
-        }
-        LaneSlot { lane: Arc::clone(self) }
+        let room = limits.connections.saturating_sub(state.used);
+        let room = if new_connection { room.min(state.idle.len()) } else { state.idle.len() };
+        let surplus = state.idle.split_off(room);
+        (LaneSlot { lane: Arc::clone(self), is_counted: true }, surplus)
     }
 
     fn take_idle(&self, idle_time: Duration) -> Option<HttpConnection> {
@@ -175,12 +183,24 @@
         state.idle.pop()
     }
 
-    fn give_back(&self, connection: HttpConnection, limits: &PoolLimits) {
+    /// Keeps a connection for the next call. Returns it, still counted as in use, if there is no
+    /// room for it.
+    fn give_back(
+        &self,
+        mut slot: LaneSlot,
+        connection: HttpConnection,
+        limits: &PoolLimits,
+    ) -> Option<(LaneSlot, HttpConnection)> {
         let mut state = lock(&self.state);
-        let room = limits.connections.saturating_sub(state.used).min(limits.idle_connections);
-        if state.idle.len() < room && !connection.is_closed() {
-            state.idle.push(connection);
+        let others = state.used - 1;
+        let room = limits.connections.saturating_sub(others).min(limits.idle_connections);
+        if state.idle.len() >= room || connection.is_closed() {
+            return Some((slot, connection));
         }
+        state.idle.push(connection);
+        state.used = others;
+        slot.is_counted = false;
+        None
     }
 
     /// Closes old connections; returns whether none is left.
@@ -202,11 +222,21 @@
 /// Counts a connection as in use while it lives.
 struct LaneSlot {
     lane: Arc<AddressLane>,
+    is_counted: bool,
 }
 
 impl Drop for LaneSlot {
     fn drop(&mut self) {
-        lock(&self.lane.state).used -= 1;
+        if self.is_counted {
+            lock(&self.lane.state).used -= 1;
+        }
+    }
+}
+
+/// Closes connections and waits until their sockets are gone.
+async fn close_all(connections: Vec<HttpConnection>) {
+    for connection in connections {
+        connection.close().await;
     }
 }
 
--- a/crates/magnoliapin_entry/tests/calls.rs
+++ b/crates/magnoliapin_entry/tests/calls.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -256,23 +257,48 @@
     }
 }
 
-#[test]
-fn connections_to_one_target_stay_under_their_bound() {
-    let bench = ClientBench::new(PoolLimits::default());
-    let server =
-        FakeServer::start(|_, _| FakeAnswer::Late(Duration::from_millis(100), json(&finished())));
+fn call_in_parallel(bench: &ClientBench, server: &FakeServer, new_connections: bool) {
     let calls = (0..60).map(|number| {
         let request = if number % 3 == 0 { TargetRequest::Query(task()) } else { start_request() };
         let mut call = target_call(server.address, request);
         call.timeout = Duration::from_secs(5);
-        call.new_connection = number % 5 == 0;
+        call.new_connection = new_connections && number % 5 == 0;
         bench.targets.call(call)
     });
     let replies = smol::block_on(join_all(calls));
     assert!(replies.iter().all(|reply| *reply == TargetReply::Task(finished())), "{replies:?}");
-    let most_open = server.counts.most_open.load(Ordering::SeqCst);
-    // The server may see a closed connection a moment after the next one.
-    assert!(most_open <= 16 + 4, "{most_open} connections");
+}
+
+#[test]
+fn a_target_sees_no_more_connections_than_the_bound() {
+    let bench = ClientBench::new(PoolLimits { idle_connections: 16, ..PoolLimits::default() });
+    let server =
+        FakeServer::start(|_, _| FakeAnswer::Late(Duration::from_millis(100), json(&finished())));
+    call_in_parallel(&bench, &server, false);
+    assert_eq!(server.connections(), 16);
+}
+
+#[test]
+fn sockets_to_one_target_stay_under_the_bound_while_they_are_replaced() {
+    let bench = ClientBench::new(PoolLimits::default());
+    let server =
+        FakeServer::start(|_, _| FakeAnswer::Late(Duration::from_millis(50), json(&finished())));
+    let metrics = Arc::clone(&bench.metrics);
+    let done = AtomicBool::new(false);
+    let most = std::thread::scope(|scope| {
+        let sampler = scope.spawn(|| {
+            let mut most = 0.0_f64;
+            while !done.load(Ordering::SeqCst) {
+                let open = metric(&metrics.text(), "magnoliapin_connections{border=\"target\"}");
+                most = most.max(open);
+            }
+            most
+        });
+        call_in_parallel(&bench, &server, true);
+        done.store(true, Ordering::SeqCst);
+        sampler.join().expect("the sampler does not panic")
+    });
+    assert!((1.0..=16.0).contains(&most), "{most} sockets");
 }
 
 #[test]
--- a/crates/magnoliapin_entry/tests/support/fake_server.rs
+++ b/crates/magnoliapin_entry/tests/support/fake_server.rs
@@ -35,8 +35,6 @@
     pub(crate) connections: AtomicUsize,
     /// Connections that are open.
     pub(crate) open: AtomicUsize,
-    /// Most connections that were open at once.
-    pub(crate) most_open: AtomicUsize,
     /// Requests.
     pub(crate) requests: AtomicUsize,
     /// Bytes.
@@ -69,8 +67,7 @@
                 let script = Arc::clone(&script);
                 std::thread::spawn(move || {
                     counts.connections.fetch_add(1, Ordering::SeqCst);
-                    let open = counts.open.fetch_add(1, Ordering::SeqCst) + 1;
-                    counts.most_open.fetch_max(open, Ordering::SeqCst);
+                    counts.open.fetch_add(1, Ordering::SeqCst);
                     serve(stream, &counts, script.as_ref());
                     counts.open.fetch_sub(1, Ordering::SeqCst);
                 });
