List only whole replies in a target's answers about an entry

Cause: an entry drops an answer about its tasks in which any reply was cut, so one large or forgotten output would make every renewal fail and its leases lapse.

Ruled out: accepting cut replies at the entry. The check there is right, since a cut reply to a query must not pass for a whole one.

Change: ended tasks whose output is forgotten or goes beyond 1 MiB in all are left out; a query by identifier still gets them. Running tasks are always listed. The test of cut replies in lists is replaced by one that allows none.

Conclusion: renewals do not depend on the size of outputs any more.

--- a/crates/magnoliapin_standin/src/ended_tasks.rs
+++ b/crates/magnoliapin_standin/src/ended_tasks.rs
@@ -61,6 +61,13 @@
     }
 }
 
+impl EndedTask {
+    /// Returns whether the output is still there.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.output.len() as u64 == self.output_bytes
+    }
+}
+
 impl EndedTasks {
     /// Adds a task that has just ended.
     pub(crate) fn insert(&mut self, task: TaskId, ended: EndedTask) {
--- a/crates/magnoliapin_standin/src/target_state.rs
+++ b/crates/magnoliapin_standin/src/target_state.rs
@@ -34,7 +34,7 @@
 /// Time for which an ended task is listed in answers to a renewal.
 pub const ENDED_LISTING: Duration = Duration::from_secs(5);
 
-/// Most bytes of output in one answer about an entry; further outputs are left out.
+/// Most bytes of output in one answer about an entry; further ended tasks are left out.
 pub const MAX_LISTED_BYTES: u64 = 1024 * 1024;
 
 /// Most ended tasks in one answer about an entry.
@@ -357,13 +357,12 @@
         let mut tasks: Vec<_> = running.map(|(task, _)| self.reply(*task)).collect();
         let ended = self.ended.ended_since(since).filter(|(_, ended)| is_listed(ended.owner));
         let mut listed_bytes = 0;
-        for (task, ended) in ended.take(MAX_LISTED_TASKS) {
+        for (task, ended) in ended.filter(|(_, ended)| ended.is_whole()).take(MAX_LISTED_TASKS) {
             listed_bytes += ended.output_bytes;
-            let mut reply = self.reply(task);
             if listed_bytes > MAX_LISTED_BYTES {
-                reply.output = Vec::new();
+                break;
             }
-            tasks.push(reply);
+            tasks.push(self.reply(task));
         }
         EntryTasks {
             run: self.run,
--- a/crates/magnoliapin_standin/tests/target_state.rs
+++ b/crates/magnoliapin_standin/tests/target_state.rs
@@ -206,13 +206,16 @@
 }
 
 #[test]
-fn long_lists_leave_outputs_out() {
+fn a_list_holds_whole_replies_and_every_running_task() {
     let mut state = target();
-    let payload = r#"{"run_ms":5,"output_bytes":700000}"#;
-    for work in 1..=2 {
+    let payload = r#"{"run_ms":5,"output_bytes":400000}"#;
+    for work in 1..=4 {
         state.start(at(0), start_of(work, RUN, payload));
     }
+    state.start(at(0), start_of(5, RUN, r#"{"run_ms":500}"#));
     let tasks = state.renew(at(5), EntryId(5), &LeaseGrant { lease_ms: 1000 }).tasks;
-    let sizes: Vec<_> = tasks.iter().map(|task| (task.output.len(), task.output_bytes)).collect();
-    assert_eq!(sizes, [(700_000, 700_000), (0, 700_000)]);
+    assert_eq!((tasks[0].task, tasks[0].state), (task_id(5), TaskState::Running));
+    assert_eq!(tasks.len(), 3);
+    assert!(tasks.iter().all(|task| task.output.len() as u64 == task.output_bytes));
+    assert_eq!(state.query(at(5), task_id(1)).output.len(), 400_000);
 }
