Run the stand-ins as processes and a judged demo in one process

Cause: the stand-ins, the entry and its machine landed; nothing ran them together.

Ruled out: judging by what entries answer about jobs alone. The demo matches the callers' own notes with the targets' ledgers by a marker in the payload, because a refused request has no identifier that its caller knows.

Change: `stand-in platform|target` and `demo`. The demo starts a platform, 28 targets in three zones and six entries, applies the document of both deployments, hands in work with each queue's moment by turns, kills an entry and a target a third of the way in, follows every job to its end and counts. Ledgers count by marker and count the moments over a limit; a task's payload may carry a marker.

--- a/crates/magnoliapin/src/main.rs
+++ b/crates/magnoliapin/src/main.rs
@@ -6,12 +6,14 @@
 mod client;
 mod command;
 mod command_error;
+mod demo;
 mod entry;
 mod flags;
 mod help;
 mod logs;
 mod settings;
 mod signals;
+mod stand_in;
 
 use std::env;
 use std::io;
@@ -47,6 +49,8 @@
     let context = CommandContext::new(flags.entry, flags.key, flags.json);
     match flags.subcommand {
         MagnoliapinCmd::Entry(flags) => entry::run(&flags),
+        MagnoliapinCmd::StandIn(flags) => stand_in::run(flags),
+        MagnoliapinCmd::Demo(flags) => demo::run(&context, &flags),
         subcommand => smol::block_on(run_client(&context, subcommand)),
     }
 }
@@ -68,7 +72,7 @@
         MagnoliapinCmd::Status(_) => command::status::status(context).await,
         MagnoliapinCmd::Timeline(flags) => command::timeline::timeline(context, flags).await,
         MagnoliapinCmd::Entry(_) | MagnoliapinCmd::StandIn(_) | MagnoliapinCmd::Demo(_) => {
-            Err(command::usage("this command is not there yet"))
+            Err(command::usage("this command asks no entry"))
         }
     }
 }
--- a/crates/magnoliapin_standin/src/effect_ledger.rs
+++ b/crates/magnoliapin_standin/src/effect_ledger.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use magnoliapin_model::plain_data;
 use magnoliapin_model::Moment;
+use magnoliapin_model::SlotCount;
 use magnoliapin_model::TaskId;
 use magnoliapin_model::TeamId;
 use magnoliapin_model::WorkId;
@@ -20,6 +21,7 @@
     starts: IndexMap<TaskId, u32>,
     effects: IndexMap<TaskId, u32>,
     works: IndexMap<WorkId, WorkCounts>,
+    markers: IndexMap<u64, WorkCounts>,
     running: IndexMap<TeamId, u32>,
     history: VecDeque<TeamChange>,
 }
@@ -52,18 +54,24 @@
         Self::default()
     }
 
-    /// Counts the start of a task.
-    pub(crate) fn start(&mut self, now: Moment, task: TaskId, team: TeamId) {
+    /// Counts the start of a task whose payload has this marker.
+    pub(crate) fn start(&mut self, now: Moment, task: TaskId, team: TeamId, marker: Option<u64>) {
         *self.starts.entry(task).or_default() += 1;
         self.works.entry(task.work).or_default().starts += 1;
+        if let Some(marker) = marker {
+            self.markers.entry(marker).or_default().starts += 1;
+        }
         *self.running.entry(team).or_default() += 1;
         self.record(now, team);
     }
 
-    /// Counts the effect of a task.
-    pub(crate) fn effect(&mut self, task: TaskId) {
+    /// Counts the effect of a task whose payload has this marker.
+    pub(crate) fn effect(&mut self, task: TaskId, marker: Option<u64>) {
         *self.effects.entry(task).or_default() += 1;
         self.works.entry(task.work).or_default().effects += 1;
+        if let Some(marker) = marker {
+            self.markers.entry(marker).or_default().effects += 1;
+        }
     }
 
     /// Counts the end of a task.
@@ -89,6 +97,11 @@
         &self.works
     }
 
+    /// Returns what was done for the work of each marker, whatever identifiers it was given.
+    pub fn markers(&self) -> &IndexMap<u64, WorkCounts> {
+        &self.markers
+    }
+
     /// Returns how many tasks of each team run.
     pub fn running_by_team(&self) -> &IndexMap<TeamId, u32> {
         &self.running
@@ -103,20 +116,40 @@
     ///
     /// The targets must share a clock. Of changes at the same moment, ends count first.
     pub fn peaks_by_team(ledgers: &[&Self]) -> IndexMap<TeamId, u32> {
+        let mut peaks: IndexMap<TeamId, u32> = IndexMap::new();
+        for total in Self::team_totals(ledgers) {
+            let peak = peaks.entry(total.team).or_default();
+            *peak = (*peak).max(total.running);
+        }
+        peaks
+    }
+
+    /// Counts the changes after which a team ran more on all targets of `ledgers` than its limit.
+    ///
+    /// The targets must share a clock. Of changes at the same moment, ends count first. Teams
+    /// without a limit may run nothing.
+    pub fn moments_over_limit(ledgers: &[&Self], limits: &IndexMap<TeamId, SlotCount>) -> u64 {
+        let limit_of = |team| limits.get(&team).copied().unwrap_or_default();
+        let totals = Self::team_totals(ledgers);
+        let over = totals.into_iter().filter(|total| total.running > limit_of(total.team).0);
+        over.count() as u64
+    }
+
+    /// Returns each change of a team's running count over all targets, oldest first.
+    fn team_totals(ledgers: &[&Self]) -> Vec<TeamChange> {
         let mut steps = Vec::new();
         for ledger in ledgers {
             steps.extend(ledger.steps());
         }
         steps.sort_by_key(|step| (step.at, step.change));
         let mut running: IndexMap<TeamId, i64> = IndexMap::new();
-        let mut peaks: IndexMap<TeamId, u32> = IndexMap::new();
-        for step in steps {
+        let total = |step: TeamStep| {
             let count = running.entry(step.team).or_default();
             *count += step.change;
-            let peak = peaks.entry(step.team).or_default();
-            *peak = (*peak).max(u32::try_from(*count).unwrap_or_default());
-        }
-        peaks
+            let running = u32::try_from(*count).unwrap_or_default();
+            TeamChange { at: step.at, team: step.team, running }
+        };
+        steps.into_iter().map(total).collect()
     }
 
     fn record(&mut self, now: Moment, team: TeamId) {
--- a/crates/magnoliapin_standin/src/target_state.rs
+++ b/crates/magnoliapin_standin/src/target_state.rs
@@ -304,7 +304,7 @@
     }
 
     fn run_task(&mut self, now: Moment, start: StartTask, plan: TaskPlan) {
-        self.ledger.start(now, start.task, start.team);
+        self.ledger.start(now, start.task, start.team, plan.marker);
         let running = RunningTask {
             owner: TaskOwner::new(start.entry),
             team: start.team,
@@ -333,7 +333,7 @@
         };
         let mut output = Vec::new();
         if state == TaskState::Finished {
-            self.ledger.effect(task);
+            self.ledger.effect(task, running.plan.marker);
             output = running.plan.output(running.payload);
         }
         self.ledger.end(at, running.team);
--- a/crates/magnoliapin_standin/src/task_plan.rs
+++ b/crates/magnoliapin_standin/src/task_plan.rs
@@ -25,6 +25,8 @@
         pub unfit: bool,
         /// Length of its output; if absent, the output is the payload.
         pub output_bytes: Option<u64>,
+        /// Tells the work from all other in the ledgers, whatever identifier it is given.
+        pub marker: Option<u64>,
         /// Run time that the caller declares, in milliseconds; targets take no notice of it.
         pub declared_ms: Option<u64>,
     }
@@ -37,6 +39,7 @@
             fail: false,
             unfit: false,
             output_bytes: None,
+            marker: None,
             declared_ms: None,
         }
     }
--- a/crates/magnoliapin_standin/tests/target_state.rs
+++ b/crates/magnoliapin_standin/tests/target_state.rs
@@ -2,9 +2,11 @@
 
 mod task_values;
 
+use indexmap::IndexMap;
 use magnoliapin_model::Attempt;
 use magnoliapin_model::EntryId;
 use magnoliapin_model::Moment;
+use magnoliapin_model::SlotCount;
 use magnoliapin_model::TargetRun;
 use magnoliapin_model::TaskId;
 use magnoliapin_model::TeamId;
@@ -219,3 +221,29 @@
     assert!(tasks.iter().all(|task| task.output.len() as u64 == task.output_bytes));
     assert_eq!(state.query(at(5), task_id(1)).output.len(), 400_000);
 }
+
+#[test]
+fn moments_over_a_limit_add_up_over_targets() {
+    let mut first = target();
+    let mut second = target();
+    first.start(at(0), start_of(1, RUN, ""));
+    second.start(at(10), start_of(2, RUN, ""));
+    first.poll(at(20));
+    let ledgers = [first.ledger(), second.ledger()];
+    let limit = |slots| IndexMap::from([(TeamId::new("walks").unwrap(), SlotCount(slots))]);
+    assert_eq!(EffectLedger::moments_over_limit(&ledgers, &limit(1)), 1);
+    assert_eq!(EffectLedger::moments_over_limit(&ledgers, &limit(2)), 0);
+    assert_eq!(EffectLedger::moments_over_limit(&ledgers, &IndexMap::new()), 3);
+}
+
+#[test]
+fn markers_tell_work_apart_whatever_its_identifier() {
+    let mut state = target();
+    state.start(at(0), start_of(1, RUN, r#"{"marker":7}"#));
+    state.start(at(0), start_of(2, RUN, r#"{"marker":7}"#));
+    state.start(at(0), start_of(3, RUN, r#"{"marker":8,"fail":true}"#));
+    state.poll(at(20));
+    let markers = state.ledger().markers();
+    assert_eq!((markers[&7].starts, markers[&7].effects), (2, 2));
+    assert_eq!((markers[&8].starts, markers[&8].effects), (1, 0));
+}
