--- a/crates/magnoliapin_model/tests/document.rs
+++ b/crates/magnoliapin_model/tests/document.rs
@@ -70,6 +70,26 @@
     assert_eq!(ring.find(&stranger), None);
 }
 
+#[test]
+fn a_hash_that_only_starts_like_a_stored_one_is_not_found() {
+    let mut document = document();
+    let with_end = |end: char| -> KeyHash {
+        let mut text = KeyHash::new("guides-secret").to_string();
+        text.pop();
+        text.push(end);
+        text.parse().unwrap()
+    };
+    let (first, second, third) = (with_end('1'), with_end('2'), with_end('3'));
+    document.teams[&team("guides")].keys.insert("first".parse().unwrap(), first);
+    document.teams[&team("ops")].keys.insert("second".parse().unwrap(), second);
+    let ring = KeyRing::new(&document);
+    let found = Some((team("ops"), KeyId::new("second").unwrap()));
+    assert_eq!(ring.find(&second), found);
+    assert_eq!(document.team_of_key(&second), found);
+    assert_eq!(ring.find(&third), None);
+    assert_eq!(document.team_of_key(&third), None);
+}
+
 #[test]
 fn an_owned_section_is_changed_by_its_owner_alone() {
     let document = document();
