--- a/crates/magnoliapin_fleet/src/machine.rs
+++ b/crates/magnoliapin_fleet/src/machine.rs
@@ -3,6 +3,7 @@
 mod counters;
 mod desk;
 mod event;
+mod hearsay;
 mod lane;
 mod lease;
 mod operator;
@@ -39,6 +40,7 @@
 use self::desk::DeskVerdict;
 use self::desk::OperatorCase;
 use self::desk::OperatorDesk;
+use self::hearsay::InstanceHearsay;
 use self::lane::LaneOutcome;
 use self::lane::LaneStep;
 use self::lane::StepLane;
@@ -78,6 +80,7 @@
     orders: OrderBook,
     steps: VecDeque<FleetStep>,
     cases: VecDeque<OperatorCase>,
+    hearsay: InstanceHearsay,
     reports: IndexSet<InstanceId>,
     counters: FleetCounters,
     wall: UnixSeconds,
@@ -99,6 +102,7 @@
             orders: OrderBook::default(),
             steps: VecDeque::new(),
             cases: VecDeque::new(),
+            hearsay: InstanceHearsay::default(),
             reports: IndexSet::new(),
             counters: FleetCounters::default(),
             wall: UnixSeconds(0),
@@ -136,17 +140,18 @@
             FleetEvent::Tick { wall } => self.wall = wall,
             FleetEvent::Document(document) => self.document = Some(*document),
             FleetEvent::Platform { call, reply } => self.take_reply(now, call, reply, actions),
-            FleetEvent::Load { instance, load } => {
+            FleetEvent::Load { instance, epoch, load } => {
                 if let Some(facts) = self.snapshot.instances.get_mut(&instance) {
                     facts.load = Some(load);
+                    facts.load_epoch = epoch;
                 }
             }
-            FleetEvent::Health { instance, healthy } => {
-                self.snapshot.instances.entry(instance).or_default().healthy = Some(healthy);
+            FleetEvent::Health { instance, run, healthy } => {
+                self.hearsay.hear_health(now, instance, run, healthy);
                 self.reports.insert(instance);
             }
-            FleetEvent::Suspect { instance, suspect } => {
-                self.snapshot.instances.entry(instance).or_default().suspect = Some(suspect);
+            FleetEvent::Suspect { instance, run, suspect } => {
+                self.hearsay.hear_suspect(now, instance, run, suspect);
                 self.reports.insert(instance);
             }
             FleetEvent::Demand { queue, slots } => self.demand.observe(queue, slots, self.wall),
@@ -172,6 +177,7 @@
             self.call(call, request, actions);
         }
         if self.wants_read(now) {
+            self.drop_steps();
             self.reader.start(now);
         }
         let call = self.next_call();
@@ -188,10 +194,10 @@
     }
 
     fn wants_read(&self, now: Moment) -> bool {
-        let is_idle = !self.reader.is_reading() && self.lane.is_free() && self.steps.is_empty();
+        let is_idle = !self.reader.is_reading() && self.lane.is_free();
         let has_work =
             self.lease.is_held(now) || !self.cases.is_empty() || !self.reports.is_empty();
-        let is_due = self.reader.is_due(now, &self.times);
+        let is_due = self.steps.is_empty() && self.reader.is_due(now, &self.times);
         let has_new_case = self.cases.front().is_some_and(|case| !self.has_read_since(case));
         let is_asked = has_new_case && self.reader.may_start(now, &self.times);
         is_idle && self.document.is_some() && has_work && (is_due || is_asked)
@@ -208,7 +214,9 @@
         reply: PlatformReply,
         actions: &mut Vec<FleetAction>,
     ) {
-        if self.lease.owns(call) {
+        if self.orders.owns(call) {
+            self.orders.take_reply(call, &reply);
+        } else if self.lease.owns(call) {
             self.lease.take_reply(now, &self.times, &reply);
         } else if self.reader.owns(call) {
             if let Some(result) = self.reader.take_reply(reply) {
@@ -227,10 +235,10 @@
         for (instance, facts) in &mut self.snapshot.instances {
             if let Some(old) = old.instances.get(instance) {
                 facts.load = old.load;
-                facts.healthy = old.healthy;
-                facts.suspect = old.suspect;
+                facts.load_epoch = old.load_epoch;
             }
         }
+        self.hearsay.fill(now, &self.times, &mut self.snapshot);
         let is_sound = self.check_counters(result.is_consistent);
         let Some(document) = &self.document else { return };
         let is_planner = self.lease.is_held(now);
@@ -324,9 +332,16 @@
         }
     }
 
+    /// Drops the rest of the plan; the next one has what is still wanted.
+    fn drop_steps(&mut self) {
+        let steps = std::mem::take(&mut self.steps);
+        let reports = steps.iter().filter(|step| is_report_step(step));
+        self.reports.extend(reports.filter_map(FleetStep::instance));
+    }
+
     /// Lets a step that was not taken be decided again after the next read.
     fn put_off(&mut self, now: Moment, step: &LaneStep) {
-        self.steps.clear();
+        self.drop_steps();
         if let Some(case) = self.cases.iter_mut().find(|case| Some(case.call) == step.operator) {
             case.asked_at = now;
         }
@@ -406,10 +421,11 @@
         for (instance, need) in needs {
             if let Some(order) = need.order {
                 let call = self.next_call();
+                self.orders.note_call(call, instance, &order);
                 self.call(call, PlatformRequest::Order(instance, order), actions);
             }
-            if need.ask_load {
-                actions.push(FleetAction::AskLoad(instance));
+            if let Some(epoch) = need.ask_load {
+                actions.push(FleetAction::AskLoad { instance, epoch });
             }
             if let Some(run) = need.stop_run {
                 actions.push(FleetAction::StopWork { instance, run });
--- a/crates/magnoliapin_fleet/src/machine/event.rs
+++ b/crates/magnoliapin_fleet/src/machine/event.rs
@@ -6,6 +6,7 @@
 use magnoliapin_model::ConfigDocument;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::QueueId;
+use magnoliapin_model::RowVersion;
 use magnoliapin_model::TargetRun;
 use magnoliapin_wire::PlatformReply;
 use magnoliapin_wire::PlatformRequest;
@@ -47,20 +48,27 @@
     Load {
         /// The instance.
         instance: InstanceId,
+        /// Epoch of the [`FleetAction::AskLoad`]; 0 if nobody asked.
+        epoch: RowVersion,
         /// Its load.
         load: TargetLoad,
     },
-    /// This entry found out whether an instance answers.
+    /// This entry found out whether an instance answers. Counts for 15 seconds, so it is told
+    /// again for as long as the instance's row says otherwise.
     Health {
         /// The instance.
         instance: InstanceId,
+        /// Run that was asked.
+        run: TargetRun,
         /// Whether it answers.
         healthy: bool,
     },
-    /// This entry proposes to set an instance apart or to take it back.
+    /// This entry proposes to set an instance apart or to take it back; told again like health.
     Suspect {
         /// The instance.
         instance: InstanceId,
+        /// Run that the proposal is about.
+        run: TargetRun,
         /// Whether to set it apart.
         suspect: bool,
     },
@@ -93,7 +101,12 @@
         timeout: Duration,
     },
     /// Asks a target for its load; a [`FleetEvent::Load`] follows if it answers.
-    AskLoad(InstanceId),
+    AskLoad {
+        /// The instance.
+        instance: InstanceId,
+        /// Comes back with the answer.
+        epoch: RowVersion,
+    },
     /// Stops what still runs on an instance, as an operator said so.
     StopWork {
         /// The instance.
--- a/crates/magnoliapin_fleet/src/machine/orders.rs
+++ b/crates/magnoliapin_fleet/src/machine/orders.rs
@@ -6,11 +6,14 @@
 use magnoliapin_model::ConfigDocument;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::Moment;
+use magnoliapin_model::RowVersion;
 use magnoliapin_model::TargetRun;
 use magnoliapin_wire::InstanceOrder;
 use magnoliapin_wire::ListedState;
 use magnoliapin_wire::OrderAct;
+use magnoliapin_wire::PlatformReply;
 
+use super::FleetCall;
 use super::FleetTimes;
 use crate::FleetSnapshot;
 use crate::InstanceFacts;
@@ -23,6 +26,10 @@
 #[derive(Debug, Default)]
 pub(super) struct OrderBook {
     sent_at: IndexMap<InstanceId, SentOrder>,
+    /// Orders without an answer yet.
+    pending: IndexMap<FleetCall, (InstanceId, RowVersion)>,
+    /// Highest epoch of which the platform took an order, so that it refuses those before.
+    taken: IndexMap<InstanceId, RowVersion>,
 }
 
 #[derive(Clone, Debug)]
@@ -36,8 +43,8 @@
 pub(super) struct InstanceNeed {
     /// Order to send.
     pub(super) order: Option<InstanceOrder>,
-    /// Whether its load must be known.
-    pub(super) ask_load: bool,
+    /// Epoch under which its target is asked for its load, if it must be known.
+    pub(super) ask_load: Option<RowVersion>,
     /// Run whose work is to be stopped.
     pub(super) stop_run: Option<TargetRun>,
 }
@@ -55,21 +62,48 @@
         let mut needs = Vec::new();
         for (instance, facts, row) in snapshot.rows() {
             let version = facts.row.as_ref().map(|row| row.version).unwrap_or_default();
-            let order = wanted_act(facts, row).map(|act| {
+            let is_taken = self.taken.get(&instance) == Some(&version);
+            let order = wanted_act(facts, row, is_taken).map(|act| {
                 let run = wanted_run(facts, row);
                 InstanceOrder { run, epoch: version, act }
             });
             let order = order.filter(|order| self.is_due(instance, order, times, now));
-            let ask_load = wants_load(facts, row);
+            let is_ready = is_taken || row.state != InstanceState::Draining;
+            let ask_load = (is_ready && wants_load(facts, row)).then_some(version);
             let stop_run = wants_stop(row, document, wall).then_some(row.run);
-            if order.is_some() || ask_load || stop_run.is_some() {
+            if order.is_some() || ask_load.is_some() || stop_run.is_some() {
                 needs.push((instance, InstanceNeed { order, ask_load, stop_run }));
             }
         }
         self.sent_at.retain(|instance, _| snapshot.instances.contains_key(instance));
+        self.taken.retain(|instance, _| snapshot.instances.contains_key(instance));
         needs
     }
 
+    /// Remembers an order that is sent.
+    pub(super) fn note_call(
+        &mut self,
+        call: FleetCall,
+        instance: InstanceId,
+        order: &InstanceOrder,
+    ) {
+        self.pending.insert(call, (instance, order.epoch));
+    }
+
+    /// Returns whether an answer belongs to an order.
+    pub(super) fn owns(&self, call: FleetCall) -> bool {
+        self.pending.contains_key(&call)
+    }
+
+    /// Takes the answer to an order.
+    pub(super) fn take_reply(&mut self, call: FleetCall, reply: &PlatformReply) {
+        let Some((instance, epoch)) = self.pending.swap_remove(&call) else { return };
+        if matches!(reply, PlatformReply::Ordered) {
+            let taken = self.taken.entry(instance).or_default();
+            *taken = epoch.max(*taken);
+        }
+    }
+
     fn is_due(
         &mut self,
         instance: InstanceId,
@@ -97,12 +131,12 @@
 }
 
 /// Returns the order that brings the instance in line with its row, if it is not yet.
-fn wanted_act(facts: &InstanceFacts, row: &InstanceRow) -> Option<OrderAct> {
+fn wanted_act(facts: &InstanceFacts, row: &InstanceRow, is_taken: bool) -> Option<OrderAct> {
     let load = facts.load.filter(|load| load.run == wanted_run(facts, row));
     match row.state {
         InstanceState::Draining => {
-            let is_leaving = load.is_some_and(|load| load.leaving);
-            (!is_leaving).then_some(OrderAct::Drain)
+            let takes_work = load.is_some_and(|load| !load.leaving);
+            (takes_work || !is_taken).then_some(OrderAct::Drain)
         }
         InstanceState::Rebooting => {
             let is_old = facts.record.as_ref().is_some_and(|record| record.run == row.run);
--- a/crates/magnoliapin_fleet/src/machine/times.rs
+++ b/crates/magnoliapin_fleet/src/machine/times.rs
@@ -23,6 +23,8 @@
     pub reboot_interval: Duration,
     /// An operator is answered after this long, whatever is known then.
     pub operator_deadline: Duration,
+    /// What was found out about an instance counts for this long.
+    pub finding_span: Duration,
     /// Rows of one read.
     pub page_rows: u32,
 }
@@ -39,6 +41,7 @@
             order_interval: Duration::from_secs(2),
             reboot_interval: Duration::from_secs(20),
             operator_deadline: Duration::from_secs(8),
+            finding_span: Duration::from_secs(15),
             page_rows: 500,
         }
     }
--- a/crates/magnoliapin_fleet/src/snapshot.rs
+++ b/crates/magnoliapin_fleet/src/snapshot.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::PoolId;
+use magnoliapin_model::RowVersion;
 use magnoliapin_model::TargetRun;
 use magnoliapin_wire::InstanceRecord;
 use magnoliapin_wire::ListedState;
@@ -38,6 +39,9 @@
     pub record: Option<InstanceRecord>,
     /// What its target last said.
     pub load: Option<TargetLoad>,
+    /// Version of the row that the target was asked under; the orders that follow from that row
+    /// had been taken by then.
+    pub load_epoch: RowVersion,
     /// Whether it answers; none if nothing was heard.
     pub healthy: Option<bool>,
     /// Whether it was last proposed for quarantine (true) or release (false), if ever.
@@ -93,17 +97,25 @@
         self.record.as_ref().map(|record| record.state)
     }
 
-    /// Returns whether the target refuses new work and runs nothing that would be lost.
-    pub fn is_idle(&self, run: TargetRun) -> bool {
-        self.load.is_some_and(|load| load.run == run && load.leaving && load.busy == 0)
+    /// Returns whether the target refuses new work and runs nothing that would be lost, as it
+    /// said after it took the order to drain that follows from the present row.
+    pub fn is_idle(&self) -> bool {
+        let (Some(row), Some(load)) = (&self.row, self.present_load()) else { return false };
+        load.run == row.row.run && load.leaving && load.busy == 0
     }
 
     /// Returns whether the target said in its current run that it takes work.
     pub fn takes_work(&self) -> bool {
-        let (Some(record), Some(load)) = (&self.record, self.load) else { return false };
+        let (Some(record), Some(load)) = (&self.record, self.present_load()) else { return false };
         load.run == record.run && !load.leaving && self.healthy != Some(false)
     }
 
+    /// Returns what the target said since the row has its present version.
+    pub fn present_load(&self) -> Option<TargetLoad> {
+        let is_present = self.row.as_ref().is_some_and(|row| row.version == self.load_epoch);
+        self.load.filter(|_| is_present)
+    }
+
     /// Returns the tasks that run; unknown counts as none.
     pub fn busy(&self) -> u32 {
         self.load.map_or(0, |load| load.busy)
--- a/crates/magnoliapin_fleet/src/transition.rs
+++ b/crates/magnoliapin_fleet/src/transition.rs
@@ -117,7 +117,7 @@
     fn may_go_on(&self, row: &InstanceRow) -> bool {
         let bound = u64::from(self.document.maintenance.drain_seconds);
         let is_over = self.now.since(row.changed_at) >= bound;
-        self.facts.is_idle(row.run) || (row.force && is_over)
+        self.facts.is_idle() || (row.force && is_over)
     }
 
     fn has_rebooted(&self, row: &InstanceRow) -> bool {
