Soak the policy in virtual time, and mend what it found

Cause: nothing proved the state machine. The soak runs several machines over the stand-ins' pure states with faults, load and operators drawn from a seed, and checks at targets and table.

--- a/crates/magnoliapin_policy/src/event.rs
+++ b/crates/magnoliapin_policy/src/event.rs
@@ -115,9 +115,10 @@
     },
     /// Records an event for the time line.
     Record(TimelineEvent),
-    /// The entry has finished its planned stop; the process may exit.
+    /// The entry has finished its planned stop; the process may exit. Comes last.
     Stopped,
     /// Others have taken this entry for lost. The driver starts over with a new identifier.
+    /// Comes last.
     Restart,
 }
 
--- a/crates/magnoliapin_policy/src/machine.rs
+++ b/crates/magnoliapin_policy/src/machine.rs
@@ -11,6 +11,7 @@
 mod views;
 
 use indexmap::IndexMap;
+use magnoliapin_model::ConfigVersion;
 use magnoliapin_model::EntryId;
 use magnoliapin_model::Moment;
 use magnoliapin_model::TeamId;
@@ -117,6 +118,11 @@
         self.out.counts
     }
 
+    /// Returns the version of the configuration in force here.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.config.version
+    }
+
     /// Returns whether the entry takes new work, for `/readyz`.
     pub fn is_ready(&self) -> bool {
         !self.membership.is_stopping() && self.has_started()
@@ -149,6 +155,7 @@
 
     /// Does what only the passing of time calls for.
     fn tick(&mut self) {
+        self.end_pauses();
         self.expire_requests();
         self.expire_bindings();
         self.expire_accepts();
--- a/crates/magnoliapin_policy/src/machine/admission.rs
+++ b/crates/magnoliapin_policy/src/machine/admission.rs
@@ -242,6 +242,7 @@
         failed_at: IndexSet::new(),
         unfit_at: IndexSet::new(),
         was_started: false,
+        may_have_run: false,
     }
 }
 
--- a/crates/magnoliapin_policy/src/machine/dispatch.rs
+++ b/crates/magnoliapin_policy/src/machine/dispatch.rs
@@ -14,6 +14,7 @@
 use magnoliapin_wire::rows::BoundTarget;
 use magnoliapin_wire::StartTask;
 
+use crate::commit::backoff;
 use crate::invariant::invariant;
 use crate::line::LinePlace;
 use crate::line::TeamLoad;
@@ -36,6 +37,27 @@
         }
     }
 
+    /// Tries work again after a pause that grows with its attempts.
+    pub(crate) fn pause_work(&mut self, work: WorkId) {
+        let pause = self.work.get(work).map_or(0, |entry| entry.attempt.0);
+        let pause = backoff(pause, &mut self.out);
+        let now = self.out.now;
+        let Some(entry) = self.work.get_mut(work) else { return };
+        entry.stage = WorkStage::Pausing;
+        entry.staged_at = now + pause;
+    }
+
+    /// Puts work back in its line whose pause is over.
+    pub(crate) fn end_pauses(&mut self) {
+        let now = self.out.now;
+        let entries = self.work.entries.iter();
+        let paused = entries.filter(|(_, entry)| entry.stage == WorkStage::Pausing);
+        let due = paused.filter(|(_, entry)| entry.staged_at <= now).map(|(work, _)| *work);
+        for work in due.collect::<Vec<_>>() {
+            self.wait_for_slot(work);
+        }
+    }
+
     /// Takes work out of its line.
     pub(crate) fn leave_line(&mut self, work: WorkId) {
         let Some(entry) = self.work.get(work) else { return };
@@ -192,17 +214,25 @@
         }
     }
 
+    /// Refuses a request that no target took in time.
+    pub(crate) fn refuse_late(&mut self, work: WorkId) {
+        if self.work.get(work).is_some_and(|entry| entry.may_have_run) {
+            let message = "an earlier attempt was lost and no slot came free before the deadline";
+            self.refuse_work(work, ErrorKind::OutcomeUnknown, message);
+        } else {
+            let message = "no slot came free before the deadline";
+            self.refuse_work(work, ErrorKind::NoTarget, message);
+        }
+    }
+
     fn expire_request(&mut self, work: WorkId) {
         let Some(entry) = self.work.get(work) else { return };
         match entry.stage {
             WorkStage::Waiting => {
                 self.leave_line(work);
-                self.refuse_work(
-                    work,
-                    ErrorKind::NoTarget,
-                    "no slot came free before the deadline",
-                );
+                self.refuse_late(work);
             }
+            WorkStage::Pausing => self.refuse_late(work),
             WorkStage::Running(task) if self.out.now >= entry.deadline + ASK_GRACE => {
                 self.tasks.abandon(task);
                 let message = "the target did not answer before the deadline";
--- a/crates/magnoliapin_policy/src/machine/jobs.rs
+++ b/crates/magnoliapin_policy/src/machine/jobs.rs
@@ -166,7 +166,8 @@
             }
             WorkStage::Storing if cancelled => self.end_job(work, JobState::Cancelled, None),
             WorkStage::Storing => self.wait_for_slot(work),
-            WorkStage::Waiting | WorkStage::Running(_) | WorkStage::Ending => {}
+            WorkStage::Pausing | WorkStage::Waiting | WorkStage::Running(_) | WorkStage::Ending => {
+            }
         }
     }
 
@@ -306,7 +307,7 @@
         let callers = std::mem::take(&mut hold.accepting);
         let kind = if self.job_commits.withdraw(ChangeTag::Accept(work)) {
             self.release_binding(work);
-            self.work.remove(work);
+            self.drop_unstored(work);
             ErrorKind::PlatformDown
         } else {
             ErrorKind::PlatformUnknown
@@ -316,6 +317,15 @@
         }
     }
 
+    /// Forgets a job whose row was never sent.
+    fn drop_unstored(&mut self, work: WorkId) {
+        let Some(mut entry) = self.work.remove(work) else { return };
+        let callers = entry.job_mut().map(|hold| std::mem::take(&mut hold.cancelling));
+        for call in callers.unwrap_or_default() {
+            self.out.refuse(call, ErrorKind::NotFound, "the job was not accepted");
+        }
+    }
+
     pub(crate) fn read_job(&mut self, call: CallId, key: Option<KeyHash>, work: WorkId) {
         let Some(team) = self.reader(call, key) else { return };
         let held = self.work.get(work).and_then(|entry| entry.job());
@@ -324,9 +334,11 @@
                 let view = view_of(work, &hold.row);
                 self.out.answer(call, CallerAnswer::Job(view));
             }
-            _ => self.push_read(ReadTag::ShowJob(call, work), work),
+            _ => {
+                self.callers_team.insert(call, team);
+                self.push_read(ReadTag::ShowJob(call, work), work);
+            }
         }
-        self.callers_team.insert(call, team);
     }
 
     pub(crate) fn cancel_job(&mut self, call: CallId, key: Option<KeyHash>, work: WorkId) {
@@ -347,6 +359,7 @@
                 self.leave_line(work);
                 self.end_job(work, JobState::Cancelled, None);
             }
+            WorkStage::Pausing => self.end_job(work, JobState::Cancelled, None),
             WorkStage::Running(task) => self.tasks.stop_once(task, now),
             WorkStage::Storing | WorkStage::Binding(_) | WorkStage::Ending => {}
         }
--- a/crates/magnoliapin_policy/src/machine/membership.rs
+++ b/crates/magnoliapin_policy/src/machine/membership.rs
@@ -243,7 +243,7 @@
             self.finish_stop();
         } else if !std::mem::replace(&mut self.membership.is_fenced, true) {
             self.out.record(TimelineEvent::new(TimelineName::EntryFenced));
-            self.out.push(EntryAction::Restart);
+            self.out.push_end(EntryAction::Restart);
         }
     }
 
@@ -461,7 +461,7 @@
     fn finish_stop(&mut self) {
         if self.membership.stop != Some(StopStage::Done) {
             self.membership.stop = Some(StopStage::Done);
-            self.out.push(EntryAction::Stopped);
+            self.out.push_end(EntryAction::Stopped);
         }
     }
 
--- a/crates/magnoliapin_policy/src/machine/outcomes.rs
+++ b/crates/magnoliapin_policy/src/machine/outcomes.rs
@@ -83,7 +83,13 @@
                 self.targets.note_full(instance, &mut self.out);
             }
             TaskVerdict::NotStarted(Some(RefusalReason::Leaving)) => self.note_leaving(instance),
-            TaskVerdict::NotStarted(Some(RefusalReason::Fenced)) => self.check_self(),
+            TaskVerdict::NotStarted(Some(RefusalReason::Fenced)) => {
+                self.targets.note_call_failure(instance, &mut self.out);
+                self.check_self();
+            }
+            TaskVerdict::NotStarted(Some(RefusalReason::OtherRun)) => {
+                self.targets.note_call_failure(instance, &mut self.out);
+            }
             TaskVerdict::NotStarted(_)
             | TaskVerdict::Finished(_)
             | TaskVerdict::Failed
@@ -156,17 +162,15 @@
                 self.refuse_work(work, ErrorKind::WorkFailed, &message);
             }
             TaskVerdict::NotStarted(_) if self.is_unrunnable(work) => {
-                self.refuse_work(work, ErrorKind::Unrunnable, "no worker can ever run the work");
+                self.refuse_unrunnable(work);
             }
-            TaskVerdict::NotStarted(_) if self.has_expired(work) => {
-                let message = "no target took the work before the deadline";
-                self.refuse_work(work, ErrorKind::NoTarget, message);
-            }
-            TaskVerdict::NotStarted(_) => self.wait_for_slot(work),
+            TaskVerdict::NotStarted(_) if self.has_expired(work) => self.refuse_late(work),
+            TaskVerdict::NotStarted(reason) => self.try_again(work, reason),
             TaskVerdict::Stopped | TaskVerdict::Lost => {
                 let idempotent = self.work.get(work).is_some_and(|entry| entry.idempotent);
                 if idempotent && !self.has_expired(work) {
-                    self.wait_for_slot(work);
+                    self.note_partial_run(work);
+                    self.pause_work(work);
                 } else {
                     let message = "the target was lost or stopped the work in mid-run";
                     self.refuse_work(work, ErrorKind::OutcomeUnknown, message);
@@ -175,6 +179,30 @@
         }
     }
 
+    fn refuse_unrunnable(&mut self, work: WorkId) {
+        if self.work.get(work).is_some_and(|entry| entry.may_have_run) {
+            let message = "an earlier attempt was lost and no worker can run the work now";
+            self.refuse_work(work, ErrorKind::OutcomeUnknown, message);
+        } else {
+            self.refuse_work(work, ErrorKind::Unrunnable, "no worker can ever run the work");
+        }
+    }
+
+    fn note_partial_run(&mut self, work: WorkId) {
+        if let Some(entry) = self.work.get_mut(work) {
+            entry.may_have_run = true;
+        }
+    }
+
+    /// Tries work again that was not started. A full target paces itself, other causes need a
+    /// pause.
+    fn try_again(&mut self, work: WorkId, reason: Option<RefusalReason>) {
+        match reason {
+            Some(RefusalReason::Full | RefusalReason::Unfit) => self.wait_for_slot(work),
+            _ => self.pause_work(work),
+        }
+    }
+
     fn settle_job(&mut self, task: TaskId, instance: InstanceId, verdict: TaskVerdict) {
         let work = task.work;
         let Some(entry) = self.work.get_mut(work) else { return };
@@ -189,7 +217,7 @@
             TaskVerdict::Failed => {
                 hold.row.failures += 1;
                 if !cancelled && idempotent && hold.row.failures < hold.row.max_attempts {
-                    self.wait_for_slot(work);
+                    self.pause_work(work);
                 } else {
                     let reason = format!("it failed on instance {instance}");
                     self.end_job(work, JobState::Failed, Some(reason));
@@ -203,8 +231,11 @@
                 self.end_job(work, JobState::Cancelled, None);
             }
             TaskVerdict::Stopped if cancelled => self.end_job(work, JobState::Cancelled, None),
-            TaskVerdict::NotStarted(_) => self.wait_for_slot(work),
-            TaskVerdict::Stopped | TaskVerdict::Lost if idempotent => self.wait_for_slot(work),
+            TaskVerdict::NotStarted(reason) => self.try_again(work, reason),
+            TaskVerdict::Stopped | TaskVerdict::Lost if idempotent => {
+                self.note_partial_run(work);
+                self.pause_work(work);
+            }
             TaskVerdict::Stopped => {
                 self.end_job(work, JobState::Unknown, Some(STOPPED_REASON.to_owned()));
             }
--- a/crates/magnoliapin_policy/src/machine/takeover.rs
+++ b/crates/magnoliapin_policy/src/machine/takeover.rs
@@ -261,6 +261,7 @@
             failed_at: IndexSet::new(),
             unfit_at: IndexSet::new(),
             was_started: job.target.is_some(),
+            may_have_run: job.target.is_some(),
             kind: WorkKind::Job(Box::new(JobHold::read(job, version))),
         }
     }
--- a/crates/magnoliapin_policy/src/outbox.rs
+++ b/crates/magnoliapin_policy/src/outbox.rs
@@ -28,6 +28,8 @@
     /// Counters.
     pub(crate) counts: PolicyCounts,
     actions: Vec<EntryAction>,
+    /// Ends this run of the entry; comes behind all other actions.
+    end: Option<EntryAction>,
     last_call: u64,
     random: Pcg64Mcg,
 }
@@ -38,6 +40,7 @@
             now: Moment::START,
             counts: PolicyCounts::default(),
             actions: Vec::new(),
+            end: None,
             last_call: 0,
             random: Pcg64Mcg::seed_from_u64(seed),
         }
@@ -52,6 +55,10 @@
         self.actions.push(action);
     }
 
+    pub(crate) fn push_end(&mut self, action: EntryAction) {
+        self.end = Some(action);
+    }
+
     pub(crate) fn record(&mut self, event: TimelineEvent) {
         self.actions.push(EntryAction::Record(event));
     }
@@ -84,6 +91,7 @@
 
     pub(crate) fn take_actions(&mut self, actions: &mut Vec<EntryAction>) {
         actions.append(&mut self.actions);
+        actions.extend(self.end.take());
     }
 
     pub(crate) fn draw_work(&mut self) -> WorkId {
--- a/crates/magnoliapin_policy/src/peers.rs
+++ b/crates/magnoliapin_policy/src/peers.rs
@@ -144,9 +144,12 @@
 
     /// Returns the oldest of the latest replies, if every known entry has replied and says that
     /// no change of the configuration may still be accepted through it.
+    ///
+    /// Before this entry has read the list of all entries it may know too few of them.
     pub(crate) fn quiet_as_of(&self) -> Option<Moment> {
         let quiet =
             |record: &PeerRecord| record.facts.as_ref().is_some_and(|facts| !facts.apply_in_flight);
+        self.listed_at?;
         if self.records.is_empty() || !self.records.values().all(quiet) {
             return None;
         }
--- a/crates/magnoliapin_policy/src/work.rs
+++ b/crates/magnoliapin_policy/src/work.rs
@@ -61,6 +61,8 @@
 pub(crate) enum WorkStage {
     /// Its row is being committed, and no slot is kept for it.
     Storing,
+    /// It waits for a while before it is tried again.
+    Pausing,
     /// It waits for a slot.
     Waiting,
     /// Its next attempt is being bound to a target.
@@ -94,6 +96,8 @@
     pub(crate) unfit_at: IndexSet<InstanceId>,
     /// Whether a start was sent before.
     pub(crate) was_started: bool,
+    /// Whether an earlier attempt may have run in part.
+    pub(crate) may_have_run: bool,
 }
 
 impl WorkEntry {
--- /dev/null
+++ b/crates/magnoliapin_soak/src/link_state.rs
@@ -0,0 +1,54 @@
+//! Which parts of the world reach each other.
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use magnoliapin_model::ZoneId;
+
+/// Cuts between availability zones, and connections that have gone silent.
+#[derive(Debug, Default)]
+pub(crate) struct LinkState {
+    cut_from_peers: IndexMap<ZoneId, u32>,
+    cut_from_platform: IndexMap<ZoneId, u32>,
+    silent: IndexSet<(usize, usize)>,
+}
+
+impl LinkState {
+    pub(crate) fn cut_peers(&mut self, zone: ZoneId) {
+        *self.cut_from_peers.entry(zone).or_default() += 1;
+    }
+
+    pub(crate) fn heal_peers(&mut self, zone: ZoneId) {
+        self.cut_from_peers.entry(zone).and_modify(|cuts| *cuts = cuts.saturating_sub(1));
+    }
+
+    pub(crate) fn cut_platform(&mut self, zone: ZoneId) {
+        *self.cut_from_platform.entry(zone).or_default() += 1;
+    }
+
+    pub(crate) fn heal_platform(&mut self, zone: ZoneId) {
+        self.cut_from_platform.entry(zone).and_modify(|cuts| *cuts = cuts.saturating_sub(1));
+    }
+
+    pub(crate) fn reaches_platform(&self, zone: ZoneId) -> bool {
+        self.cut_from_platform.get(&zone).is_none_or(|cuts| *cuts == 0)
+    }
+
+    pub(crate) fn reaches(&self, from: ZoneId, to: ZoneId) -> bool {
+        let whole = |zone| self.cut_from_peers.get(&zone).is_none_or(|cuts| *cuts == 0);
+        from == to || (whole(from) && whole(to))
+    }
+
+    pub(crate) fn silence(&mut self, entry: usize, target: usize) {
+        self.silent.insert((entry, target));
+    }
+
+    /// Returns whether the open connection of an entry to a target is silent.
+    pub(crate) fn is_silent(&self, entry: usize, target: usize) -> bool {
+        self.silent.contains(&(entry, target))
+    }
+
+    /// Replaces a connection that made no progress by a new one.
+    pub(crate) fn reconnect(&mut self, entry: usize, target: usize) {
+        self.silent.swap_remove(&(entry, target));
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_soak/src/target_node.rs
@@ -0,0 +1,132 @@
+//! A target of a run.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use magnoliapin_model::InstanceId;
+use magnoliapin_model::Moment;
+use magnoliapin_model::PoolId;
+use magnoliapin_model::RackId;
+use magnoliapin_model::TargetRun;
+use magnoliapin_model::TaskId;
+use magnoliapin_model::ZoneId;
+use magnoliapin_policy::CallId;
+use magnoliapin_standin::StartOutcome;
+use magnoliapin_standin::TargetState;
+use magnoliapin_wire::InstanceRecord;
+use magnoliapin_wire::ListedState;
+use magnoliapin_wire::TargetReply;
+use magnoliapin_wire::TargetRequest;
+use magnoliapin_wire::TaskReply;
+
+/// A call of a target by one boot of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct CallSource {
+    pub(crate) entry: usize,
+    pub(crate) boot: u32,
+    pub(crate) call: CallId,
+}
+
+/// A target.
+#[derive(Debug)]
+pub(crate) struct TargetNode {
+    pub(crate) instance: InstanceId,
+    pub(crate) zone: ZoneId,
+    pub(crate) pool: PoolId,
+    pub(crate) address: SocketAddr,
+    pub(crate) state: TargetState,
+    pub(crate) is_up: bool,
+    pub(crate) is_leaving: bool,
+    pub(crate) paused_until: Option<Moment>,
+    waiting: IndexMap<TaskId, Vec<CallSource>>,
+}
+
+impl TargetNode {
+    pub(crate) fn new(
+        instance: InstanceId,
+        zone: ZoneId,
+        pool: PoolId,
+        address: SocketAddr,
+        run: TargetRun,
+    ) -> Self {
+        Self {
+            instance,
+            zone,
+            pool,
+            address,
+            state: TargetState::new(run, "image"),
+            is_up: true,
+            is_leaving: false,
+            paused_until: None,
+            waiting: IndexMap::new(),
+        }
+    }
+
+    /// Returns the platform's record of the target.
+    pub(crate) fn record(&self) -> InstanceRecord {
+        let state = match (self.is_leaving, self.is_up) {
+            (true, false) => ListedState::Gone,
+            (true, true) => ListedState::Leaving,
+            (false, _) => ListedState::Live,
+        };
+        InstanceRecord {
+            instance: self.instance,
+            zone: self.zone,
+            rack: RackId::default(),
+            pool: Some(self.pool),
+            address: self.address,
+            run: self.state.run(),
+            slots: self.state.slots(),
+            image: self.state.image().to_owned(),
+            state,
+        }
+    }
+
+    /// Takes a call. Returns the answer, or none if it comes when the task ends.
+    pub(crate) fn take(
+        &mut self,
+        now: Moment,
+        source: CallSource,
+        request: TargetRequest,
+    ) -> Option<TargetReply> {
+        let reply = match request {
+            TargetRequest::Start(start) => {
+                let task = start.task;
+                match self.state.start(now, start) {
+                    StartOutcome::Ended(reply) => TargetReply::Task(reply),
+                    StartOutcome::Running => {
+                        self.waiting.entry(task).or_default().push(source);
+                        return None;
+                    }
+                }
+            }
+            TargetRequest::Query(task) => TargetReply::Task(self.state.query(now, task)),
+            TargetRequest::Fence(task) => TargetReply::Task(self.state.fence(now, task)),
+            TargetRequest::Stop(task) => TargetReply::Task(self.state.stop(now, task)),
+            TargetRequest::Renew(entry, grant) => {
+                TargetReply::Entry(self.state.renew(now, entry, &grant))
+            }
+            TargetRequest::FenceEntry(entry, fence) => {
+                TargetReply::Entry(self.state.fence_entry(now, entry, &fence))
+            }
+        };
+        Some(reply)
+    }
+
+    /// Returns the tasks that have ended, each with the calls that wait for it.
+    pub(crate) fn poll(&mut self, now: Moment) -> Vec<(TaskReply, Vec<CallSource>)> {
+        let ended = self.state.poll(now);
+        let with_waiting = |reply: TaskReply| {
+            let sources = self.waiting.swap_remove(&reply.task).unwrap_or_default();
+            (reply, sources)
+        };
+        ended.into_iter().map(with_waiting).collect()
+    }
+
+    /// Loses everything that runs, as a crash does.
+    pub(crate) fn crash(&mut self, now: Moment) {
+        self.state.halt(now);
+        self.waiting.clear();
+        self.is_up = false;
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_soak/src/world.rs
@@ -0,0 +1,472 @@
+//! The world of a run: one queue of events in virtual time.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use magnoliapin_model::EntryId;
+use magnoliapin_model::Moment;
+use magnoliapin_model::TargetRun;
+use magnoliapin_model::WorkOutcome;
+use magnoliapin_model::ZoneId;
+use magnoliapin_policy::CallId;
+use magnoliapin_policy::EntryAction;
+use magnoliapin_policy::EntryEvent;
+use magnoliapin_standin::CallFate;
+use magnoliapin_wire::CallerAnswer;
+use magnoliapin_wire::CallerRequest;
+use magnoliapin_wire::PlatformRequest;
+use magnoliapin_wire::TargetRequest;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::caller_book::CallKind;
+use crate::caller_book::CallerBook;
+use crate::caller_book::OpenCall;
+use crate::config_watch::ConfigWatch;
+use crate::entry_node::EntryNode;
+use crate::link_state::LinkState;
+use crate::platform_node::PlatformNode;
+use crate::report::CheckKind;
+use crate::report::SoakReport;
+use crate::target_node::CallSource;
+use crate::target_node::TargetNode;
+
+pub(crate) const ZONES: usize = 3;
+const TICK: Duration = Duration::from_millis(20);
+const REGISTER: Duration = Duration::from_millis(500);
+pub(crate) const FIRST_PORT: u16 = 10_000;
+pub(crate) const FIRST_TARGET_PORT: u16 = 20_000;
+/// Longest time that a run settles after its last fault, in virtual time.
+const SETTLE_TIME: Duration = Duration::from_secs(240);
+
+/// What a run does.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakPlan {
+    /// Seed of everything that is drawn.
+    pub seed: u64,
+    /// Events with faults and load; the run then settles.
+    pub steps: u64,
+    /// Entries.
+    pub entries: usize,
+    /// Mean time between two acts of callers and operators.
+    pub act_pause: Duration,
+    /// Mean time between two faults; none injects no fault.
+    pub fault_pause: Option<Duration>,
+}
+
+impl Default for SoakPlan {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            steps: 200_000,
+            entries: 5,
+            act_pause: Duration::from_millis(8),
+            fault_pause: Some(Duration::from_millis(2_500)),
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(crate) enum WorldEvent {
+    Tick(usize, u32),
+    Deliver(usize, u32, Box<EntryEvent>),
+    AtPlatform { source: CallSource, request: Box<PlatformRequest>, fate: CallFate },
+    AtTarget { source: CallSource, target: usize, request: Box<TargetRequest>, answers: bool },
+    Timeout { source: CallSource, is_platform: bool, target: Option<usize> },
+    TargetDue(usize),
+    Register,
+    Act,
+    Fault,
+    EndFault(FaultEnd),
+    StartEntry(usize),
+    Call { entry: usize, call: OpenCall, request: Box<CallerRequest> },
+}
+
+/// What ends a fault.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum FaultEnd {
+    ResumeEntry(usize),
+    RestartTarget(usize),
+    ResumeTarget(usize),
+    MendTarget(usize),
+    RemoveTarget(usize),
+    HealPeers(ZoneId),
+    HealPlatform(ZoneId),
+    MendPlatform,
+}
+
+/// The world of a run.
+#[derive(Debug)]
+pub struct SoakWorld {
+    pub(crate) plan: SoakPlan,
+    pub(crate) now: Moment,
+    pub(crate) random: Pcg64Mcg,
+    pub(crate) entries: Vec<EntryNode>,
+    pub(crate) targets: Vec<TargetNode>,
+    pub(crate) platform: PlatformNode,
+    pub(crate) links: LinkState,
+    pub(crate) callers: CallerBook,
+    pub(crate) watch: ConfigWatch,
+    pub(crate) newest_keys: IndexMap<&'static str, u32>,
+    pub(crate) report: SoakReport,
+    pub(crate) events: BTreeMap<(Moment, u64), WorldEvent>,
+    pub(crate) open_calls: IndexSet<CallSource>,
+    sequence: u64,
+    last_caller_call: u64,
+    pub(crate) is_settling: bool,
+}
+
+impl SoakWorld {
+    /// Makes a world that has not started.
+    pub fn new(plan: SoakPlan) -> Self {
+        let mut world = Self {
+            plan,
+            now: Moment::from_millis(1_000),
+            random: Pcg64Mcg::seed_from_u64(plan.seed),
+            entries: Vec::new(),
+            targets: Vec::new(),
+            platform: PlatformNode::new(plan.seed),
+            links: LinkState::default(),
+            callers: CallerBook::default(),
+            watch: ConfigWatch::default(),
+            newest_keys: IndexMap::new(),
+            report: SoakReport { seed: plan.seed, ..SoakReport::default() },
+            events: BTreeMap::new(),
+            open_calls: IndexSet::new(),
+            sequence: 0,
+            last_caller_call: 0,
+            is_settling: false,
+        };
+        world.build();
+        world
+    }
+
+    fn build(&mut self) {
+        for index in 0..9 {
+            let pool = if index < 6 { "main" } else { "side" };
+            self.add_target(zone(index % ZONES), pool);
+        }
+        for index in 0..self.plan.entries {
+            let port = FIRST_PORT + u16::try_from(index).unwrap_or_default();
+            self.entries.push(EntryNode::new(zone(index % ZONES), address(port)));
+            self.after(Duration::from_millis(10), WorldEvent::StartEntry(index));
+        }
+        self.after(Duration::ZERO, WorldEvent::Register);
+        self.after(Duration::from_secs(4), WorldEvent::Act);
+        if let Some(pause) = self.plan.fault_pause {
+            self.after(pause + Duration::from_secs(6), WorldEvent::Fault);
+        }
+    }
+
+    pub(crate) fn add_target(&mut self, zone: ZoneId, pool: &str) {
+        let index = self.targets.len();
+        let port = FIRST_TARGET_PORT + u16::try_from(index).unwrap_or_default();
+        let instance = format!("i{index}").parse().expect("a short name");
+        let pool = pool.parse().expect("a short name");
+        let run = TargetRun(self.random.random());
+        self.targets.push(TargetNode::new(instance, zone, pool, address(port), run));
+    }
+
+    /// Runs the world to its end and returns what it found.
+    pub fn run(mut self) -> SoakReport {
+        while self.report.steps < self.plan.steps && self.report.violations.is_empty() {
+            self.step();
+        }
+        if self.report.violations.is_empty() {
+            self.settle();
+            self.check_end();
+        }
+        self.report.virtual_ms = self.now.0 / 1_000;
+        self.report
+    }
+
+    fn settle(&mut self) {
+        self.is_settling = true;
+        self.end_faults();
+        let end = self.now + SETTLE_TIME;
+        while self.now < end && self.report.violations.is_empty() {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let Some(((at, _), event)) = self.events.pop_first() else { return };
+        debug_assert!(at >= self.now, "time goes back");
+        self.now = at;
+        self.report.steps += 1;
+        match event {
+            WorldEvent::Tick(entry, boot) => self.tick(entry, boot),
+            WorldEvent::Deliver(entry, boot, event) => self.deliver(entry, boot, *event),
+            WorldEvent::AtPlatform { source, request, fate } => {
+                self.at_platform(source, *request, fate);
+            }
+            WorldEvent::AtTarget { source, target, request, answers } => {
+                self.at_target(source, target, *request, answers);
+            }
+            WorldEvent::Timeout { source, is_platform, target } => {
+                self.time_out(source, is_platform, target);
+            }
+            WorldEvent::TargetDue(target) => self.poll_target(target),
+            WorldEvent::Register => self.register(),
+            WorldEvent::Act => self.act_in_turn(),
+            WorldEvent::Fault => self.inject(),
+            WorldEvent::EndFault(end) => self.end_fault(end),
+            WorldEvent::StartEntry(entry) => self.start_entry(entry),
+            WorldEvent::Call { entry, call, request } => self.take_call(entry, call, *request),
+        }
+    }
+
+    pub(crate) fn after(&mut self, span: Duration, event: WorldEvent) {
+        self.sequence += 1;
+        self.events.insert((self.now + span, self.sequence), event);
+    }
+
+    pub(crate) fn latency(&mut self) -> Duration {
+        Duration::from_micros(self.random.random_range(500..4_000))
+    }
+
+    fn register(&mut self) {
+        self.after(REGISTER, WorldEvent::Register);
+        for target in &self.targets {
+            self.platform.list.register(self.now, &target.record());
+        }
+        if self.report.steps > 0 && self.watch.newest().is_none() && self.entries[0].is_up() {
+            self.send_first_document();
+        }
+    }
+
+    fn act_in_turn(&mut self) {
+        if self.is_settling {
+            return;
+        }
+        let pause = self.plan.act_pause.mul_f64(self.random.random_range(0.1..1.9));
+        self.after(pause, WorldEvent::Act);
+        if self.watch.newest().is_some() {
+            self.act();
+        }
+    }
+
+    fn start_entry(&mut self, index: usize) {
+        if self.entries[index].is_up() {
+            return;
+        }
+        let id = EntryId(self.random.random());
+        let seed = self.random.random();
+        self.entries[index].start(self.now, id, seed);
+        let boot = self.entries[index].boot;
+        self.after(TICK, WorldEvent::Tick(index, boot));
+    }
+
+    /// Kills the current run of an entry and starts another one some time later.
+    pub(crate) fn kill_entry(&mut self, index: usize, pause: Duration) {
+        let boot = self.entries[index].boot;
+        self.report.unknown += self.callers.drop_boot(index, boot);
+        self.entries[index].kill();
+        self.open_calls.retain(|source| source.entry != index);
+        self.after(pause, WorldEvent::StartEntry(index));
+    }
+
+    fn tick(&mut self, index: usize, boot: u32) {
+        if self.entries[index].boot != boot {
+            return;
+        }
+        self.deliver(index, boot, EntryEvent::Tick);
+        if self.entries[index].boot == boot {
+            let pause = self.entries[index].paused_until.map(|until| until.since(self.now));
+            self.after(pause.unwrap_or(TICK).max(TICK), WorldEvent::Tick(index, boot));
+        }
+    }
+
+    /// Hands an event to an entry; one that stands still gets it when it goes on.
+    pub(crate) fn deliver(&mut self, index: usize, boot: u32, event: EntryEvent) {
+        let entry = &mut self.entries[index];
+        if entry.boot != boot {
+            return;
+        }
+        if let Some(until) = entry.paused_until.filter(|until| *until > self.now) {
+            if !matches!(event, EntryEvent::Tick) {
+                let wait = until.since(self.now);
+                self.after(wait, WorldEvent::Deliver(index, boot, Box::new(event)));
+            }
+            return;
+        }
+        if !self.note_delivery(index, boot, &event) {
+            return;
+        }
+        let entry = &mut self.entries[index];
+        let clock = entry.clock(self.now);
+        let mut actions = Vec::new();
+        let Some(machine) = entry.machine.as_mut() else { return };
+        machine.handle(clock, event, &mut actions);
+        let broken = machine.counts().broken_invariants;
+        let is_fresh = machine.is_fresh(clock);
+        let version = machine.config_version();
+        self.check_machine(index, broken, is_fresh, version);
+        for action in actions {
+            self.perform(index, boot, action);
+        }
+    }
+
+    /// Notes that an event reaches an entry. Returns false for a second answer to one call, which
+    /// the I/O drops.
+    fn note_delivery(&mut self, entry: usize, boot: u32, event: &EntryEvent) -> bool {
+        match event {
+            EntryEvent::Caller { call, .. } => {
+                let source = CallSource { entry, boot, call: *call };
+                if let Some(open) = self.callers.open.get_mut(&source) {
+                    open.taken_at = self.now;
+                }
+                true
+            }
+            EntryEvent::Platform { call, .. } | EntryEvent::Target { call, .. } => {
+                self.open_calls.swap_remove(&CallSource { entry, boot, call: *call })
+            }
+            _ => true,
+        }
+    }
+
+    fn check_machine(
+        &mut self,
+        index: usize,
+        broken: u64,
+        is_fresh: bool,
+        version: magnoliapin_model::ConfigVersion,
+    ) {
+        let now = self.now;
+        self.report.check(CheckKind::MachineInvariant, broken == 0, || {
+            format!("{now:?} entry {index} broke {broken} invariants")
+        });
+        if is_fresh {
+            let due = self.watch.due_version(now);
+            self.report.check(CheckKind::ConfigCurrent, version >= due, || {
+                format!("{now:?} entry {index} takes version {version} for current, not {due}")
+            });
+        }
+    }
+
+    fn perform(&mut self, index: usize, boot: u32, action: EntryAction) {
+        match action {
+            EntryAction::Answer { call, answer } => {
+                self.take_answer(CallSource { entry: index, boot, call }, answer);
+            }
+            EntryAction::Platform { call, request, timeout } => {
+                let source = CallSource { entry: index, boot, call };
+                self.call_platform(source, request, timeout);
+            }
+            EntryAction::Target { call, address, request, timeout, new_connection, .. } => {
+                let source = CallSource { entry: index, boot, call };
+                self.call_target(source, address, request, timeout, new_connection);
+            }
+            EntryAction::Send { address, to, message } => self.send(index, address, to, message),
+            EntryAction::Record(_) => {}
+            EntryAction::Stopped | EntryAction::Restart => {
+                let pause = Duration::from_millis(self.random.random_range(100..3_000));
+                self.kill_entry(index, pause);
+            }
+        }
+    }
+
+    /// Sends a caller's request to some entry.
+    pub(crate) fn call_entry(&mut self, kind: CallKind, marker: u64, request: CallerRequest) {
+        let up = (0..self.entries.len()).filter(|index| self.entries[*index].is_up());
+        let up = up.collect::<Vec<_>>();
+        if up.is_empty() {
+            return;
+        }
+        let entry = up[self.random.random_range(0..up.len())];
+        let call = OpenCall { kind, key: request.key, marker, taken_at: self.now };
+        let wait = self.latency();
+        self.after(wait, WorldEvent::Call { entry, call, request: Box::new(request) });
+    }
+
+    fn take_call(&mut self, entry: usize, open: OpenCall, request: CallerRequest) {
+        if !self.entries[entry].is_up() {
+            return;
+        }
+        self.last_caller_call += 1;
+        let call = CallId(self.last_caller_call);
+        let boot = self.entries[entry].boot;
+        self.callers.open.insert(CallSource { entry, boot, call }, open);
+        self.deliver(entry, boot, EntryEvent::Caller { call, request });
+    }
+
+    fn take_answer(&mut self, source: CallSource, answer: CallerAnswer) {
+        let open = self.callers.open.swap_remove(&source);
+        let now = self.now;
+        self.report.check(CheckKind::AnsweredOnce, open.is_some(), || {
+            format!("{now:?} a second answer to {source:?}: {answer:?}")
+        });
+        let Some(open) = open else { return };
+        let ran = matches!(answer, CallerAnswer::Output { .. } | CallerAnswer::Accepted(_));
+        if let Some(key) = open.key.filter(|_| ran) {
+            let withdrawn = self.watch.is_long_withdrawn(&key, open.taken_at);
+            self.report.check(CheckKind::KeyWithdrawn, !withdrawn, || {
+                format!("{now:?} entry {} took work at {:?}", source.entry, open.taken_at)
+            });
+        }
+        self.note_answer(&open, &answer);
+        if let CallerAnswer::Refused(refusal) = &answer {
+            *self.report.refused.entry(refusal.kind).or_default() += 1;
+        }
+        match answer {
+            CallerAnswer::Output { output } => self.check_output(open.marker, &output),
+            CallerAnswer::Accepted(view) => self.note_accepted(open.marker, view.id),
+            CallerAnswer::Refused(refusal) if refusal.outcome == WorkOutcome::NotRun => {
+                self.report.not_run += 1;
+                self.check_not_run(&open);
+            }
+            CallerAnswer::Refused(refusal) if refusal.outcome == WorkOutcome::Unknown => {
+                self.report.unknown += 1;
+            }
+            _ => {}
+        }
+    }
+
+    fn note_answer(&mut self, open: &OpenCall, answer: &CallerAnswer) {
+        if !matches!(open.kind, CallKind::Run | CallKind::Submit) {
+            return;
+        }
+        let not_run = match answer {
+            CallerAnswer::Refused(refusal) => refusal.outcome == WorkOutcome::NotRun,
+            _ => false,
+        };
+        if let Some(work) = self.callers.work_mut(open.marker) {
+            work.answers += 1;
+            work.only_not_run &= not_run;
+        }
+    }
+
+    fn note_accepted(&mut self, marker: u64, id: magnoliapin_model::WorkId) {
+        let now = self.now;
+        let Some(work) = self.callers.work_mut(marker) else { return };
+        let before = work.job.replace(id);
+        if before.is_none() {
+            self.report.accepted += 1;
+        }
+        self.report.check(CheckKind::OwnAnswer, before.is_none_or(|job| job == id), || {
+            format!("{now:?} marker {marker} became two jobs, {before:?} and {id}")
+        });
+    }
+
+    fn check_output(&mut self, marker: u64, output: &[u8]) {
+        self.report.answered += 1;
+        let now = self.now;
+        let is_own = self.callers.work(marker).is_some_and(|work| work.payload == output);
+        self.report.check(CheckKind::OwnAnswer, is_own, || {
+            format!("{now:?} marker {marker} got {:?}", String::from_utf8_lossy(output))
+        });
+    }
+}
+
+pub(crate) fn zone(index: usize) -> ZoneId {
+    format!("z{index}").parse().expect("a short name")
+}
+
+fn address(port: u16) -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, port).into()
+}
--- /dev/null
+++ b/crates/magnoliapin_soak/src/world_calls.rs
@@ -0,0 +1,200 @@
+//! Calls and datagrams on their way between the parts of a world.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use magnoliapin_model::EntryId;
+use magnoliapin_policy::EntryEvent;
+use magnoliapin_standin::CallFate;
+use magnoliapin_wire::CallFailure;
+use magnoliapin_wire::PeerMessage;
+use magnoliapin_wire::PlatformReply;
+use magnoliapin_wire::PlatformRequest;
+use magnoliapin_wire::TargetReply;
+use magnoliapin_wire::TargetRequest;
+use magnoliapin_wire::TaskState;
+use rand::Rng;
+
+use crate::target_node::CallSource;
+use crate::target_node::TargetNode;
+use crate::world::SoakWorld;
+use crate::world::WorldEvent;
+use crate::world::FIRST_PORT;
+use crate::world::FIRST_TARGET_PORT;
+
+impl SoakWorld {
+    pub(crate) fn call_platform(
+        &mut self,
+        source: CallSource,
+        request: PlatformRequest,
+        timeout: Duration,
+    ) {
+        self.open_calls.insert(source);
+        let expiry = WorldEvent::Timeout { source, is_platform: true, target: None };
+        self.after(timeout, expiry);
+        if !self.links.reaches_platform(self.entries[source.entry].zone) {
+            return;
+        }
+        let fate = self.platform.faults.draw();
+        let wait = match fate {
+            CallFate::Delayed { before, .. } => before,
+            CallFate::Answered | CallFate::Dropped | CallFate::Lost => Duration::ZERO,
+        };
+        let wait = wait + self.latency();
+        let request = Box::new(request);
+        self.after(wait, WorldEvent::AtPlatform { source, request, fate });
+    }
+
+    pub(crate) fn at_platform(
+        &mut self,
+        source: CallSource,
+        request: PlatformRequest,
+        fate: CallFate,
+    ) {
+        if fate == CallFate::Dropped {
+            return;
+        }
+        let reply = self.platform.carry_out(self.now, request);
+        if matches!(reply, PlatformReply::Transaction(_)) {
+            self.watch.look(self.now, &mut self.platform.table);
+            self.check_parts();
+        }
+        let wait = match fate {
+            CallFate::Lost => return,
+            CallFate::Delayed { after, .. } => after,
+            CallFate::Answered | CallFate::Dropped => Duration::ZERO,
+        };
+        let wait = wait + self.latency();
+        let event = EntryEvent::Platform { call: source.call, reply };
+        self.after(wait, WorldEvent::Deliver(source.entry, source.boot, Box::new(event)));
+    }
+
+    pub(crate) fn call_target(
+        &mut self,
+        source: CallSource,
+        address: SocketAddr,
+        request: TargetRequest,
+        timeout: Duration,
+        new_connection: bool,
+    ) {
+        self.open_calls.insert(source);
+        let target = usize::from(address.port() - FIRST_TARGET_PORT);
+        let expiry = WorldEvent::Timeout { source, is_platform: false, target: Some(target) };
+        self.after(timeout, expiry);
+        let is_silent = !new_connection && self.links.is_silent(source.entry, target);
+        let near = self.links.reaches(self.entries[source.entry].zone, self.targets[target].zone);
+        if !near || (is_silent && self.random.random_bool(0.5)) {
+            return;
+        }
+        let wait = self.latency();
+        let request = Box::new(request);
+        let answers = !is_silent && !self.random.random_bool(0.002);
+        self.after(wait, WorldEvent::AtTarget { source, target, request, answers });
+    }
+
+    pub(crate) fn at_target(
+        &mut self,
+        source: CallSource,
+        index: usize,
+        request: TargetRequest,
+        answers: bool,
+    ) {
+        let target = &mut self.targets[index];
+        if !target.is_up {
+            let reply = TargetReply::Failed(CallFailure::NotSent);
+            self.answer_target(source, reply);
+            return;
+        }
+        if let Some(until) = target.paused_until.filter(|until| *until > self.now) {
+            let wait = until.since(self.now);
+            let request = Box::new(request);
+            self.after(wait, WorldEvent::AtTarget { source, target: index, request, answers });
+            return;
+        }
+        let start = match &request {
+            TargetRequest::Start(start) => Some(start.clone()),
+            _ => None,
+        };
+        let starts = |target: &TargetNode| match &start {
+            Some(start) => target.state.ledger().starts().get(&start.task).copied().unwrap_or(0),
+            None => 0,
+        };
+        let before = starts(target);
+        let reply = target.take(self.now, source, request);
+        let after = starts(target);
+        if let Some(start) = start.filter(|_| after > before) {
+            self.callers.note_start(&start);
+            self.check_limit(start.team);
+        }
+        if let Some(reply) = reply.filter(|_| answers) {
+            self.answer_target(source, reply);
+        }
+        self.poll_target(index);
+        if let Some(due) = self.targets[index].state.next_end() {
+            self.after(due.since(self.now), WorldEvent::TargetDue(index));
+        }
+    }
+
+    pub(crate) fn poll_target(&mut self, index: usize) {
+        let target = &mut self.targets[index];
+        if !target.is_up || target.paused_until.is_some_and(|until| until > self.now) {
+            return;
+        }
+        for (reply, sources) in target.poll(self.now) {
+            if reply.state == TaskState::Finished {
+                self.check_effect(reply.task);
+            }
+            for source in sources {
+                self.answer_target(source, TargetReply::Task(reply.clone()));
+            }
+        }
+    }
+
+    fn answer_target(&mut self, source: CallSource, reply: TargetReply) {
+        let wait = self.latency();
+        let event = EntryEvent::Target { call: source.call, reply };
+        self.after(wait, WorldEvent::Deliver(source.entry, source.boot, Box::new(event)));
+    }
+
+    pub(crate) fn send(
+        &mut self,
+        from: usize,
+        to: SocketAddr,
+        id: Option<EntryId>,
+        message: PeerMessage,
+    ) {
+        let index = usize::from(to.port() - FIRST_PORT);
+        let receiver = &self.entries[index];
+        let is_known = id.is_none_or(|id| id == receiver.id);
+        let reached = self.links.reaches(self.entries[from].zone, receiver.zone);
+        if !is_known || !reached || !receiver.is_up() || self.random.random_bool(0.01) {
+            return;
+        }
+        let boot = receiver.boot;
+        let sender = &self.entries[from];
+        let event = EntryEvent::Peer { from: sender.id, address: sender.address, message };
+        let wait = self.latency();
+        self.after(wait, WorldEvent::Deliver(index, boot, Box::new(event)));
+    }
+
+    pub(crate) fn time_out(
+        &mut self,
+        source: CallSource,
+        is_platform: bool,
+        target: Option<usize>,
+    ) {
+        if !self.open_calls.contains(&source) {
+            return;
+        }
+        if let Some(target) = target {
+            self.links.reconnect(source.entry, target);
+        }
+        let call = source.call;
+        let event = if is_platform {
+            EntryEvent::Platform { call, reply: PlatformReply::Failed(CallFailure::Unknown) }
+        } else {
+            EntryEvent::Target { call, reply: TargetReply::Failed(CallFailure::Unknown) }
+        };
+        self.deliver(source.entry, source.boot, event);
+    }
+}
