--- a/crates/magnoliapin_fleet/src/plan/rollouts.rs
+++ b/crates/magnoliapin_fleet/src/plan/rollouts.rs
@@ -97,7 +97,7 @@
 /// Returns how many canaries a pool with these members has.
 pub(super) fn canary_count(draft: &PlanDraft<'_>, members: &[InstanceId]) -> u32 {
     let size = u32::try_from(members.len()).unwrap_or(u32::MAX);
-    draft.document.maintenance.canary_instances.clamp(1, size.max(1))
+    draft.document.maintenance.canary_instances.max(1).min(size)
 }
 
 /// Counts of a pool's members by image and health.
