Let changes that guard the same row share a transaction

Cause: every change of a job guards the entry's own member row, and the group commit took a key that two changes guard for a collision. So each transaction carried one change.

Ruled out: fences (no target refused the heir; it sent nothing), allotments (it held parts), the platform (its answers took well under a millisecond).

Change: a change collides only with a write of a row that it uses, or where it writes a row that an earlier one uses.

--- a/crates/magnoliapin_policy/src/commit.rs
+++ b/crates/magnoliapin_policy/src/commit.rs
@@ -76,11 +76,6 @@
         self
     }
 
-    fn keys(&self) -> impl Iterator<Item = &String> {
-        let guarded = self.guards.iter().map(|guard| &guard.key);
-        guarded.chain(self.writes.iter().map(|write| &write.key))
-    }
-
     fn loses_to(&self, rows: &[TableRow]) -> bool {
         self.guards.iter().any(|guard| {
             rows.iter().any(|row| row.key == guard.key && row.version != guard.version)
@@ -104,6 +99,30 @@
     Conflict(Vec<TableRow>),
 }
 
+/// Keys of the changes that come before another one in a batch or were held back from it.
+#[derive(Debug, Default)]
+struct BatchKeys {
+    guarded: IndexSet<String>,
+    written: IndexSet<String>,
+}
+
+impl BatchKeys {
+    /// Returns whether a change must not share a transaction with the earlier ones.
+    ///
+    /// Any number of changes may guard the same row as long as none of them writes it.
+    fn collide(&self, change: &RowChange) -> bool {
+        let is_written = |key| self.written.contains(key);
+        let is_used = |key| is_written(key) || self.guarded.contains(key);
+        change.guards.iter().any(|guard| is_written(&guard.key))
+            || change.writes.iter().any(|write| is_used(&write.key))
+    }
+
+    fn add(&mut self, change: &RowChange) {
+        self.guarded.extend(change.guards.iter().map(|guard| guard.key.clone()));
+        self.written.extend(change.writes.iter().map(|write| write.key.clone()));
+    }
+}
+
 #[derive(Debug)]
 struct FlightBatch {
     token: ClientToken,
@@ -168,12 +187,12 @@
         if self.waiting.is_empty() || self.next_at > out.now {
             return;
         }
-        let mut keys = IndexSet::new();
+        let mut keys = BatchKeys::default();
         let mut changes = Vec::new();
         let mut held_back = VecDeque::new();
         while let Some(change) = self.waiting.pop_front() {
-            let collides = change.keys().any(|key| keys.contains(key));
-            keys.extend(change.keys().cloned());
+            let collides = keys.collide(&change);
+            keys.add(&change);
             if collides || changes.len() >= MAX_BATCH_CHANGES {
                 held_back.push_back(change);
             } else {
--- a/crates/magnoliapin_policy/src/lib.rs
+++ b/crates/magnoliapin_policy/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod allotment;
 mod commit;
+#[cfg(test)]
+mod commit_tests;
 mod config;
 mod counts;
 mod event;
