Let no move lengthen the slowest roll-out where roll-outs outweigh shares

Cause: Kyushu's roll-out was slower than the static fleet's because pools that had grown need more waves inside the same budget.

Ruled out: a price of the longer roll-out in hours by its weight; a wave is 0.06 hours, which no weight of the examples makes as dear as one move.

Change: where [weights] has rollout above share, a move that would give a pool more waves than the slowest pool has is not made.

--- a/crates/magnoliapin_fleet/src/plan/moves.rs
+++ b/crates/magnoliapin_fleet/src/plan/moves.rs
@@ -26,6 +26,7 @@
     /// Instances' worth of slow demand.
     demand: f64,
     is_spare: bool,
+    max_unavailable: f64,
     /// Whether a move from or to the pool may start now.
     is_free: bool,
 }
@@ -38,6 +39,11 @@
         self.demand * self.demand / instances
     }
 
+    /// Returns the waves that a roll-out to the pool takes.
+    fn waves(&self, change: f64) -> f64 {
+        ((self.instances + change) / self.max_unavailable.max(1.0)).ceil()
+    }
+
     fn load(&self, change: f64) -> f64 {
         self.demand / (self.instances + change).max(0.5)
     }
@@ -71,6 +77,7 @@
         instances: future_members(draft, *pool),
         demand: asked.get(pool).copied().unwrap_or(0.0),
         is_spare: section.spare,
+        max_unavailable: f64::from(section.max_unavailable),
         is_free: !has_moves(draft, *pool) && !has_rollout(draft, *pool),
     });
     Some(loads.collect())
@@ -114,6 +121,9 @@
 /// Returns the move that gains most, as places of the two pools, if one is worth its price.
 fn best_move(draft: &PlanDraft<'_>, loads: &[PoolLoad]) -> Option<(usize, usize)> {
     let weights = &draft.document.weights;
+    // Where roll-outs weigh more than shares, no move makes the slowest of them slower.
+    let is_bound = weights.rollout > weights.share;
+    let slowest = loads.iter().map(|load| load.waves(0.0)).fold(0.0, f64::max);
     let mut best = None;
     let mut best_gain = weights.moves;
     for (from, giver) in loads.iter().enumerate() {
@@ -122,7 +132,8 @@
                 continue;
             }
             let is_uneven = taker.load(0.0) > LOAD_RATIO * giver.load(-1.0);
-            if !is_uneven || giver.instances < 1.0 {
+            let is_slower = is_bound && taker.waves(1.0) > slowest;
+            if !is_uneven || is_slower || giver.instances < 1.0 {
                 continue;
             }
             let saved = taker.wait_cost(0.0) - taker.wait_cost(1.0);
