Keep the slowest roll-out's pool the only slowest one

Cause: with several pools as slow as the slowest, the last to finish decides, and Kyushu's roll-out stayed above the static fleet's.

Bursts fill a whole pool or none of it, so the choice of the instance hardly changes the drain.

Change: where roll-outs outweigh shares, a move may not bring a pool up to the waves of the slowest pool, either.

--- a/crates/magnoliapin_fleet/examples/fleet_measure/trial.rs
+++ b/crates/magnoliapin_fleet/examples/fleet_measure/trial.rs
@@ -114,7 +114,10 @@
     let mut fleet_random = Pcg64::seed_from_u64(seed + 1_000);
     let mut day = TrialDay::new(site, kind, &mut demand_random);
     day.adopt(&mut fleet_random);
+    let rest_of_day = DAY_SECONDS - ROLLOUT_AT_SECONDS;
     let mut result = TrialResult::default();
+    result.rollout_minutes = rest_of_day as f64 / 60.0;
+    let mut is_rolled_out = false;
     let spare = day.spare();
     for seconds in (0..DAY_SECONDS).step_by(STEP_SECONDS as usize) {
         let now = start().after(seconds);
@@ -131,7 +134,8 @@
         }
         let held = f64::from(day.fleet.snapshot.pool(spare).row.members);
         result.buffer_hours += held * STEP_SECONDS as f64 / 3_600.0;
-        if result.rollout_minutes == 0.0 && seconds > ROLLOUT_AT_SECONDS && day.is_rolled_out() {
+        if !is_rolled_out && seconds > ROLLOUT_AT_SECONDS && day.is_rolled_out() {
+            is_rolled_out = true;
             result.rollout_minutes = (seconds - ROLLOUT_AT_SECONDS) as f64 / 60.0;
         }
     }
--- a/crates/magnoliapin_fleet/src/plan/moves.rs
+++ b/crates/magnoliapin_fleet/src/plan/moves.rs
@@ -132,7 +132,7 @@
                 continue;
             }
             let is_uneven = taker.load(0.0) > LOAD_RATIO * giver.load(-1.0);
-            let is_slower = is_bound && taker.waves(1.0) > slowest;
+            let is_slower = is_bound && taker.waves(1.0) >= slowest;
             if !is_uneven || is_slower || giver.instances < 1.0 {
                 continue;
             }
