Widen the hysteresis of moves between serving pools

Change: a pool receives from another serving pool only if it stays 1.3 times as loaded, not 1.15 times.

--- a/crates/magnoliapin_fleet/src/plan/moves.rs
+++ b/crates/magnoliapin_fleet/src/plan/moves.rs
@@ -13,7 +13,7 @@
 /// Time for which demand is reckoned to stay as it is, in hours.
 const HORIZON_HOURS: f64 = 2.0;
 /// The receiving pool must be this much more loaded than the giving one after the move.
-const LOAD_RATIO: f64 = 1.15;
+const LOAD_RATIO: f64 = 1.3;
 /// Most moves of one plan.
 const MOVES_PER_PLAN: usize = 4;
 
