Keep limits that are lowered while an entry is cut off; adopt and cancel second submissions

Ruled out for (1): stopping a cut-off entry at once, which would end its service; an expiry of parts, which needs clocks. Change: (1) an entry that does not know its configuration to be current uses half of its part, and a lowered limit is accepted only where the halves of all parts leave room for it, guarded by the allotment's row; the refusal names the lowest limit. (2) A scan that skipped a job starts again.

--- a/crates/magnoliapin_policy/src/allotment.rs
+++ b/crates/magnoliapin_policy/src/allotment.rs
@@ -66,18 +66,29 @@
     /// Returns how many tasks this entry may have running under `limit`.
     ///
     /// A limit that was lowered below the one that the parts were dealt from takes every part down
-    /// in proportion at once.
-    pub(crate) fn usable(&self, own: EntryId, limit: SlotCount) -> u32 {
-        let part = u64::from(self.part(own));
+    /// in proportion at once. An entry that cannot know whether the limit was lowered keeps to
+    /// [`stale_part`], which every accepted limit leaves room for.
+    pub(crate) fn usable(&self, own: EntryId, limit: SlotCount, is_fresh: bool) -> u32 {
+        let part = self.part(own);
+        if !is_fresh {
+            return stale_part(part);
+        }
         let dealt = u64::from(self.row.limit.0);
-        let limit = u64::from(limit.0);
-        let scaled = if limit < dealt { part * limit / dealt } else { part };
-        u32::try_from(scaled).unwrap_or(u32::MAX)
+        if u64::from(limit.0) >= dealt {
+            return part;
+        }
+        let scaled = u64::from(part) * u64::from(limit.0) / dealt;
+        u32::try_from(scaled).unwrap_or(u32::MAX).max(stale_part(part))
+    }
+
+    /// Returns the lowest limit that can be enforced even on entries that are cut off.
+    pub(crate) fn lowest_limit(&self) -> u32 {
+        self.row.parts.values().map(|part| stale_part(*part)).sum()
     }
 
     /// Returns whether one more task may start.
-    pub(crate) fn may_start(&self, own: EntryId, limit: SlotCount) -> bool {
-        let usable = self.usable(own, limit);
+    pub(crate) fn may_start(&self, own: EntryId, limit: SlotCount, is_fresh: bool) -> bool {
+        let usable = self.usable(own, limit, is_fresh);
         self.running < usable.min(self.cap.unwrap_or(usable))
     }
 
@@ -246,6 +257,11 @@
     }
 }
 
+/// Returns the slots that an entry goes on using while it cannot know whether the limit was lowered.
+fn stale_part(part: u32) -> u32 {
+    part / 2
+}
+
 fn lacks(usage: &TeamUsage) -> bool {
     usage.waiting > 0 && usage.running >= usage.part
 }
--- a/crates/magnoliapin_policy/src/machine.rs
+++ b/crates/magnoliapin_policy/src/machine.rs
@@ -159,6 +159,7 @@
         self.expire_requests();
         self.expire_bindings();
         self.expire_accepts();
+        self.expire_cancels();
         self.expire_applies();
         self.release_targets();
         self.settle_lost_tasks();
--- a/crates/magnoliapin_policy/src/machine/applies.rs
+++ b/crates/magnoliapin_policy/src/machine/applies.rs
@@ -19,6 +19,7 @@
 use magnoliapin_wire::ConfigChange;
 use magnoliapin_wire::RefusalView;
 
+use crate::allotment::TeamPart;
 use crate::commit::ChangeOutcome;
 use crate::commit::ChangeTag;
 use crate::commit::RowChange;
@@ -45,6 +46,8 @@
 struct NextConfig {
     head: ConfigHead,
     sections: IndexMap<SectionName, String>,
+    /// Teams whose limits it lowers; their allotments must not change meanwhile.
+    lowered: Vec<TeamId>,
 }
 
 impl EntryMachine {
@@ -118,14 +121,44 @@
                 None => sections.shift_remove(name),
             };
         }
-        ConfigDocument::from_sections(&sections).map_err(|errors| {
+        let document = ConfigDocument::from_sections(&sections).map_err(|errors| {
             let mut refusal = RefusalView::new(ErrorKind::BadDocument, "the document has errors");
             refusal.errors = errors;
             Box::new(refusal)
         })?;
+        self.check_limits(&document)?;
         let mut head = self.config.head.clone();
         head.record(&changes.keys().copied().collect::<Vec<_>>());
-        Ok(Some(NextConfig { head, sections }))
+        let lowered = self.lowered_teams(&document);
+        Ok(Some(NextConfig { head, sections, lowered }))
+    }
+
+    /// Returns the teams whose limits a document lowers.
+    fn lowered_teams(&self, document: &ConfigDocument) -> Vec<TeamId> {
+        let is_lower = |team: &TeamId, old: u32| {
+            document.teams.get(team).map_or(0, |section| section.limit.0) < old
+        };
+        let teams = self.config.document.teams.iter();
+        let lowered = teams.filter(|(team, section)| is_lower(team, section.limit.0));
+        lowered.map(|(team, _)| *team).collect()
+    }
+
+    /// Checks that lowered limits hold on entries that are cut off, too.
+    fn check_limits(&self, document: &ConfigDocument) -> Result<(), Box<RefusalView>> {
+        for team in self.lowered_teams(document) {
+            let limit = document.teams.get(&team).map_or(0, |section| section.limit.0);
+            let part = self.allotments.parts.get(&team);
+            let lowest = part.map_or(0, TeamPart::lowest_limit);
+            if limit < lowest {
+                let message = format!(
+                    "team {team} cannot be limited to {limit} at once: entries that are cut off \
+                     may go on with half of their parts, {lowest} slots in all; lower the limit \
+                     to {lowest} first and further when the parts have been given back"
+                );
+                return Err(Box::new(RefusalView::new(ErrorKind::BudgetExceeded, message)));
+            }
+        }
+        Ok(())
     }
 
     /// Returns the sections that a change gives another text than they have.
@@ -188,6 +221,10 @@
             let row = SectionRow { owner, version, text };
             change = change.with_write(RowKey::Section(name), Some(row.to_json()));
         }
+        for team in &next.lowered {
+            let version = self.allotments.part(*team).version;
+            change = change.with_guard(RowKey::Allotment(*team), version);
+        }
         self.applies[index].flight = Some(next);
         let change = self.guard_member(change);
         self.control_commits.push(change);
@@ -210,7 +247,10 @@
                 );
                 self.finish_apply(index, CallerAnswer::Applied { version });
             }
-            _ => {
+            (outcome, _) => {
+                if let ChangeOutcome::Conflict(rows) = outcome {
+                    self.take_allotments(rows);
+                }
                 if self.applies[index].call.is_none() {
                     self.applies.remove(index);
                 }
--- a/crates/magnoliapin_policy/src/machine/dispatch.rs
+++ b/crates/magnoliapin_policy/src/machine/dispatch.rs
@@ -130,7 +130,8 @@
     fn load(&self, team: TeamId) -> Option<TeamLoad> {
         let section = self.config.document.teams.get(&team)?;
         let part = self.allotments.parts.get(&team)?;
-        if !part.may_start(self.identity.entry, section.limit) {
+        let is_fresh = self.is_fresh(self.out.now);
+        if !part.may_start(self.identity.entry, section.limit, is_fresh) {
             return None;
         }
         let elsewhere = self.peers.usage_elsewhere(team, self.out.now);
@@ -142,14 +143,15 @@
         let own = self.identity.entry;
         let section = self.config.document.teams.get(&team);
         let limit = section.map_or(SlotCount(0), |section| section.limit);
+        let is_fresh = self.is_fresh(self.out.now);
         let part = self.allotments.part(team);
         part.running += 1;
         invariant!(
             self.out.counts,
-            part.running <= part.usable(own, limit),
+            part.running <= part.usable(own, limit, is_fresh),
             "team {team} runs {} tasks on a part of {}",
             part.running,
-            part.usable(own, limit)
+            part.usable(own, limit, is_fresh)
         );
         self.targets.note_start(target.instance);
     }
--- a/crates/magnoliapin_policy/src/machine/jobs.rs
+++ b/crates/magnoliapin_policy/src/machine/jobs.rs
@@ -23,6 +23,7 @@
 use crate::commit::RowChange;
 use crate::machine::outcomes::STOPPED_REASON;
 use crate::reads::ReadTag;
+use crate::work::CancelWait;
 use crate::work::WorkStage;
 use crate::CallId;
 use crate::EntryMachine;
@@ -153,7 +154,7 @@
         let Some(hold) = entry.job_mut() else { return };
         hold.version = version;
         let task = TaskId::new(work, hold.row.attempt);
-        let cancelled = hold.row.cancel_requested || !hold.cancelling.is_empty();
+        let cancelled = hold.row.cancel_requested;
         match stage {
             WorkStage::Binding(target) if cancelled => {
                 self.release(team, target.instance);
@@ -177,9 +178,15 @@
         if let Some(target) = entry.reserved() {
             self.release(entry.team, target.instance);
         }
-        let callers = entry.job_mut().map(|hold| std::mem::take(&mut hold.accepting));
+        let Some(hold) = entry.job_mut() else { return };
+        let (callers, waits) =
+            (std::mem::take(&mut hold.accepting), std::mem::take(&mut hold.cancelling));
         let found = find_job(work, rows);
-        for call in callers.unwrap_or_default() {
+        for wait in waits {
+            let message = "the job was handed in before and is held elsewhere; cancel it again";
+            self.out.refuse(wait.call, ErrorKind::Conflict, message);
+        }
+        for call in callers {
             match &found {
                 Some((_, row)) => {
                     let view = view_of(work, row);
@@ -198,9 +205,29 @@
         if hold.row.state == JobState::Unknown {
             self.out.counts.unknown_outcomes += 1;
         }
-        let view = view_of(work, &hold.row);
-        for call in std::mem::take(&mut hold.cancelling) {
-            self.out.answer(call, CallerAnswer::Job(view.clone()));
+        let (row, waits) = (hold.row.clone(), std::mem::take(&mut hold.cancelling));
+        self.answer_cancels(work, &row, waits);
+    }
+
+    /// Answers callers who wait for the end of a cancellation.
+    fn answer_cancels(&mut self, work: WorkId, row: &JobRow, waits: Vec<CancelWait>) {
+        for wait in waits {
+            self.out.answer(wait.call, CallerAnswer::Job(view_of(work, row)));
+        }
+    }
+
+    /// Tells callers who have waited long for the end of a cancellation how their jobs stand.
+    pub(crate) fn expire_cancels(&mut self) {
+        let now = self.out.now;
+        let mut due = Vec::new();
+        for (work, entry) in &mut self.work.entries {
+            let Some(hold) = entry.job_mut() else { continue };
+            if hold.cancelling.iter().any(|wait| wait.deadline <= now) {
+                due.push((*work, hold.row.clone(), std::mem::take(&mut hold.cancelling)));
+            }
+        }
+        for (work, row, waits) in due {
+            self.answer_cancels(work, &row, waits);
         }
     }
 
@@ -262,11 +289,9 @@
             self.tasks.abandon(task);
         }
         let Some(hold) = entry.job_mut() else { return };
-        let callers = std::mem::take(&mut hold.cancelling);
+        let waits = std::mem::take(&mut hold.cancelling);
         let row = find_job(work, rows).map_or_else(|| hold.row.clone(), |(_, row)| row);
-        for call in callers {
-            self.out.answer(call, CallerAnswer::Job(view_of(work, &row)));
-        }
+        self.answer_cancels(work, &row, waits);
     }
 
     /// Gives back slots that were kept too long for jobs whose rows are not committed.
@@ -320,9 +345,9 @@
     /// Forgets a job whose row was never sent.
     fn drop_unstored(&mut self, work: WorkId) {
         let Some(mut entry) = self.work.remove(work) else { return };
-        let callers = entry.job_mut().map(|hold| std::mem::take(&mut hold.cancelling));
-        for call in callers.unwrap_or_default() {
-            self.out.refuse(call, ErrorKind::NotFound, "the job was not accepted");
+        let waits = entry.job_mut().map(|hold| std::mem::take(&mut hold.cancelling));
+        for wait in waits.unwrap_or_default() {
+            self.out.refuse(wait.call, ErrorKind::NotFound, "the job was not accepted");
         }
     }
 
@@ -352,7 +377,7 @@
         };
         let stage = entry.stage;
         let Some(hold) = entry.job_mut() else { return };
-        hold.cancelling.push(call);
+        hold.cancelling.push(CancelWait { call, deadline: now + ACCEPT_TIMEOUT });
         hold.row.cancel_requested = true;
         match stage {
             WorkStage::Waiting => {
--- a/crates/magnoliapin_policy/src/machine/limits.rs
+++ b/crates/magnoliapin_policy/src/machine/limits.rs
@@ -117,7 +117,15 @@
         self.reads.push(ReadTag::CheckPart(team), vec![key], give_up_at);
     }
 
-    /// Takes rows of allotments that were read.
+    /// Takes every row of the allotments; a team without one has no parts.
+    pub(crate) fn take_all_allotments(&mut self, rows: &[TableRow]) {
+        self.take_allotments(rows);
+        for team in self.config.document.teams.keys() {
+            self.allotments.part(*team).known = true;
+        }
+    }
+
+    /// Takes some rows of allotments that were read.
     pub(crate) fn take_allotments(&mut self, rows: &[TableRow]) {
         for row in rows {
             let Ok(RowKey::Allotment(team)) = row.key.parse() else { continue };
@@ -126,9 +134,6 @@
                 Err(_) => self.out.counts.unreadable_rows += 1,
             }
         }
-        for team in self.config.document.teams.keys() {
-            self.allotments.part(*team).known = true;
-        }
     }
 }
 
--- a/crates/magnoliapin_policy/src/machine/membership.rs
+++ b/crates/magnoliapin_policy/src/machine/membership.rs
@@ -174,7 +174,7 @@
         match (kind, reply) {
             (PollKind::Instances, PlatformReply::Instances(records)) => self.take_list(records),
             (PollKind::Places, PlatformReply::Rows(rows)) => self.take_places(&rows),
-            (PollKind::Allotments, PlatformReply::Rows(rows)) => self.take_allotments(&rows),
+            (PollKind::Allotments, PlatformReply::Rows(rows)) => self.take_all_allotments(&rows),
             (PollKind::Entries, PlatformReply::Rows(rows)) => self.take_entries(&rows),
             _ => {}
         }
--- a/crates/magnoliapin_policy/src/machine/takeover.rs
+++ b/crates/magnoliapin_policy/src/machine/takeover.rs
@@ -65,6 +65,9 @@
     fences: IndexMap<InstanceId, FenceRecord>,
     scan_call: Option<CallId>,
     scan_after: Option<String>,
+    next_scan: Moment,
+    /// Whether the scan skipped a job that is about to leave this entry's own book.
+    has_skipped: bool,
     scan_done: bool,
     adopting: IndexSet<WorkId>,
     forgetting: bool,
@@ -194,7 +197,7 @@
 
     fn scan_jobs(&mut self, lost: EntryId) {
         let Some(state) = self.takeovers.get_mut(&lost) else { return };
-        if state.scan_done || state.scan_call.is_some() {
+        if state.scan_done || state.scan_call.is_some() || state.next_scan > self.out.now {
             return;
         }
         let read = TableRead::Prefix {
@@ -215,20 +218,39 @@
         state.scan_call = None;
         let PlatformReply::Rows(rows) = reply else { return true };
         state.scan_after = rows.last().map(|row| row.key.clone());
-        state.scan_done = rows.len() < SCAN_ROWS as usize;
+        let is_last = rows.len() < SCAN_ROWS as usize;
         for row in rows {
             self.adopt_job(lost, row);
         }
+        if is_last {
+            self.end_scan(lost);
+        }
         true
     }
 
+    /// Ends a scan, or starts it again if it skipped a job.
+    fn end_scan(&mut self, lost: EntryId) {
+        let Some(state) = self.takeovers.get_mut(&lost) else { return };
+        state.scan_done = !std::mem::take(&mut state.has_skipped);
+        if !state.scan_done {
+            state.scan_after = None;
+            state.next_scan = self.out.now + FENCE_PAUSE;
+        }
+    }
+
     fn adopt_job(&mut self, lost: EntryId, row: &TableRow) {
         let Ok(RowKey::Job(work)) = row.key.parse() else { return };
         let Ok(mut job) = JobRow::from_json(&row.value) else {
             self.out.counts.unreadable_rows += 1;
             return;
         };
-        if job.holder != lost || self.work.get(work).is_some() {
+        if job.holder != lost {
+            return;
+        }
+        if self.work.get(work).is_some() {
+            if let Some(state) = self.takeovers.get_mut(&lost) {
+                state.has_skipped |= !state.adopting.contains(&work);
+            }
             return;
         }
         job.holder = self.identity.entry;
@@ -274,8 +296,11 @@
         let is_committed = matches!(outcome, ChangeOutcome::Committed(_));
         for state in self.takeovers.values_mut() {
             if state.adopting.swap_remove(&work) && !is_committed {
-                state.scan_after = None;
-                state.scan_done = false;
+                state.has_skipped = true;
+                if state.scan_done {
+                    state.scan_after = None;
+                    state.scan_done = false;
+                }
             }
         }
         let ChangeOutcome::Committed(versions) = outcome else {
--- a/crates/magnoliapin_policy/src/work.rs
+++ b/crates/magnoliapin_policy/src/work.rs
@@ -41,7 +41,14 @@
     /// Callers that wait for its acceptance.
     pub(crate) accepting: Vec<CallId>,
     /// Callers that wait for the end of their cancellation.
-    pub(crate) cancelling: Vec<CallId>,
+    pub(crate) cancelling: Vec<CancelWait>,
+}
+
+/// A caller that waits for the end of a cancellation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CancelWait {
+    pub(crate) call: CallId,
+    pub(crate) deadline: Moment,
 }
 
 impl JobHold {
--- a/crates/magnoliapin_soak/src/final_checks.rs
+++ b/crates/magnoliapin_soak/src/final_checks.rs
@@ -29,15 +29,21 @@
     }
 
     /// Checks that a team which has just started something keeps its limit.
-    pub(crate) fn check_limit(&mut self, team: TeamId) {
+    pub(crate) fn check_limit(&mut self, team: TeamId, entry: usize) {
         let now = self.now;
         let running = |target: &crate::target_node::TargetNode| {
             target.state.ledger().running_by_team().get(&team).copied().unwrap_or(0)
         };
         let running = self.targets.iter().map(running).sum::<u32>();
         let bound = self.watch.limit_bound(team, now);
+        let node = &self.entries[entry];
+        let (clock, zone) = (node.clock(now), node.zone);
+        let is_fresh = node.machine.as_ref().is_some_and(|machine| machine.is_fresh(clock));
         self.report.check(CheckKind::LimitHolds, running <= bound, || {
-            format!("{now:?} team {team} runs {running} with a limit of {bound}")
+            format!(
+                "{now:?} team {team} runs {running} with a limit of {bound} after a start by \
+                 entry {entry} of {zone}, fresh: {is_fresh}"
+            )
         });
     }
 
--- a/crates/magnoliapin_soak/src/world_calls.rs
+++ b/crates/magnoliapin_soak/src/world_calls.rs
@@ -124,7 +124,7 @@
         let after = starts(target);
         if let Some(start) = start.filter(|_| after > before) {
             self.callers.note_start(&start);
-            self.check_limit(start.team);
+            self.check_limit(start.team, source.entry);
         }
         if let Some(reply) = reply.filter(|_| answers) {
             self.answer_target(source, reply);
--- a/crates/magnoliapin_soak/tests/soak.rs
+++ b/crates/magnoliapin_soak/tests/soak.rs
@@ -4,7 +4,11 @@
 use magnoliapin_soak::SoakWorld;
 
 fn run(seed: u64) {
-    let plan = SoakPlan { seed, steps: 40_000, ..SoakPlan::default() };
+    run_for(seed, 40_000);
+}
+
+fn run_for(seed: u64, steps: u64) {
+    let plan = SoakPlan { seed, steps, ..SoakPlan::default() };
     let report = SoakWorld::new(plan).run();
     assert!(report.violations.is_empty(), "{report}");
     assert!(report.accepted > 0 && report.answered > 0, "{report}");
@@ -20,3 +24,21 @@
     let plan = SoakPlan { seed: 7, steps: 20_000, ..SoakPlan::default() };
     assert_eq!(SoakWorld::new(plan).run(), SoakWorld::new(plan).run());
 }
+
+/// A limit was lowered while an entry that held a part of it was cut off.
+#[test]
+fn seed_69_keeps_a_limit_that_is_lowered_under_a_cut() {
+    run_for(69, 60_000);
+}
+
+/// A job was handed in again while it was being taken over.
+#[test]
+fn seed_30_adopts_a_job_that_is_handed_in_again() {
+    run_for(30, 200_000);
+}
+
+/// A job was cancelled whose earlier submission another entry held.
+#[test]
+fn seed_82_answers_a_cancellation_of_a_second_submission() {
+    run_for(82, 200_000);
+}
