--- a/crates/magnoliapin_fleet/examples/fleet_measure/trial.rs
+++ b/crates/magnoliapin_fleet/examples/fleet_measure/trial.rs
@@ -114,9 +114,8 @@
     let mut fleet_random = Pcg64::seed_from_u64(seed + 1_000);
     let mut day = TrialDay::new(site, kind, &mut demand_random);
     day.adopt(&mut fleet_random);
-    let rest_of_day = DAY_SECONDS - ROLLOUT_AT_SECONDS;
-    let mut result = TrialResult::default();
-    result.rollout_minutes = rest_of_day as f64 / 60.0;
+    let rollout_minutes = (DAY_SECONDS - ROLLOUT_AT_SECONDS) as f64 / 60.0;
+    let mut result = TrialResult { rollout_minutes, ..TrialResult::default() };
     let mut is_rolled_out = false;
     let spare = day.spare();
     for seconds in (0..DAY_SECONDS).step_by(STEP_SECONDS as usize) {
