Use a new run of a target only as a member that is known to be one

An entry that was cut off was taken over and fenced at every target; then a target restarted, which forgets fences, and the entry, connected again, read the new run from the list before it learned that it had been taken over. Ruled out: leases on the fence, which need clocks; fences that survive a restart, which the targets do not offer. Change: a list of instances is used once the entry's own row, read after it, shows that it is still a member; an heir ends a takeover only on a list that it asked for after its claim.

--- a/crates/magnoliapin_policy/src/machine/membership.rs
+++ b/crates/magnoliapin_policy/src/machine/membership.rs
@@ -60,9 +60,18 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct PollTimer {
     next: Moment,
+    asked_at: Moment,
     call: Option<CallId>,
 }
 
+/// A list of instances and the call that brought it.
+#[derive(Debug)]
+struct PendingList {
+    call: CallId,
+    asked_at: Moment,
+    records: Vec<InstanceRecord>,
+}
+
 /// Where a planned stop stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StopStage {
@@ -81,6 +90,10 @@
     renewals: u64,
     /// Version of the entry's own row; 0 before it is committed.
     own_row: RowVersion,
+    /// List of instances that is used once this entry is known to be a member still.
+    pending_list: Option<PendingList>,
+    /// When the list in use was asked for.
+    list_as_of: Option<Moment>,
     /// Version of the row that guards the entry's changes.
     member_row: RowVersion,
     platform_failures: u32,
@@ -98,6 +111,11 @@
         self.own_row > RowVersion(0)
     }
 
+    /// Returns whether the list in use was asked for after `moment`.
+    pub(crate) fn is_listed_after(&self, moment: Moment) -> bool {
+        self.list_as_of.is_some_and(|asked_at| asked_at > moment)
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stop.is_some()
     }
@@ -141,10 +159,10 @@
 impl EntryMachine {
     /// Reads what is due from the platform.
     pub(crate) fn poll(&mut self) {
-        self.poll_one(PollKind::Instances, self.times.list_interval);
         self.poll_one(PollKind::Places, self.times.list_interval);
         self.poll_one(PollKind::Allotments, ALLOTMENT_INTERVAL);
         if self.membership.is_registered() {
+            self.poll_one(PollKind::Instances, self.times.list_interval);
             self.poll_one(PollKind::Entries, ENTRY_INTERVAL);
         }
     }
@@ -162,6 +180,7 @@
             PollKind::Entries => scan(RowKey::ENTRY_PREFIX),
         };
         timer.next = now + self.out.jitter(interval);
+        timer.asked_at = now;
         timer.call = Some(self.out.call_platform(request, self.times.platform_timeout));
     }
 
@@ -169,10 +188,12 @@
     pub(crate) fn take_poll(&mut self, call: CallId, reply: PlatformReply) {
         let mut polls = self.membership.polls.iter_mut();
         let Some((kind, timer)) = polls.find(|(_, timer)| timer.call == Some(call)) else { return };
-        let kind = *kind;
+        let (kind, asked_at) = (*kind, timer.asked_at);
         timer.call = None;
         match (kind, reply) {
-            (PollKind::Instances, PlatformReply::Instances(records)) => self.take_list(records),
+            (PollKind::Instances, PlatformReply::Instances(records)) => {
+                self.take_list(PendingList { call, asked_at, records });
+            }
             (PollKind::Places, PlatformReply::Rows(rows)) => self.take_places(&rows),
             (PollKind::Allotments, PlatformReply::Rows(rows)) => self.take_all_allotments(&rows),
             (PollKind::Entries, PlatformReply::Rows(rows)) => self.take_entries(&rows),
@@ -180,8 +201,12 @@
         }
     }
 
-    fn take_list(&mut self, records: Vec<InstanceRecord>) {
-        for record in &records {
+    /// Takes a list of instances, which is used once this entry is known to be a member still.
+    ///
+    /// Whoever takes this entry over fences it at every run of a target that was listed when this
+    /// entry ceased to be a member. A later run must not be learnt of without learning of that.
+    fn take_list(&mut self, list: PendingList) {
+        for record in &list.records {
             let known = self.targets.entries.get(&record.instance);
             let was_live = known.is_some_and(|entry| entry.record.state == ListedState::Live);
             if was_live && record.state == ListedState::Leaving {
@@ -189,7 +214,26 @@
                 self.out.record(event.with_instance(record.instance));
             }
         }
-        self.targets.take_list(records);
+        self.targets.take_states(&list.records);
+        let key = RowKey::Entry(self.identity.entry).to_string();
+        let give_up_at = self.out.now + self.times.entry_lease;
+        self.reads.push(ReadTag::ConfirmList(list.call), vec![key], give_up_at);
+        self.membership.pending_list = Some(list);
+    }
+
+    fn confirm_list(&mut self, call: CallId, rows: Option<&[TableRow]>) {
+        if rows.is_none() {
+            return;
+        }
+        self.take_own_row(rows);
+        if self.membership.is_fenced {
+            return;
+        }
+        let Some(list) = self.membership.pending_list.take_if(|list| list.call == call) else {
+            return;
+        };
+        self.membership.list_as_of = Some(list.asked_at);
+        self.targets.take_list(list.records);
     }
 
     fn take_places(&mut self, rows: &[TableRow]) {
@@ -312,6 +356,7 @@
             ReadTag::CancelJob(call, work) => self.take_cancel(call, work, rows),
             ReadTag::CheckJob(work) => self.take_checked(work, rows),
             ReadTag::CheckSelf => self.take_own_row(rows),
+            ReadTag::ConfirmList(call) => self.confirm_list(call, rows),
             ReadTag::CheckPart(_) => {
                 if let Some(rows) = rows {
                     self.take_allotments(rows);
--- a/crates/magnoliapin_policy/src/machine/takeover.rs
+++ b/crates/magnoliapin_policy/src/machine/takeover.rs
@@ -61,7 +61,8 @@
 /// Progress of one takeover.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TakeoverState {
-    claimed: bool,
+    /// When the claim was known to be committed.
+    claimed_at: Option<Moment>,
     fences: IndexMap<InstanceId, FenceRecord>,
     scan_call: Option<CallId>,
     scan_after: Option<String>,
@@ -128,7 +129,7 @@
                 self.out.counts.entries_lost += 1;
                 self.out.record(TimelineEvent::new(TimelineName::PeerLost).with_number(lost.0));
                 if let Some(state) = self.takeovers.get_mut(&lost) {
-                    state.claimed = true;
+                    state.claimed_at = Some(self.out.now);
                 }
                 if let Some(record) = self.peers.records.get_mut(&lost) {
                     record.row.iter_mut().for_each(|(known, _)| *known = version);
@@ -142,7 +143,7 @@
 
     /// Goes on with every takeover.
     pub(crate) fn advance_takeovers(&mut self) {
-        let lost = self.takeovers.iter().filter(|(_, state)| state.claimed);
+        let lost = self.takeovers.iter().filter(|(_, state)| state.claimed_at.is_some());
         for lost in lost.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.send_fences(lost);
             self.scan_jobs(lost);
@@ -330,7 +331,10 @@
     /// Whoever sees that the row is gone may take back the parts that it held.
     fn finish_takeover(&mut self, lost: EntryId) {
         let Some(state) = self.takeovers.get(&lost) else { return };
-        let is_scanned = state.scan_done && state.adopting.is_empty();
+        let Some(claimed_at) = state.claimed_at else { return };
+        let is_scanned = state.scan_done
+            && state.adopting.is_empty()
+            && self.membership.is_listed_after(claimed_at);
         if is_scanned && !state.forgetting && self.is_fenced_everywhere(state) {
             self.forget(lost);
         }
--- a/crates/magnoliapin_policy/src/reads.rs
+++ b/crates/magnoliapin_policy/src/reads.rs
@@ -27,6 +27,8 @@
     CheckJob(WorkId),
     /// Finds out whether others took this entry for lost.
     CheckSelf,
+    /// Makes sure that this entry is still a member, before it uses a list of instances.
+    ConfirmList(CallId),
     /// Reads an allotment that somebody else changed.
     CheckPart(TeamId),
 }
--- a/crates/magnoliapin_policy/src/targets.rs
+++ b/crates/magnoliapin_policy/src/targets.rs
@@ -111,6 +111,16 @@
 }
 
 impl TargetBook {
+    /// Takes the states of known runs from the platform's list, ahead of the list itself.
+    pub(crate) fn take_states(&mut self, records: &[InstanceRecord]) {
+        for record in records {
+            let known = self.entries.get_mut(&record.instance);
+            if let Some(entry) = known.filter(|entry| entry.record.run == record.run) {
+                entry.record.state = record.state;
+            }
+        }
+    }
+
     /// Takes the platform's list.
     pub(crate) fn take_list(&mut self, records: Vec<InstanceRecord>) {
         self.is_listed = true;
--- a/crates/magnoliapin_soak/tests/soak.rs
+++ b/crates/magnoliapin_soak/tests/soak.rs
@@ -42,3 +42,9 @@
 fn seed_82_answers_a_cancellation_of_a_second_submission() {
     run_for(82, 200_000);
 }
+
+/// A target restarted behind the fence of a lost entry that was only cut off.
+#[test]
+fn seed_468_starts_nothing_on_a_run_behind_a_fence() {
+    run_for(468, 60_000);
+}
