--- a/crates/magnoliapin_fleet/examples/fleet_soak.rs
+++ b/crates/magnoliapin_fleet/examples/fleet_soak.rs
@@ -2,9 +2,10 @@
 
 #![allow(clippy::unwrap_used, reason = "the example shares the harness of the tests")]
 
-#[path = "../tests/soak/mod.rs"]
+#[path = "../tests/fleet/runs.rs"]
 mod runs;
-#[path = "../tests/world/mod.rs"]
+#[allow(dead_code, reason = "some helpers are for the tests only")]
+#[path = "../tests/fleet/world/mod.rs"]
 mod world;
 
 use std::io;
--- a/crates/magnoliapin_fleet/src/machine.rs
+++ b/crates/magnoliapin_fleet/src/machine.rs
@@ -48,6 +48,7 @@
 use self::orders::OrderBook;
 use self::reader::FleetReader;
 use self::reader::ReadResult;
+use crate::check_feasible;
 use crate::plan;
 use crate::BookMismatch;
 use crate::DemandHistory;
@@ -195,12 +196,16 @@
 
     fn wants_read(&self, now: Moment) -> bool {
         let is_idle = !self.reader.is_reading() && self.lane.is_free();
-        let has_work =
-            self.lease.is_held(now) || !self.cases.is_empty() || !self.reports.is_empty();
-        let is_due = self.steps.is_empty() && self.reader.is_due(now, &self.times);
         let has_new_case = self.cases.front().is_some_and(|case| !self.has_read_since(case));
-        let is_asked = has_new_case && self.reader.may_start(now, &self.times);
-        is_idle && self.document.is_some() && has_work && (is_due || is_asked)
+        let interval = if has_new_case {
+            self.times.read_interval
+        } else if self.lease.is_held(now) || !self.reports.is_empty() {
+            self.times.plan_interval
+        } else {
+            self.times.follow_interval
+        };
+        let is_free = self.steps.is_empty() || has_new_case;
+        is_idle && is_free && self.document.is_some() && self.reader.is_due(now, interval)
     }
 
     fn has_read_since(&self, case: &OperatorCase) -> bool {
@@ -248,6 +253,9 @@
             self.steps =
                 steps.into_iter().filter(|step| is_planner || is_report(step, &reports)).collect();
             self.counters.plans += u64::from(is_planner);
+            self.counters.infeasible = check_feasible(document, &self.snapshot).is_err();
+            self.counters.overdue_instances =
+                overdue_instances(document, &self.snapshot, self.wall);
         }
         if is_planner {
             self.send_orders(now, actions);
@@ -448,6 +456,16 @@
     }
 }
 
+/// Counts the instances whose last maintenance is longer ago than the period.
+fn overdue_instances(
+    document: &ConfigDocument,
+    snapshot: &FleetSnapshot,
+    wall: UnixSeconds,
+) -> usize {
+    let period = u64::from(document.maintenance.period_hours) * 3_600;
+    snapshot.rows().filter(|(_, _, row)| wall.since(row.maintained_at) > period).count()
+}
+
 /// Returns whether a step only writes down what this entry found out about an instance.
 fn is_report(step: &FleetStep, reports: &IndexSet<InstanceId>) -> bool {
     step.instance().is_some_and(|instance| reports.contains(&instance)) && is_report_step(step)
--- a/crates/magnoliapin_fleet/src/machine/counters.rs
+++ b/crates/magnoliapin_fleet/src/machine/counters.rs
@@ -1,6 +1,6 @@
 //! What the fleet's machine counts.
 
-/// Counts since the start of the process.
+/// Counts since the start of the process, and what the last plan found.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FleetCounters {
     /// Plans made.
@@ -13,4 +13,8 @@
     pub steps_refused: u64,
     /// Reads whose counters did not match the instances' rows.
     pub counter_mismatches: u64,
+    /// Whether the maintenance cannot be done in its period, at the last plan.
+    pub infeasible: bool,
+    /// Instances whose maintenance is late, at the last plan.
+    pub overdue_instances: usize,
 }
--- a/crates/magnoliapin_fleet/src/machine/desk.rs
+++ b/crates/magnoliapin_fleet/src/machine/desk.rs
@@ -5,6 +5,9 @@
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::Moment;
 use magnoliapin_model::PoolId;
+use magnoliapin_model::SlotCount;
+use magnoliapin_wire::InstanceView;
+use magnoliapin_wire::PoolView;
 
 use super::FleetCall;
 use crate::check_feasible;
@@ -14,6 +17,7 @@
 use crate::FleetSnapshot;
 use crate::FleetStep;
 use crate::InstanceChange;
+use crate::InstanceState;
 use crate::MaintenanceDeadline;
 use crate::MaintenanceLoad;
 use crate::MaintenanceView;
@@ -71,6 +75,12 @@
     /// Judges a request.
     pub(super) fn judge(&self, request: &OperatorRequest) -> DeskVerdict {
         let judged = match request {
+            OperatorRequest::ShowPools => {
+                Ok(DeskVerdict::Answer(OperatorAnswer::Pools(self.pool_views())))
+            }
+            OperatorRequest::ShowInstances => {
+                Ok(DeskVerdict::Answer(OperatorAnswer::Instances(self.instance_views())))
+            }
             OperatorRequest::ShowMaintenance => {
                 Ok(DeskVerdict::Answer(OperatorAnswer::Maintenance(self.maintenance_view())))
             }
@@ -120,6 +130,8 @@
                 })
             }
             OperatorRequest::Move { .. }
+            | OperatorRequest::ShowPools
+            | OperatorRequest::ShowInstances
             | OperatorRequest::ShowMaintenance
             | OperatorRequest::ShowRollouts => {
                 debug_assert!(false, "judged elsewhere");
@@ -207,6 +219,35 @@
         Ok(FleetStep::Rollout { pool, row })
     }
 
+    fn pool_views(&self) -> Vec<PoolView> {
+        let pools = self.document.pools.iter().map(|(pool, section)| {
+            let row = self.snapshot.pool(*pool).row;
+            let serving = self.snapshot.members(*pool);
+            let serving = serving.filter(|(_, _, row)| row.state == InstanceState::Serving);
+            let records = serving.filter_map(|(_, facts, _)| facts.record.as_ref());
+            PoolView {
+                pool: *pool,
+                instances: row.members,
+                unavailable: row.unavailable.total(),
+                max_unavailable: section.max_unavailable,
+                slots: SlotCount(records.map(|record| record.slots.0).sum()),
+            }
+        });
+        pools.collect()
+    }
+
+    fn instance_views(&self) -> Vec<InstanceView> {
+        let instances = self.snapshot.rows().map(|(instance, _, row)| InstanceView {
+            instance,
+            pool: Some(row.pool),
+            zone: row.zone,
+            rack: row.rack,
+            state: row.state.to_string(),
+            image: row.image.clone(),
+        });
+        instances.collect()
+    }
+
     fn maintenance_view(&self) -> MaintenanceView {
         let period_seconds = u64::from(self.document.maintenance.period_hours) * 3_600;
         let mut deadlines: Vec<MaintenanceDeadline> = self
--- a/crates/magnoliapin_fleet/src/machine/hearsay.rs
+++ b/crates/magnoliapin_fleet/src/machine/hearsay.rs
@@ -62,7 +62,9 @@
             if facts.row.as_ref().is_some_and(is_rebooting) {
                 self.health.shift_remove(instance);
             }
-            let Some(run) = facts.record.as_ref().map(|record| record.run) else { continue };
+            let listed = facts.record.as_ref().map(|record| record.run);
+            let known = listed.or(facts.row.as_ref().map(|row| row.row.run));
+            let Some(run) = known else { continue };
             let value = |heard: &IndexMap<InstanceId, HeardFact>| {
                 heard.get(instance).filter(|heard| heard.run == run).map(|heard| heard.value)
             };
--- a/crates/magnoliapin_fleet/src/machine/operator.rs
+++ b/crates/magnoliapin_fleet/src/machine/operator.rs
@@ -4,6 +4,8 @@
 use magnoliapin_model::plain_data;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::PoolId;
+use magnoliapin_wire::InstanceView;
+use magnoliapin_wire::PoolView;
 
 use crate::FleetStep;
 use crate::Infeasible;
@@ -17,6 +19,10 @@
     #[derive(Eq)]
     #[serde(rename_all = "snake_case")]
     pub enum OperatorRequest {
+        /// Tells the pools with their budgets.
+        ShowPools,
+        /// Tells the instances with their pools and states.
+        ShowInstances,
         /// Drains an instance until the drain is taken back.
         Drain {
             /// The instance.
@@ -76,6 +82,10 @@
     pub enum OperatorAnswer {
         /// The step was committed.
         Done,
+        /// The pools.
+        Pools(Vec<PoolView>),
+        /// The instances.
+        Instances(Vec<InstanceView>),
         /// What the step would do.
         Forecast {
             /// The step.
--- a/crates/magnoliapin_fleet/src/machine/reader.rs
+++ b/crates/magnoliapin_fleet/src/machine/reader.rs
@@ -1,5 +1,7 @@
 //! Reads the list and the rows, one call after another, into a new snapshot.
 
+use std::time::Duration;
+
 use indexmap::IndexMap;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::Moment;
@@ -13,7 +15,6 @@
 use serde::de::DeserializeOwned;
 
 use super::FleetCall;
-use super::FleetTimes;
 use crate::FleetSnapshot;
 use crate::InstanceRow;
 use crate::PoolRow;
@@ -80,14 +81,9 @@
         self.finished_start
     }
 
-    /// Returns whether the next read is due.
-    pub(super) fn is_due(&self, now: Moment, times: &FleetTimes) -> bool {
-        self.started_at.is_none_or(|started_at| now >= started_at + times.plan_interval)
-    }
-
-    /// Returns whether a read that somebody waits for may start.
-    pub(super) fn may_start(&self, now: Moment, times: &FleetTimes) -> bool {
-        self.started_at.is_none_or(|started_at| now >= started_at + times.read_interval)
+    /// Returns whether the last read was started at least `interval` ago.
+    pub(super) fn is_due(&self, now: Moment, interval: Duration) -> bool {
+        self.started_at.is_none_or(|started_at| now >= started_at + interval)
     }
 
     /// Starts to read from the beginning.
--- a/crates/magnoliapin_fleet/src/machine/times.rs
+++ b/crates/magnoliapin_fleet/src/machine/times.rs
@@ -13,6 +13,8 @@
     pub plan_interval: Duration,
     /// Least time between two reads of the rows.
     pub read_interval: Duration,
+    /// Time between two reads of an entry that does not plan and only follows the rows.
+    pub follow_interval: Duration,
     /// Time after which a call of the platform has failed.
     pub platform_timeout: Duration,
     /// Time until a transaction without an answer is asked for.
@@ -35,6 +37,7 @@
             lease: Duration::from_secs(10),
             lease_interval: Duration::from_secs(2),
             plan_interval: Duration::from_secs(2),
+            follow_interval: Duration::from_secs(5),
             read_interval: Duration::from_millis(100),
             platform_timeout: Duration::from_secs(2),
             resolve_interval: Duration::from_millis(500),
--- a/crates/magnoliapin_fleet/tests/soak.rs
+++ b/crates/magnoliapin_fleet/tests/fleet/soak.rs
@@ -1,10 +1,6 @@
 //! Randomised runs with fixed seeds; the invariants are asserted at each commit.
 
-#![allow(clippy::unwrap_used, reason = "helpers of tests")]
-
-#[path = "soak/mod.rs"]
-mod runs;
-mod world;
+use crate::runs;
 
 #[test]
 fn maintenance_is_in_time_under_faults_of_processes() {
--- a/crates/magnoliapin_fleet/tests/world/mod.rs
+++ b/crates/magnoliapin_fleet/tests/fleet/world/mod.rs
@@ -179,6 +179,18 @@
         self.give(entry, FleetEvent::Operator { call, request });
     }
 
+    /// Lets an entry start over with nothing.
+    pub(crate) fn kill(&mut self, entry: usize) {
+        self.entries[entry] = self.new_entry();
+        let document = Box::new(self.document.clone());
+        self.give(entry, FleetEvent::Document(document));
+    }
+
+    /// Cuts the platform off for some time.
+    pub(crate) fn cut(&mut self, span_ms: u64) {
+        self.down_until_ms = self.now_ms + span_ms;
+    }
+
     /// Lets every entry propose to take an instance back.
     pub(crate) fn release(&mut self, instance: InstanceId) {
         let run = self.instances[&instance].run;
@@ -368,9 +380,7 @@
         let faults = self.faults;
         let entry = self.random.random_range(0..self.entries.len());
         if self.random.random_bool(faults.kill) {
-            self.entries[entry] = self.new_entry();
-            let document = Box::new(self.document.clone());
-            self.give(entry, FleetEvent::Document(document));
+            self.kill(entry);
         }
         if self.random.random_bool(faults.pause) {
             let pause_ms = self.random.random_range(500..30_000);
