Deal parts of a new team's limit without waiting for a scan

Cause: an entry asked for a part of a team's allotment only once a scan of all allotments had told that the team's row exists or not. The scan comes every 5 s, so the work of a new team waited up to 5 s after its configuration was in force, and requests with a shorter timeout were refused with no_target.

Ruled out: a scan at each new configuration, which is a read more for something that the change's own guard tells anyway.

Change: a row that was never seen is taken for absent. The flag `known` is gone.

--- a/crates/magnoliapin_policy/src/allotment.rs
+++ b/crates/magnoliapin_policy/src/allotment.rs
@@ -32,8 +32,6 @@
     pub(crate) row: AllotmentRow,
     /// Version of the row.
     pub(crate) version: RowVersion,
-    /// Whether the row, or its absence, was ever read.
-    pub(crate) known: bool,
     /// Tasks of the team that this entry has running.
     pub(crate) running: u32,
     /// Slots that a change in flight gives away.
@@ -94,11 +92,10 @@
 
     /// Takes the team's row as it was read.
     pub(crate) fn take_row(&mut self, version: RowVersion, row: AllotmentRow) {
-        if version >= self.version || !self.known {
+        if version >= self.version {
             self.row = row;
             self.version = version;
         }
-        self.known = true;
     }
 }
 
@@ -116,6 +113,9 @@
     }
 
     /// Plans the next change of a team's row, if one is due.
+    ///
+    /// A row that was never seen is taken for absent: if it is not, the change loses and brings
+    /// back the row, so a new team need not wait for the next scan.
     pub(crate) fn plan(
         &mut self,
         team: TeamId,
@@ -126,7 +126,7 @@
     ) -> Option<(RowChange, Option<EntryId>)> {
         let part = self.parts.entry(team).or_default();
         part.cap = part.fair_cap(own, limit, demand);
-        if !part.known || part.next_change > out.now || self.in_flight.contains_key(&team) {
+        if part.next_change > out.now || self.in_flight.contains_key(&team) {
             return None;
         }
         let (row, receiver) = part.next_row(own, limit, demand, out.now)?;
--- a/crates/magnoliapin_policy/src/lib.rs
+++ b/crates/magnoliapin_policy/src/lib.rs
@@ -5,6 +5,8 @@
 //! time over fakes. Randomness comes from a generator seeded by the caller.
 
 mod allotment;
+#[cfg(test)]
+mod allotment_tests;
 mod commit;
 #[cfg(test)]
 mod commit_tests;
--- a/crates/magnoliapin_policy/src/machine/limits.rs
+++ b/crates/magnoliapin_policy/src/machine/limits.rs
@@ -117,15 +117,7 @@
         self.reads.push(ReadTag::CheckPart(team), vec![key], give_up_at);
     }
 
-    /// Takes every row of the allotments; a team without one has no parts.
-    pub(crate) fn take_all_allotments(&mut self, rows: &[TableRow]) {
-        self.take_allotments(rows);
-        for team in self.config.document.teams.keys() {
-            self.allotments.part(*team).known = true;
-        }
-    }
-
-    /// Takes some rows of allotments that were read.
+    /// Takes rows of allotments that were read.
     pub(crate) fn take_allotments(&mut self, rows: &[TableRow]) {
         for row in rows {
             let Ok(RowKey::Allotment(team)) = row.key.parse() else { continue };
--- a/crates/magnoliapin_policy/src/machine/membership.rs
+++ b/crates/magnoliapin_policy/src/machine/membership.rs
@@ -195,7 +195,7 @@
                 self.take_list(PendingList { call, asked_at, records });
             }
             (PollKind::Places, PlatformReply::Rows(rows)) => self.take_places(&rows),
-            (PollKind::Allotments, PlatformReply::Rows(rows)) => self.take_all_allotments(&rows),
+            (PollKind::Allotments, PlatformReply::Rows(rows)) => self.take_allotments(&rows),
             (PollKind::Entries, PlatformReply::Rows(rows)) => self.take_entries(&rows),
             _ => {}
         }
