--- a/crates/magnoliapin/src/command.rs
+++ b/crates/magnoliapin/src/command.rs
@@ -40,8 +40,8 @@
 impl CommandContext {
     /// Makes a context from the common flags, filled up from the environment.
     pub(crate) fn new(entries: Option<String>, key: Option<String>, json: bool) -> Self {
-        let entries = entries.or_else(|| env::var(ENTRY_VARIABLE).ok());
-        let key = key.or_else(|| env::var(KEY_VARIABLE).ok());
+        let entries = entries.or_else(|| read_variable(ENTRY_VARIABLE));
+        let key = key.or_else(|| read_variable(KEY_VARIABLE));
         Self { entries, key, json }
     }
 
@@ -110,6 +110,11 @@
     }
 }
 
+/// Returns a variable of the environment; an empty one counts as unset.
+fn read_variable(name: &str) -> Option<String> {
+    env::var(name).ok().filter(|value| !value.is_empty())
+}
+
 /// Prints lines to the standard output.
 ///
 /// # Errors
--- a/crates/magnoliapin/src/command/view.rs
+++ b/crates/magnoliapin/src/command/view.rs
@@ -32,9 +32,10 @@
 /// Returns a [`CommandError`](crate::command_error::CommandError) if no entry answers.
 pub(crate) async fn instances(context: &CommandContext) -> CommandResult {
     let call = EntryCall::new(Method::GET, "/v1/instances");
-    let CallerAnswer::Instances { instances } = context.ask_answer(call).await? else {
+    let CallerAnswer::Instances { mut instances } = context.ask_answer(call).await? else {
         return Err(unexpected());
     };
+    instances.sort_by_key(|instance| instance.instance);
     context.print(&instances, |instances| instances_text(instances))
 }
 
--- a/crates/magnoliapin/src/command/work.rs
+++ b/crates/magnoliapin/src/command/work.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::io;
+use std::io::IsTerminal;
 use std::io::Read;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -71,7 +72,12 @@
         call = call.with_header("x-timeout-ms", millis.to_string());
     }
     let output = context.ask(call).await?;
-    print_bytes(&output)
+    print_bytes(&output)?;
+    // The output is printed byte for byte unless a person reads it.
+    if io::stdout().is_terminal() && !output.ends_with(b"\n") {
+        print_bytes(b"\n")?;
+    }
+    Ok(())
 }
 
 /// Shows a job.
@@ -88,11 +94,18 @@
 ///
 /// # Errors
 ///
-/// Returns a [`CommandError`] if it cannot be cancelled.
+/// Returns a [`CommandError`] if the job cannot be cancelled or had ended in another way.
 pub(crate) async fn cancel(context: &CommandContext, flags: flags::Cancel) -> CommandResult {
     let call = EntryCall::new(Method::DELETE, format!("/v1/jobs/{}", flags.id));
     let job = ask_job(context, call).await?;
-    context.print(&job, job_text)
+    context.print(&job, job_text)?;
+    match job.state {
+        JobState::Accepted | JobState::Cancelled => Ok(()),
+        state => {
+            let message = format!("job {} had ended as {}", job.id, state_text(state));
+            Err(refused(message))
+        }
+    }
 }
 
 async fn read_job(context: &CommandContext, id: WorkId) -> CommandResult<JobView> {
--- a/crates/magnoliapin/tests/support/mod.rs
+++ b/crates/magnoliapin/tests/support/mod.rs
@@ -2,6 +2,9 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 #![allow(unreachable_pub, reason = "each test file is a program of its own")]
 
+pub mod http;
+pub mod site;
+
 use std::fs;
 use std::path::PathBuf;
 use std::process::Command;
