Count the planner's lease from the first of several equal writes

Cause: the randomised runs now assert that at most one entry plans, and failed ("2 entries plan at 5101700 ms"). A renewal without an answer was sent again as the same row; the first one was taken late, and the holder counted its lease from the second, later than the others had seen the change. Steps were safe all the same, as they guard their rows.

Ruled out: the judgement of the others, who count from when they see a change.

Change: the lease runs from the first send of the row that is found.

--- a/crates/magnoliapin_fleet/src/machine/lease.rs
+++ b/crates/magnoliapin_fleet/src/machine/lease.rs
@@ -24,7 +24,7 @@
 pub(super) struct PlannerLease {
     entry: EntryId,
     seen: Option<SeenLease>,
-    /// The last row that this entry wrote, and when it was sent.
+    /// The last row that this entry wrote, and when it was sent first.
     sent: Option<(LeaseRow, Moment)>,
     held_until: Moment,
     pending: Option<PendingCall>,
@@ -87,7 +87,10 @@
         let Some(row) = written else {
             return Some(PlatformRequest::Read(TableRead::Keys(vec![key])));
         };
-        self.sent = Some((row, now));
+        // An earlier try at the same row may still be taken, so the first one counts.
+        if self.sent.is_none_or(|(sent, _)| sent != row) {
+            self.sent = Some((row, now));
+        }
         let version = self.seen.map_or(RowVersion(0), |seen| seen.version);
         let value = serde_json::to_string(&row).unwrap_or_default();
         Some(PlatformRequest::Transact(TableTransaction {
--- a/crates/magnoliapin_fleet/src/machine/orders.rs
+++ b/crates/magnoliapin_fleet/src/machine/orders.rs
@@ -67,7 +67,7 @@
                 let run = wanted_run(facts, row);
                 InstanceOrder { run, epoch: version, act }
             });
-            let order = order.filter(|order| self.is_due(instance, order, times, now));
+            let order = order.filter(|order| self.is_due(instance, row, order, times, now));
             let is_ready = is_taken || row.state != InstanceState::Draining;
             let ask_load = (is_ready && wants_load(facts, row)).then_some(version);
             let stop_run = wants_stop(row, document, wall).then_some(row.run);
@@ -107,11 +107,12 @@
     fn is_due(
         &mut self,
         instance: InstanceId,
+        row: &InstanceRow,
         order: &InstanceOrder,
         times: &FleetTimes,
         now: Moment,
     ) -> bool {
-        let interval = interval(order, times);
+        let interval = interval(order, row.state, times);
         let is_sent = self
             .sent_at
             .get(&instance)
@@ -123,10 +124,14 @@
     }
 }
 
-fn interval(order: &InstanceOrder, times: &FleetTimes) -> Duration {
-    match order.act {
-        OrderAct::Reboot { .. } => times.reboot_interval,
-        OrderAct::Drain | OrderAct::Undrain => times.order_interval,
+/// Returns how long an order is given before it is sent again. A failed instance may be one that
+/// the platform takes away, and refuses to be kept.
+fn interval(order: &InstanceOrder, state: InstanceState, times: &FleetTimes) -> Duration {
+    let is_slow = matches!(order.act, OrderAct::Reboot { .. }) || state == InstanceState::Failed;
+    if is_slow {
+        times.reboot_interval
+    } else {
+        times.order_interval
     }
 }
 
--- a/crates/magnoliapin_fleet/tests/fleet/world/mod.rs
+++ b/crates/magnoliapin_fleet/tests/fleet/world/mod.rs
@@ -222,6 +222,7 @@
             }
         }
         self.check_operators();
+        self.check_planners();
     }
 
     fn new_entry(&mut self) -> TinyEntry {
@@ -459,6 +460,13 @@
         }
     }
 
+    /// Steps would be safe with two planners, but the lease should keep it to one.
+    fn check_planners(&self) {
+        let now = Moment::from_millis(self.now_ms);
+        let planners = self.entries.iter().filter(|entry| entry.machine.is_planner(now)).count();
+        assert!(planners <= 1, "{planners} entries plan at {} ms", self.now_ms);
+    }
+
     fn check_operators(&self) {
         for entry in &self.entries {
             for asked_ms in entry.asked.values() {
