Go the whole path in one process; stamp the time line by a hybrid logical clock

Datagrams carry the sender's hybrid stamp, so that an event that another one can have caused never sorts before it, whatever the wall clocks say; stamps more than 60 s ahead are not followed and are counted. The golden bytes of the datagrams change with it. The counters of the machine are in the metrics. An order that the platform refuses as outdated counts as not sent.

--- a/crates/magnoliapin_entry/src/caller/listener.rs
+++ b/crates/magnoliapin_entry/src/caller/listener.rs
@@ -111,7 +111,7 @@
                 match socket.accept().await {
                     Ok((stream, _)) => self.take(stream),
                     Err(error) => {
-                        log::warn!("cannot accept a connection: {error}");
+                        log::warn!("event=accept_failed error={:?}", error.to_string());
                         Timer::after(ACCEPT_PAUSE).await;
                     }
                 }
--- a/crates/magnoliapin_entry/src/driver.rs
+++ b/crates/magnoliapin_entry/src/driver.rs
@@ -162,13 +162,24 @@
 }
 
 impl EntryDriver {
-    /// Runs machines, one after the other, until a planned stop has ended.
+    /// Runs machines, one after the other, and refuses callers once a planned stop has ended.
     pub(crate) async fn run(self) -> ChildEnd {
-        loop {
+        while !self.state.stopped().is_raised() {
             let mut turn = DriverTurn::new(&self);
             match turn.run().await {
-                TurnEnd::Stopped | TurnEnd::Closed => return ChildEnd::Done,
-                TurnEnd::Restart => log::warn!("the entry starts over with a new identifier"),
+                TurnEnd::Stopped => self.state.stopped().raise(),
+                TurnEnd::Closed => return ChildEnd::Done,
+                TurnEnd::Restart => log::warn!("event=machine_restarted"),
+            }
+        }
+        self.refuse_late_callers().await;
+        ChildEnd::Done
+    }
+
+    async fn refuse_late_callers(&self) {
+        while let Ok(event) = self.events.recv().await {
+            if let DriverEvent::Caller(_, _, answers) = event {
+                let _ = answers.try_send(stopped_answer());
             }
         }
     }
@@ -216,7 +227,7 @@
         state.entry.store(entry.0, Ordering::SeqCst);
         state.is_ready.store(false, Ordering::SeqCst);
         driver.metrics.count_machine();
-        log::info!("entry {entry} starts");
+        log::info!("event=machine_started entry={entry}");
         Self {
             driver,
             number,
@@ -254,6 +265,7 @@
         if Instant::now() >= self.next_tick {
             self.next_tick = Instant::now() + TICK_INTERVAL;
             self.handle(EntryEvent::Tick);
+            self.driver.metrics.set_policy(&self.machine.counts());
         }
         for _ in 0..EVENTS_PER_TURN {
             let Ok(event) = self.driver.events.try_recv() else {
@@ -354,10 +366,7 @@
                     self.driver.metrics.count_timeline_drop();
                 }
             }
-            EntryAction::Stopped => {
-                self.driver.state.stopped.raise();
-                self.end = Some(TurnEnd::Stopped);
-            }
+            EntryAction::Stopped => self.end = Some(TurnEnd::Stopped),
             EntryAction::Restart => self.end = Some(TurnEnd::Restart),
         }
     }
@@ -371,7 +380,9 @@
 
     fn send(&mut self, address: SocketAddr, to: Option<EntryId>, message: PeerMessage) {
         self.sequence += 1;
-        let envelope = PeerEnvelope { from: self.entry, to, sequence: self.sequence, message };
+        let stamp = self.driver.state.timeline().stamp(self.driver.clock.wall_micros());
+        let sequence = self.sequence;
+        let envelope = PeerEnvelope { from: self.entry, to, sequence, stamp, message };
         let fate = match self.driver.codec.encode(&envelope) {
             Ok(datagram) => self.send_datagram(address, &datagram),
             Err(_) => DatagramFate::SendFailed,
@@ -410,6 +421,6 @@
 }
 
 /// Returns the answer for a caller that came after the planned stop.
-pub(crate) fn stopped_answer() -> CallerAnswer {
+fn stopped_answer() -> CallerAnswer {
     CallerAnswer::Refused(RefusalView::new(ErrorKind::NotReady, "the entry has stopped"))
 }
--- a/crates/magnoliapin_entry/src/driver/caller_desk.rs
+++ b/crates/magnoliapin_entry/src/driver/caller_desk.rs
@@ -11,7 +11,6 @@
 use magnoliapin_wire::CallerRequest;
 
 use crate::driver::lost_answer;
-use crate::driver::stopped_answer;
 use crate::driver::DriverEvent;
 use crate::driver::DriverState;
 
@@ -32,14 +31,10 @@
     /// Asks for something and waits for the answer. Dropping the future tells the driver that
     /// the caller hung up.
     pub(crate) async fn ask(&self, request: CallerRequest) -> CallerAnswer {
-        if self.state.stopped().is_raised() {
-            return stopped_answer();
-        }
         let call = CallId(self.last_call.fetch_add(1, Ordering::Relaxed) + 1);
         let (sender, receiver) = async_channel::bounded(1);
-        if self.events.try_send(DriverEvent::Caller(call, request, sender)).is_err() {
-            return stopped_answer();
-        }
+        // A driver that is gone drops the sender, which ends the wait below.
+        let _ = self.events.try_send(DriverEvent::Caller(call, request, sender));
         let mut gone = CallerGuard { events: &self.events, call, has_answer: false };
         let answer = receiver.recv().await;
         gone.has_answer = true;
--- a/crates/magnoliapin_entry/src/lib.rs
+++ b/crates/magnoliapin_entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod entry_handle;
 mod http_connection;
 mod http_pool;
+mod hybrid_clock;
 mod limits;
 mod metrics;
 mod options;
--- a/crates/magnoliapin_entry/src/metrics.rs
+++ b/crates/magnoliapin_entry/src/metrics.rs
@@ -1,15 +1,15 @@
 //! Counters, gauges and histograms of one entry.
 
-use std::fmt;
+mod label;
+mod policy_gauges;
+
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use magnoliapin_model::ErrorKind;
-use magnoliapin_wire::CallFailure;
+use magnoliapin_policy::PolicyCounts;
 use prometheus_client::encoding::text;
 use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::encoding::EncodeLabelValue;
-use prometheus_client::encoding::LabelValueEncoder;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -18,108 +18,13 @@
 use prometheus_client::registry::Registry;
 use prometheus_client::registry::Unit;
 
-macro_rules! label_values {
-    ($($(#[$meta:meta])* $name:ident { $($(#[$value_meta:meta])* $value:ident => $text:literal,)+ })+) => {
-        $(
-            $(#[$meta])*
-            #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-            pub(crate) enum $name { $($(#[$value_meta])* $value,)+ }
-
-            impl fmt::Display for $name {
-                fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                    formatter.pad(match self { $(Self::$value => $text,)+ })
-                }
-            }
-
-            impl EncodeLabelValue for $name {
-                fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
-                    let text = match self { $(Self::$value => $text,)+ };
-                    EncodeLabelValue::encode(&text, encoder)
-                }
-            }
-        )+
-    };
-}
-
-label_values! {
-    /// Names a child of the supervisor, or a kind of its short tasks.
-    ChildName {
-        /// Accepts callers' connections.
-        Listener => "listener",
-        /// Receives datagrams.
-        Peers => "peers",
-        /// Owns the machine.
-        Driver => "driver",
-        /// Closes unused connections.
-        PoolSweep => "pool_sweep",
-        /// One call of the platform.
-        PlatformCall => "platform_call",
-        /// One call of a target.
-        TargetCall => "target_call",
-        /// One connection of a caller.
-        CallerConnection => "caller_connection",
-    }
-
-    /// Who is at the other end of a call or a connection.
-    BorderName {
-        /// Callers and operators.
-        Caller => "caller",
-        /// The platform's service.
-        Platform => "platform",
-        /// Targets.
-        Target => "target",
-    }
-
-    /// How a call ended.
-    CallResult {
-        /// With an answer.
-        Answered => "answered",
-        /// Nothing was sent.
-        NotSent => "not_sent",
-        /// It may have been carried out.
-        Unknown => "unknown",
-        /// Its answer did not fit it; it may have been carried out.
-        Mismatched => "mismatched",
-    }
+use self::policy_gauges::PolicyGauges;
 
-    /// What became of a datagram.
-    DatagramFate {
-        /// Sent to a peer.
-        Sent => "sent",
-        /// Could not be sent.
-        SendFailed => "send_failed",
-        /// Passed on to the driver.
-        Received => "received",
-        /// Not made with the site's key, or malformed.
-        Foreign => "foreign",
-        /// Meant for another entry, or sent by this one.
-        Misdirected => "misdirected",
-        /// Older than one already received from its sender.
-        Replayed => "replayed",
-        /// Dropped because too many wait for the driver.
-        Overflowed => "overflowed",
-    }
-
-    /// What happened to the driver.
-    EventName {
-        /// Time passed.
-        Tick => "tick",
-        /// A caller asked for something.
-        Caller => "caller",
-        /// A caller hung up.
-        CallerGone => "caller_gone",
-        /// The platform answered.
-        Platform => "platform",
-        /// A target answered.
-        Target => "target",
-        /// A datagram came.
-        Peer => "peer",
-        /// A planned stop was asked for.
-        Stop => "stop",
-        /// An answer came for a machine that is no longer there.
-        Outdated => "outdated",
-    }
-}
+pub(crate) use self::label::BorderName;
+pub(crate) use self::label::CallResult;
+pub(crate) use self::label::ChildName;
+pub(crate) use self::label::DatagramFate;
+pub(crate) use self::label::EventName;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AnswerLabels {
@@ -167,7 +72,9 @@
     restarts: Family<ChildLabels, Counter>,
     machines: Counter,
     timeline_dropped: Counter,
+    stamps_ahead: Counter,
     event_seconds: Family<EventLabels, Counter<f64, AtomicU64>>,
+    policy: PolicyGauges,
 }
 
 impl EntryMetrics {
@@ -186,10 +93,13 @@
             restarts: Family::default(),
             machines: Counter::default(),
             timeline_dropped: Counter::default(),
+            stamps_ahead: Counter::default(),
             event_seconds: Family::default(),
+            policy: PolicyGauges::default(),
         };
         metrics.register_calls();
         metrics.register_inside();
+        metrics.policy.register(&mut metrics.registry);
         metrics
     }
 
@@ -241,10 +151,18 @@
         self.machines.inc();
     }
 
+    pub(crate) fn set_policy(&self, counts: &PolicyCounts) {
+        self.policy.set(counts);
+    }
+
     pub(crate) fn count_timeline_drop(&self) {
         self.timeline_dropped.inc();
     }
 
+    pub(crate) fn count_stamp_ahead(&self) {
+        self.stamps_ahead.inc();
+    }
+
     fn observe_latency(&self, border: BorderName, latency: Duration) {
         let labels = BorderLabels { border };
         self.call_seconds.get_or_create(&labels).observe(latency.as_secs_f64());
@@ -302,6 +220,11 @@
             "Events of the time line that were dropped from the full ring",
             self.timeline_dropped.clone(),
         );
+        registry.register(
+            "stamps_ahead",
+            "Datagrams whose sender's clock is too far ahead to be followed",
+            self.stamps_ahead.clone(),
+        );
     }
 }
 
@@ -314,12 +237,3 @@
 fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(0.000_5, 2.0, 18))
 }
-
-impl From<CallFailure> for CallResult {
-    fn from(failure: CallFailure) -> Self {
-        match failure {
-            CallFailure::NotSent => Self::NotSent,
-            CallFailure::Unknown => Self::Unknown,
-        }
-    }
-}
--- a/crates/magnoliapin_entry/src/peer_link.rs
+++ b/crates/magnoliapin_entry/src/peer_link.rs
@@ -16,6 +16,7 @@
 use crate::metrics::DatagramFate;
 use crate::supervisor::ChildEnd;
 use crate::EntryMetrics;
+use crate::MonotonicClock;
 use crate::PeerTransport;
 
 /// Senders whose last sequence number is remembered.
@@ -32,6 +33,8 @@
     pub(crate) events: Sender<DriverEvent>,
     /// Knows the entry's identifier.
     pub(crate) state: Arc<DriverState>,
+    /// Tells the wall clock.
+    pub(crate) clock: Arc<dyn MonotonicClock>,
     /// Counts datagrams.
     pub(crate) metrics: Arc<EntryMetrics>,
     /// Events that may wait for the driver before datagrams are dropped.
@@ -74,6 +77,10 @@
         if self.events.len() >= self.waiting_datagrams {
             return DatagramFate::Overflowed;
         }
+        let wall_us = self.clock.wall_micros();
+        if !self.state.timeline().receive(wall_us, envelope.stamp) {
+            self.metrics.count_stamp_ahead();
+        }
         let event = EntryEvent::Peer { from: envelope.from, address, message: envelope.message };
         match self.events.try_send(DriverEvent::Machine(event)) {
             Ok(()) => DatagramFate::Received,
--- a/crates/magnoliapin_entry/src/platform_client.rs
+++ b/crates/magnoliapin_entry/src/platform_client.rs
@@ -116,6 +116,11 @@
 
 /// Reads an answer and checks that it fits the request.
 fn read_answer(request: &PlatformRequest, answer: &HttpAnswer) -> Option<PlatformReply> {
+    let is_order = matches!(request, PlatformRequest::Order(..));
+    if is_order && answer.status == StatusCode::CONFLICT {
+        // The instance has refused the order as outdated.
+        return Some(PlatformReply::Failed(CallFailure::NotSent));
+    }
     if !answer.status.is_success() {
         return None;
     }
--- a/crates/magnoliapin_entry/src/runtime.rs
+++ b/crates/magnoliapin_entry/src/runtime.rs
@@ -89,7 +89,7 @@
     while !ended.is_raised() {
         let run = AssertUnwindSafe(executor.run(ended.wait())).catch_unwind();
         if smol::block_on(run).is_err() {
-            log::error!("a task of the entry panicked");
+            log::error!("event=task_panicked");
         }
     }
 }
--- a/crates/magnoliapin_entry/src/service.rs
+++ b/crates/magnoliapin_entry/src/service.rs
@@ -123,6 +123,7 @@
             codec: self.driver.codec.clone(),
             events: self.events.clone(),
             state: Arc::clone(&self.driver.state),
+            clock: Arc::clone(&self.driver.clock),
             metrics: Arc::clone(&self.driver.metrics),
             waiting_datagrams: self.options.limits.waiting_datagrams,
         };
--- a/crates/magnoliapin_entry/src/supervisor.rs
+++ b/crates/magnoliapin_entry/src/supervisor.rs
@@ -55,7 +55,7 @@
                     return;
                 }
                 metrics.count_restart(name);
-                log::warn!("{name} ended and is started again");
+                log::warn!("event=child_restarted child={name}");
                 if started.elapsed() > STEADY_TIME {
                     backoff = FIRST_BACKOFF;
                 }
--- a/crates/magnoliapin_entry/src/timeline.rs
+++ b/crates/magnoliapin_entry/src/timeline.rs
@@ -6,11 +6,15 @@
 use magnoliapin_model::EntryId;
 use magnoliapin_model::ZoneId;
 use magnoliapin_policy::TimelineEvent;
+use magnoliapin_wire::HybridStamp;
+
+use crate::hybrid_clock::HybridClock;
 
 plain_data! {
     /// One event with the entry that recorded it.
     pub struct TimelineRecord {
-        /// Wall clock in microseconds since 1970; never goes back in one entry.
+        /// Hybrid logical clock, in microseconds since 1970; see
+        /// [`HybridStamp`](magnoliapin_wire::HybridStamp).
         pub stamp_us: u64,
         /// Orders events of the same microsecond.
         pub stamp_count: u32,
@@ -38,8 +42,7 @@
 pub(crate) struct TimelineRing {
     capacity: usize,
     dropped: u64,
-    stamp_us: u64,
-    stamp_count: u32,
+    clock: HybridClock,
     records: VecDeque<TimelineRecord>,
 }
 
@@ -47,7 +50,7 @@
     /// Makes an empty ring.
     pub(crate) fn new(capacity: usize) -> Self {
         let records = VecDeque::with_capacity(capacity.min(1_024));
-        Self { capacity: capacity.max(1), dropped: 0, stamp_us: 0, stamp_count: 0, records }
+        Self { capacity: capacity.max(1), dropped: 0, clock: HybridClock::default(), records }
     }
 
     /// Adds an event; returns whether an older one had to go.
@@ -58,15 +61,15 @@
         zone: ZoneId,
         event: TimelineEvent,
     ) -> bool {
-        self.advance(wall_us);
+        let stamp = self.clock.next(wall_us);
         let is_full = self.records.len() >= self.capacity;
         if is_full {
             self.records.pop_front();
             self.dropped += 1;
         }
         self.records.push_back(TimelineRecord {
-            stamp_us: self.stamp_us,
-            stamp_count: self.stamp_count,
+            stamp_us: stamp.wall_us,
+            stamp_count: stamp.count,
             entry,
             zone,
             event,
@@ -79,12 +82,13 @@
         TimelineView { dropped: self.dropped, records: self.records.iter().cloned().collect() }
     }
 
-    fn advance(&mut self, wall_us: u64) {
-        if wall_us > self.stamp_us {
-            self.stamp_us = wall_us;
-            self.stamp_count = 0;
-        } else {
-            self.stamp_count += 1;
-        }
+    /// Returns the stamp of a message that leaves.
+    pub(crate) fn stamp(&mut self, wall_us: u64) -> HybridStamp {
+        self.clock.next(wall_us)
+    }
+
+    /// Takes the stamp of a message that came; returns whether it was followed.
+    pub(crate) fn receive(&mut self, wall_us: u64, stamp: HybridStamp) -> bool {
+        self.clock.receive(wall_us, stamp)
     }
 }
--- a/crates/magnoliapin_entry/tests/calls.rs
+++ b/crates/magnoliapin_entry/tests/calls.rs
@@ -30,6 +30,8 @@
 use magnoliapin_model::TeamId;
 use magnoliapin_model::WorkId;
 use magnoliapin_wire::CallFailure;
+use magnoliapin_wire::InstanceOrder;
+use magnoliapin_wire::OrderAct;
 use magnoliapin_wire::PlatformReply;
 use magnoliapin_wire::PlatformRequest;
 use magnoliapin_wire::RefusalReason;
@@ -389,6 +391,19 @@
     }
 }
 
+#[test]
+fn an_order_that_the_platform_refuses_as_outdated_did_nothing() {
+    let bench = ClientBench::new(PoolLimits::default());
+    let server = FakeServer::start(|_, _| FakeAnswer::Status(409));
+    let platform = bench.platform(server.address);
+    let order = InstanceOrder { run: TargetRun(1), epoch: RowVersion(1), act: OrderAct::Drain };
+    let request = PlatformRequest::Order("instance-1".parse().unwrap(), order);
+    let reply = smol::block_on(platform.call(request, Duration::from_millis(500)));
+    assert_eq!(reply, PlatformReply::Failed(CallFailure::NotSent));
+    let read = platform.call(PlatformRequest::Instances, Duration::from_millis(500));
+    assert_eq!(smol::block_on(read), PlatformReply::Failed(CallFailure::Unknown));
+}
+
 #[test]
 fn refusing_statuses_of_the_platform_are_unknown() {
     let bench = ClientBench::new(PoolLimits::default());
--- a/crates/magnoliapin_entry/tests/peers.rs
+++ b/crates/magnoliapin_entry/tests/peers.rs
@@ -9,6 +9,7 @@
 use magnoliapin_entry::EntryService;
 use magnoliapin_model::EntryId;
 use magnoliapin_model::TeamId;
+use magnoliapin_wire::HybridStamp;
 use magnoliapin_wire::PeerCodec;
 use magnoliapin_wire::PeerEnvelope;
 use magnoliapin_wire::PeerMessage;
@@ -45,7 +46,8 @@
     fn send_message(&self, key: &[u8], sequence: u64, to: Option<EntryId>) {
         let message =
             PeerMessage::PartMoved(TeamId::new("guides").expect("the test can set this up"));
-        let envelope = PeerEnvelope { from: EntryId(99), to, sequence, message };
+        let stamp = HybridStamp::default();
+        let envelope = PeerEnvelope { from: EntryId(99), to, sequence, stamp, message };
         self.send(&PeerCodec::new(key).encode(&envelope).expect("the test can set this up"));
     }
 
--- a/crates/magnoliapin_entry/tests/support/mod.rs
+++ b/crates/magnoliapin_entry/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod fake_server;
+pub(crate) mod site;
 
 use std::io::Read;
 use std::io::Write;
--- /dev/null
+++ b/crates/magnoliapin_entry/tests/support/site.rs
@@ -0,0 +1,167 @@
+//! A whole site in one process: platform, targets and entries on loopback.
+
+use std::net::SocketAddr;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use magnoliapin_entry::EntryBorders;
+use magnoliapin_entry::EntryHandle;
+use magnoliapin_entry::EntryOptions;
+use magnoliapin_entry::EntryService;
+use magnoliapin_model::ConfigDocument;
+use magnoliapin_model::KeyHash;
+use magnoliapin_model::WorkId;
+use magnoliapin_standin::PlatformHandle;
+use magnoliapin_standin::PlatformOptions;
+use magnoliapin_standin::PlatformStandin;
+use magnoliapin_standin::TargetHandle;
+use magnoliapin_standin::TargetOptions;
+use magnoliapin_standin::TargetStandin;
+use magnoliapin_standin::WorkCounts;
+use magnoliapin_wire::ConfigChange;
+
+use super::request;
+use super::request_with;
+use super::wait_for;
+use super::RawResponse;
+
+/// Key of the team of operators.
+pub(crate) const OPERATOR: &str = "authorization: Bearer operator\r\n";
+/// Key of the team `guides`.
+pub(crate) const GUIDES: &str = "authorization: Bearer guides\r\n";
+
+/// A platform, targets and entries.
+pub(crate) struct TestSite {
+    /// The platform.
+    pub(crate) platform: PlatformHandle,
+    /// The targets.
+    pub(crate) targets: Vec<TargetHandle>,
+    /// The entries.
+    pub(crate) entries: Vec<EntryHandle>,
+}
+
+impl TestSite {
+    /// Starts a platform, a target in each of `target_zones`, an entry in each of `entry_zones`,
+    /// and applies the document.
+    pub(crate) fn start(target_zones: &[&str], entry_zones: &[&str]) -> Self {
+        let options = PlatformOptions::default().with_lag(Duration::from_millis(100));
+        let platform = smol::block_on(PlatformStandin::start(options)).expect("a port is free");
+        let mut site = Self { platform, targets: Vec::new(), entries: Vec::new() };
+        for zone in target_zones {
+            site.start_target(zone);
+        }
+        for zone in entry_zones {
+            site.start_entry(zone);
+        }
+        site.apply_document();
+        wait_for("ready entries", || site.entries.iter().all(EntryHandle::is_ready));
+        site
+    }
+
+    /// Starts one more target.
+    pub(crate) fn start_target(&mut self, zone: &str) {
+        let number = self.targets.len();
+        let options = TargetOptions::new(
+            format!("instance-{number}").parse().expect("a valid name"),
+            zone.parse().expect("a valid name"),
+            format!("rack-{number}").parse().expect("a valid name"),
+            self.platform.address(),
+        )
+        .with_pool("front".parse().expect("a valid name"))
+        .with_seed(100 + number as u64);
+        let target = smol::block_on(TargetStandin::start(options)).expect("a port is free");
+        self.targets.push(target);
+    }
+
+    /// Starts one more entry.
+    pub(crate) fn start_entry(&mut self, zone: &str) {
+        self.start_entry_with(zone, EntryBorders::default());
+    }
+
+    /// Starts one more entry with other borders.
+    pub(crate) fn start_entry_with(&mut self, zone: &str, borders: EntryBorders) {
+        let zone = zone.parse().expect("a valid name");
+        let options = EntryOptions::new(zone, self.platform.address())
+            .with_peer_key(b"key of the tests")
+            .with_seed(200 + self.entries.len() as u64);
+        let entry = EntryService::start_with(options, borders).expect("a port is free");
+        self.entries.push(entry);
+    }
+
+    /// Returns the callers' address of an entry.
+    pub(crate) fn address(&self, entry: usize) -> SocketAddr {
+        self.entries[entry].caller_address()
+    }
+
+    /// Returns what all targets did for each piece of work.
+    pub(crate) fn works(&self) -> IndexMap<WorkId, WorkCounts> {
+        let mut all: IndexMap<WorkId, WorkCounts> = IndexMap::new();
+        for target in &self.targets {
+            let state = target.state();
+            let state = state.lock().unwrap_or_else(PoisonError::into_inner);
+            for (work, counts) in state.ledger().works() {
+                let sum = all.entry(*work).or_default();
+                sum.starts += counts.starts;
+                sum.effects += counts.effects;
+            }
+        }
+        all
+    }
+
+    /// Waits until a job has ended and returns it.
+    pub(crate) fn ended_job(&self, entry: usize, id: &str) -> RawResponse {
+        let path = format!("/v1/jobs/{id}");
+        let mut job = None;
+        wait_for("the end of the job", || {
+            let response = request_with(self.address(entry), "GET", &path, GUIDES, b"");
+            let has_ended = response.status == 200 && response.json()["state"] != "accepted";
+            job = has_ended.then_some(response);
+            has_ended
+        });
+        job.expect("the wait gave a job")
+    }
+
+    fn apply_document(&self) {
+        let document = ConfigDocument::parse(&document_text()).expect("the document is valid");
+        let sections = document.sections();
+        let sections = sections.into_iter().map(|(name, text)| (name, Some(text))).collect();
+        let change = ConfigChange { sections, whole: true, ..ConfigChange::default() };
+        let body = serde_json::to_vec(&change).expect("a change is JSON");
+        wait_for("the first document", || {
+            let response = request(self.address(0), "POST", "/v1/config", &body);
+            assert!([200, 503].contains(&response.status), "{response:?}");
+            response.status == 200
+        });
+    }
+}
+
+fn document_text() -> String {
+    let operator = KeyHash::new("operator");
+    let guides = KeyHash::new("guides");
+    format!(
+        r#"
+        [pools.front]
+        instances = 3
+        max_unavailable = 1
+        image = "walks-1"
+        [teams.operators]
+        limit = 8
+        operator = true
+        keys.main = "{operator}"
+        [teams.guides]
+        weight = 2
+        limit = 24
+        keys.main = "{guides}"
+        [queues.booking]
+        pool = "front"
+        timeout_ms = 5000
+        max_run_ms = 5000
+        [queues.route]
+        pool = "front"
+        open = true
+        open_team = "guides"
+        idempotent = true
+        "#
+    )
+}
--- /dev/null
+++ b/crates/magnoliapin_entry/tests/whole_path.rs
@@ -0,0 +1,174 @@
+//! The whole path in one process: callers, entries, platform and targets over real sockets.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use support::request;
+use support::request_with;
+use support::send_raw;
+use support::site::TestSite;
+use support::site::GUIDES;
+use support::site::OPERATOR;
+use support::wait_for;
+use support::RawResponse;
+use support::TEST_TIMEOUT;
+
+const RUN_PATH: &str = "/v1/queues/booking/requests";
+const SUBMIT_PATH: &str = "/v1/queues/booking/jobs";
+
+#[test]
+fn a_request_and_a_job_go_the_whole_way() {
+    let site = TestSite::start(&["zone-a", "zone-a", "zone-b"], &["zone-a", "zone-b"]);
+    for entry in 0..2 {
+        let answer = request_with(site.address(entry), "POST", RUN_PATH, GUIDES, b"a walk");
+        assert_eq!((answer.status, answer.body.as_slice()), (200, b"a walk".as_slice()));
+        assert!(answer.head.contains("x-magnoliapin-outcome: ran"), "{}", answer.head);
+    }
+
+    let headers = format!("{GUIDES}idempotency-key: once\r\n");
+    let first = request_with(site.address(0), "POST", SUBMIT_PATH, &headers, b"a job");
+    assert_eq!(first.status, 202, "{first:?}");
+    let id = first.json()["id"].as_str().unwrap().to_owned();
+    let again = request_with(site.address(1), "POST", SUBMIT_PATH, &headers, b"a job");
+    assert_eq!((again.status, again.json()["id"].as_str()), (202, Some(id.as_str())));
+    let job = site.ended_job(1, &id).json();
+    assert_eq!((job["state"].as_str(), job["output"].as_str()), (Some("finished"), Some("a job")));
+
+    let works = site.works();
+    assert_eq!(works.len(), 3);
+    assert!(works.values().all(|counts| counts.effects == 1), "{works:?}");
+}
+
+#[test]
+fn keys_queues_and_operators_are_told_apart() {
+    let site = TestSite::start(&["zone-a"], &["zone-a"]);
+    let address = site.address(0);
+    let cases = [
+        ("POST", RUN_PATH, "", 401, "bad_key"),
+        ("POST", RUN_PATH, "authorization: Bearer wrong\r\n", 401, "bad_key"),
+        ("POST", "/v1/queues/none/requests", GUIDES, 404, "not_found"),
+        ("GET", "/v1/jobs/00000000000000000000000000000001", GUIDES, 404, "not_found"),
+        ("POST", "/v1/config", GUIDES, 403, "not_allowed"),
+    ];
+    for (method, path, headers, status, kind) in cases {
+        let body: &[u8] =
+            if path == "/v1/config" { b"{\"sections\":{},\"whole\":false}" } else { b"" };
+        let answer = request_with(address, method, path, headers, body);
+        assert_eq!((answer.status, answer.kind().as_str()), (status, kind), "{path}: {answer:?}");
+        assert_eq!(answer.json()["outcome"], "not_run");
+    }
+    let open = request(address, "POST", "/v1/queues/route/requests", b"open to all");
+    assert_eq!((open.status, open.body.as_slice()), (200, b"open to all".as_slice()));
+    let large = vec![b'x'; 70_000];
+    let answer = request_with(address, "POST", RUN_PATH, GUIDES, &large);
+    assert_eq!((answer.status, answer.kind().as_str()), (413, "body_too_large"));
+    for path in ["/v1/config", "/v1/status", "/v1/instances", "/v1/pools", "/v1/timeline"] {
+        let answer = request_with(address, "GET", path, OPERATOR, b"");
+        assert_eq!(answer.status, 200, "{path}: {answer:?}");
+    }
+}
+
+#[test]
+fn the_time_line_tells_of_the_start_and_of_jobs() {
+    let site = TestSite::start(&["zone-a"], &["zone-a"]);
+    let job = request_with(site.address(0), "POST", SUBMIT_PATH, GUIDES, b"a job");
+    let id = job.json()["id"].as_str().unwrap().to_owned();
+    site.ended_job(0, &id);
+    let mut view = serde_json::Value::Null;
+    wait_for("every event of the time line", || {
+        view = request(site.address(0), "GET", "/v1/timeline", b"").json();
+        let records = view["records"].as_array().unwrap();
+        let names: Vec<_> = records.iter().filter_map(|record| record["name"].as_str()).collect();
+        let expected = ["entry_ready", "config_in_force", "job_accepted", "job_ended"];
+        expected.iter().all(|name| names.contains(name))
+    });
+    let entry = site.entries[0].entry().to_string();
+    let records = view["records"].as_array().unwrap();
+    assert!(records.iter().all(|record| record["entry"] == entry.as_str()));
+}
+
+/// Runs requests one after the other until told to stop; returns every answer.
+fn run_load(address: SocketAddr, stop: &AtomicBool, served: &AtomicUsize) -> Vec<RawResponse> {
+    let body = b"{\"run_ms\":40}";
+    let head = format!(
+        "POST {RUN_PATH} HTTP/1.1\r\n{GUIDES}connection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let bytes = [head.as_bytes(), body].concat();
+    let mut answers = Vec::new();
+    while !stop.load(Ordering::SeqCst) {
+        let answer = RawResponse::parse(&send_raw(address, &bytes)).expect("no request is cut");
+        served.fetch_add(usize::from(answer.status == 200), Ordering::SeqCst);
+        answers.push(answer);
+    }
+    answers
+}
+
+#[test]
+fn a_planned_stop_under_load_cuts_no_request() {
+    let site = TestSite::start(&["zone-a", "zone-a"], &["zone-a", "zone-a"]);
+    let address = site.address(0);
+    let stop = AtomicBool::new(false);
+    let served = AtomicUsize::new(0);
+    let answers = std::thread::scope(|scope| {
+        let callers: Vec<_> =
+            (0..8).map(|_| scope.spawn(|| run_load(address, &stop, &served))).collect();
+        wait_for("load", || served.load(Ordering::SeqCst) >= 40);
+        site.entries[0].stop();
+        let started = Instant::now();
+        // The callers go away once they are told to, as a balancer does when an entry is not ready.
+        wait_for("an entry that is not ready", || !site.entries[0].is_ready());
+        std::thread::sleep(Duration::from_millis(50));
+        stop.store(true, Ordering::SeqCst);
+        let answers: Vec<_> =
+            callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect();
+        smol::block_on(site.entries[0].finished());
+        assert!(started.elapsed() < TEST_TIMEOUT, "{:?}", started.elapsed());
+        answers
+    });
+    let served = answers.iter().filter(|answer| answer.status == 200).count();
+    let refused: Vec<_> = answers.iter().filter(|answer| answer.status != 200).collect();
+    assert!(served >= 40, "{served} requests were served");
+    for answer in &refused {
+        assert_eq!(answer.kind(), "not_ready", "{answer:?}");
+        assert_eq!(answer.json()["outcome"], "not_run");
+    }
+    let works = site.works();
+    assert_eq!(works.len(), served);
+    assert!(works.values().all(|counts| counts.effects == 1), "{works:?}");
+    let other = request_with(site.address(1), "POST", RUN_PATH, GUIDES, b"still served");
+    assert_eq!(other.status, 200, "{other:?}");
+}
+
+#[test]
+fn jobs_of_a_killed_entry_finish_once() {
+    let site = TestSite::start(&["zone-a", "zone-a"], &["zone-a", "zone-a"]);
+    let mut ids = Vec::new();
+    for _ in 0..10 {
+        let job = request_with(site.address(0), "POST", SUBMIT_PATH, GUIDES, b"{\"run_ms\":300}");
+        assert_eq!(job.status, 202, "{job:?}");
+        ids.push(job.json()["id"].as_str().unwrap().to_owned());
+    }
+    site.entries[0].kill();
+    let deadline = Instant::now() + Duration::from_secs(40);
+    for id in &ids {
+        let path = format!("/v1/jobs/{id}");
+        loop {
+            let job = request_with(site.address(1), "GET", &path, GUIDES, b"");
+            if job.status == 200 && job.json()["state"] == "finished" {
+                break;
+            }
+            assert!(Instant::now() < deadline, "job {id} has not ended: {job:?}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+    let works = site.works();
+    assert_eq!(works.len(), ids.len());
+    assert!(works.values().all(|counts| counts.effects == 1), "{works:?}");
+}
--- a/crates/magnoliapin_wire/src/lib.rs
+++ b/crates/magnoliapin_wire/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod caller;
 mod codec;
+mod hybrid_stamp;
 mod peer;
 mod platform;
 pub mod rows;
@@ -28,6 +29,7 @@
 pub use codec::CodecError;
 pub use codec::PeerCodec;
 pub use codec::MAX_DATAGRAM_BYTES;
+pub use hybrid_stamp::HybridStamp;
 pub use peer::EntryFacts;
 pub use peer::EntryState;
 pub use peer::PeerEnvelope;
--- a/crates/magnoliapin_wire/src/peer.rs
+++ b/crates/magnoliapin_wire/src/peer.rs
@@ -13,6 +13,8 @@
 use magnoliapin_model::TeamId;
 use magnoliapin_model::ZoneId;
 
+use crate::HybridStamp;
+
 plain_data! {
     /// A message with its sender.
     pub struct PeerEnvelope {
@@ -22,6 +24,8 @@
         pub to: Option<EntryId>,
         /// Number of the message at its sender; only rises, so that replays are dropped.
         pub sequence: u64,
+        /// Sender's clock for the time line.
+        pub stamp: HybridStamp,
         /// The message.
         pub message: PeerMessage,
     }
--- a/crates/magnoliapin_wire/tests/peer_layout.rs
+++ b/crates/magnoliapin_wire/tests/peer_layout.rs
@@ -15,6 +15,7 @@
 use magnoliapin_wire::CodecError;
 use magnoliapin_wire::EntryFacts;
 use magnoliapin_wire::EntryState;
+use magnoliapin_wire::HybridStamp;
 use magnoliapin_wire::PeerCodec;
 use magnoliapin_wire::PeerEnvelope;
 use magnoliapin_wire::PeerMessage;
@@ -53,7 +54,8 @@
 }
 
 fn envelope(message: PeerMessage) -> PeerEnvelope {
-    PeerEnvelope { from: EntryId(0xff), to: Some(EntryId(1)), sequence: 4, message }
+    let stamp = HybridStamp { wall_us: 2_000, count: 6 };
+    PeerEnvelope { from: EntryId(0xff), to: Some(EntryId(1)), sequence: 4, stamp, message }
 }
 
 #[test]
--- a/crates/magnoliapin_wire/tests/properties.rs
+++ b/crates/magnoliapin_wire/tests/properties.rs
@@ -20,6 +20,7 @@
 use magnoliapin_wire::EntryFence;
 use magnoliapin_wire::EntryState;
 use magnoliapin_wire::EntryTasks;
+use magnoliapin_wire::HybridStamp;
 use magnoliapin_wire::InstanceOrder;
 use magnoliapin_wire::InstanceRecord;
 use magnoliapin_wire::LeaseGrant;
@@ -115,9 +116,17 @@
 
 fn envelope() -> impl Strategy<Value = PeerEnvelope> {
     let to = option::of(any::<u64>().prop_map(EntryId));
-    (any::<u64>(), to, any::<u64>(), message()).prop_map(|(from, to, sequence, message)| {
-        PeerEnvelope { from: EntryId(from), to, sequence, message }
-    })
+    let stamp = (any::<u64>(), any::<u32>());
+    let stamp = stamp.prop_map(|(wall_us, count)| HybridStamp { wall_us, count });
+    (any::<u64>(), to, any::<u64>(), stamp, message()).prop_map(
+        |(from, to, sequence, stamp, message)| PeerEnvelope {
+            from: EntryId(from),
+            to,
+            sequence,
+            stamp,
+            message,
+        },
+    )
 }
 
 /// Makes a datagram with a right tag around any body.
