Measure the two deployments by their shipped examples

Ruled out: keeping both; figures that nobody can configure mislead.

Change: the documents, teams, weights and queues of the examples are measured; queues of one pool share it.

--- a/crates/magnoliapin_fleet/examples/fleet_measure/demand.rs
+++ b/crates/magnoliapin_fleet/examples/fleet_measure/demand.rs
@@ -35,17 +35,20 @@
 
 impl QueueModel {
     /// Makes the queues of a document, with phases and parts of teams by chance.
-    pub(crate) fn all(document: &ConfigDocument, teams: usize, random: &mut Pcg64) -> Vec<Self> {
+    pub(crate) fn all(document: &ConfigDocument, random: &mut Pcg64) -> Vec<Self> {
         let queues = document.queues.iter().map(|(queue, section)| {
-            let size = document.pools[&section.pool].instances;
-            let mut parts: Vec<f64> = (0..teams).map(|_| random.random_range(0.02..1.0)).collect();
+            let peers = document.queues.values().filter(|other| other.pool == section.pool);
+            let size = f64::from(document.pools[&section.pool].instances) / peers.count() as f64;
+            let is_open_to = |team| section.teams.is_empty() || section.teams.contains(team);
+            let part = |team| if is_open_to(team) { random.random_range(0.1..1.0) } else { 0.0 };
+            let mut parts: Vec<f64> = document.teams.keys().map(part).collect();
             let sum: f64 = parts.iter().sum();
             parts.iter_mut().for_each(|part| *part /= sum);
             Self {
                 queue: *queue,
                 pool: section.pool,
                 team_parts: parts,
-                mean_instances: MEAN_LOAD * f64::from(size),
+                mean_instances: MEAN_LOAD * size,
                 phase: random.random_range(0.0..std::f64::consts::TAU),
                 is_burst: false,
                 until_seconds: random.random_range(0.0..100.0),
--- a/crates/magnoliapin_fleet/examples/fleet_measure/trial.rs
+++ b/crates/magnoliapin_fleet/examples/fleet_measure/trial.rs
@@ -27,8 +27,6 @@
 const WINDOW_SECONDS: u64 = 60;
 /// When the document names a new image.
 const ROLLOUT_AT_SECONDS: u64 = 14 * 3_600;
-/// Weights of the six teams.
-const TEAM_WEIGHTS: [f64; 6] = [4.0, 3.0, 2.0, 1.0, 1.0, 1.0];
 
 /// Who plans.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,8 +77,9 @@
     document: ConfigDocument,
     fleet: FleetModel,
     queues: Vec<QueueModel>,
-    /// Work that waits, in instance-seconds, by queue and team.
-    waiting: Vec<Vec<f64>>,
+    team_weights: Vec<f64>,
+    /// Work that waits, in instance-seconds, by pool and team.
+    waiting: IndexMap<PoolId, Vec<f64>>,
     history: DemandHistory,
     /// What each pool is asked for now, in instances.
     asked: IndexMap<PoolId, f64>,
@@ -100,10 +99,10 @@
 
 impl WindowSums {
     /// Starts a window with the work that waits.
-    fn new(waiting: &[Vec<f64>]) -> Self {
-        let teams = 0..TEAM_WEIGHTS.len();
-        let wanted = teams.map(|team| waiting.iter().map(|queue| queue[team]).sum()).collect();
-        Self { wanted, served: vec![0.0; TEAM_WEIGHTS.len()], capacity: 0.0 }
+    fn new(waiting: &IndexMap<PoolId, Vec<f64>>, teams: usize) -> Self {
+        let wanted = |team: usize| waiting.values().map(|waiting| waiting[team]).sum();
+        let wanted = (0..teams).map(wanted).collect();
+        Self { wanted, served: vec![0.0; teams], capacity: 0.0 }
     }
 }
 
@@ -146,13 +145,17 @@
 impl TrialDay {
     fn new(site: &SiteModel, kind: PlannerKind, random: &mut Pcg64) -> Self {
         let document = site.document.clone();
-        let queues = QueueModel::all(&document, TEAM_WEIGHTS.len(), random);
-        let waiting = vec![vec![0.0; TEAM_WEIGHTS.len()]; queues.len()];
+        let queues = QueueModel::all(&document, random);
+        let team_weights: Vec<f64> =
+            document.teams.values().map(|team| f64::from(team.weight)).collect();
+        let waiting = queues.iter().map(|queue| (queue.pool, vec![0.0; team_weights.len()]));
+        let waiting = waiting.collect();
         Self {
             kind,
             document,
             fleet: FleetModel::new(site.snapshot()),
-            window: WindowSums::new(&waiting),
+            window: WindowSums::new(&waiting, team_weights.len()),
+            team_weights,
             queues,
             waiting,
             history: DemandHistory::default(),
@@ -203,23 +206,26 @@
     /// Lets work arrive and be served for one step; inside a pool the shares are exact.
     fn serve(&mut self, seconds: u64, now: UnixSeconds, random: &mut Pcg64) {
         let span = STEP_SECONDS as f64;
-        for (queue, waiting) in self.queues.iter_mut().zip(&mut self.waiting) {
+        for queue in &mut self.queues {
+            let waiting = &mut self.waiting[&queue.pool];
             let asked = queue.asked(seconds as f64, random);
             self.history.observe(queue.queue, asked * f64::from(SLOTS), now);
             for (team, part) in queue.team_parts.iter().enumerate() {
                 waiting[team] += asked * part * span;
                 self.window.wanted[team] += asked * part * span;
             }
+        }
+        for (pool, waiting) in &mut self.waiting {
             let wanted: f64 = waiting.iter().sum();
-            self.asked.insert(queue.pool, wanted / span);
-            let capacity = self.fleet.serving(queue.pool) * span;
-            let served = divide(capacity, waiting, &TEAM_WEIGHTS);
+            self.asked.insert(*pool, wanted / span);
+            let capacity = self.fleet.serving(*pool) * span;
+            let served = divide(capacity, waiting, &self.team_weights);
             for (team, served) in served.iter().enumerate() {
                 waiting[team] -= served;
                 self.window.served[team] += served;
             }
             let served: f64 = served.iter().sum();
-            self.busy_parts.insert(queue.pool, (served / capacity.max(1e-9)).clamp(0.0, 1.0));
+            self.busy_parts.insert(*pool, (served / capacity.max(1e-9)).clamp(0.0, 1.0));
         }
         let pools = self.document.pools.keys();
         self.window.capacity += pools.map(|pool| self.fleet.serving(*pool)).sum::<f64>() * span;
@@ -227,8 +233,11 @@
 
     /// Adds up what teams were entitled to, had the whole fleet been at their service, and missed.
     fn close_window(&mut self) {
-        let window = std::mem::replace(&mut self.window, WindowSums::new(&self.waiting));
-        let entitled = divide(window.capacity, &window.wanted, &TEAM_WEIGHTS);
+        let window = std::mem::replace(
+            &mut self.window,
+            WindowSums::new(&self.waiting, self.team_weights.len()),
+        );
+        let entitled = divide(window.capacity, &window.wanted, &self.team_weights);
         for (entitled, served) in entitled.iter().zip(&window.served) {
             self.entitled_sum += entitled;
             self.missed_sum += (entitled - served).max(0.0);
