Close connections of callers that take nothing of their answer

The entry now closes it when a write has made no progress for 10 s. Ruled out: the bound for unused connections, which the library only applies between requests.

--- a/crates/magnoliapin_entry/src/caller/connection.rs
+++ b/crates/magnoliapin_entry/src/caller/connection.rs
@@ -65,6 +65,7 @@
     Closed,
     Broken,
     SlowHead,
+    Stalled,
 }
 
 impl CallerConnection {
@@ -79,6 +80,7 @@
         let _ = self.stream.set_nodelay(true);
         let refusal = match self.serve().await {
             ConnectionEnd::Closed => None,
+            ConnectionEnd::Stalled => return,
             ConnectionEnd::Broken => Some(RequestFault::new(
                 ErrorKind::BadRequest,
                 "the headers are broken, too many or too long",
@@ -110,6 +112,10 @@
             self.watch.slow_head(limits.header_timeout).await;
             Some(ConnectionEnd::SlowHead)
         };
+        let stalled = async {
+            self.watch.stalled_write(limits.write_timeout).await;
+            Some(ConnectionEnd::Stalled)
+        };
         let stopping = async {
             self.shared.draining.wait().await;
             None
@@ -119,7 +125,7 @@
             let _ = connection.as_mut().await;
             Some(ConnectionEnd::Closed)
         };
-        let end = match serving.or(slow_head).or(stopping).await {
+        let end = match serving.or(slow_head).or(stalled).or(stopping).await {
             Some(end) => end,
             None => {
                 connection.as_mut().graceful_shutdown();
--- a/crates/magnoliapin_entry/src/caller/stream.rs
+++ b/crates/magnoliapin_entry/src/caller/stream.rs
@@ -22,6 +22,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct StreamWatch {
     head_since: Mutex<Option<Instant>>,
+    write_since: Mutex<Option<Instant>>,
     is_serving: AtomicBool,
     is_broken: AtomicBool,
 }
@@ -30,7 +31,7 @@
     /// Notes that the headers of a request are complete.
     pub(crate) fn begin_request(&self) {
         self.is_serving.store(true, Ordering::SeqCst);
-        *self.head_since() = None;
+        *lock(&self.head_since) = None;
     }
 
     /// Notes that the answer of a request is made.
@@ -45,27 +46,42 @@
 
     /// Waits until headers have been incomplete for at least `timeout`.
     pub(crate) async fn slow_head(&self, timeout: Duration) {
-        loop {
-            let since = *self.head_since();
-            match since {
-                Some(since) if since.elapsed() >= timeout => return,
-                Some(since) => Timer::at(since + timeout).await,
-                None => Timer::after(timeout / 2).await,
-            };
-        }
+        wait_for_age(&self.head_since, timeout).await;
+    }
+
+    /// Waits until the caller has taken nothing of an answer for at least `timeout`.
+    pub(crate) async fn stalled_write(&self, timeout: Duration) {
+        wait_for_age(&self.write_since, timeout).await;
+    }
+
+    fn note_write(&self, is_pending: bool) {
+        let mut write_since = lock(&self.write_since);
+        *write_since = is_pending.then(|| write_since.unwrap_or_else(Instant::now));
     }
 
     fn note_read(&self) {
         if !self.is_serving.load(Ordering::SeqCst) {
-            self.head_since().get_or_insert_with(Instant::now);
+            lock(&self.head_since).get_or_insert_with(Instant::now);
         }
     }
+}
 
-    fn head_since(&self) -> MutexGuard<'_, Option<Instant>> {
-        self.head_since.lock().unwrap_or_else(PoisonError::into_inner)
+/// Waits until the instant in `since` is there and at least `age` old.
+async fn wait_for_age(since: &Mutex<Option<Instant>>, age: Duration) {
+    loop {
+        let began = *lock(since);
+        match began {
+            Some(began) if began.elapsed() >= age => return,
+            Some(began) => Timer::at(began + age).await,
+            None => Timer::after(age / 2).await,
+        };
     }
 }
 
+fn lock(since: &Mutex<Option<Instant>>) -> MutexGuard<'_, Option<Instant>> {
+    since.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// The socket of a caller. It holds back the library's own answers to broken headers, which have
 /// no body, so that the entry can give its own.
 #[derive(Debug)]
@@ -105,7 +121,9 @@
             self.watch.is_broken.store(true, Ordering::SeqCst);
             return Poll::Ready(Ok(buffer.len()));
         }
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        let result = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.watch.note_write(result.is_pending());
+        result
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/magnoliapin_entry/src/limits.rs
+++ b/crates/magnoliapin_entry/src/limits.rs
@@ -58,6 +58,8 @@
     pub all_body_bytes: u64,
     /// Time for the body of a request.
     pub body_timeout: Duration,
+    /// Time after which a connection is closed whose caller takes nothing of its answer.
+    pub write_timeout: Duration,
     /// Time after which a connection without a request is closed.
     pub idle_timeout: Duration,
     /// Time after the entry has stopped in which connections still get an answer.
@@ -83,6 +85,7 @@
             body_bytes: 1024 * 1024,
             all_body_bytes: 256 * 1024 * 1024,
             body_timeout: Duration::from_secs(10),
+            write_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(60),
             stop_linger: Duration::from_millis(500),
             waiting_datagrams: 4_096,
--- a/crates/magnoliapin_entry/tests/callers.rs
+++ b/crates/magnoliapin_entry/tests/callers.rs
@@ -212,6 +212,20 @@
     assert!(read_until_closed(&mut stream).is_empty());
 }
 
+#[test]
+fn a_caller_that_takes_no_answer_loses_its_connection() {
+    let mut options = options_without_platform();
+    options.limits.write_timeout = Duration::from_millis(300);
+    let handle = EntryService::start(options).unwrap();
+    let mut stream = connect(handle.caller_address());
+    stream.write_all("GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n".repeat(4_000).as_bytes()).unwrap();
+    let open = || metric(&handle.metrics_text(), "magnoliapin_connections{border=\"caller\"}");
+    wait_for("the connection", || open() >= 1.0);
+    wait_for("the end of the connection", || open() < 1.0);
+    let answered = metric(&handle.metrics_text(), "magnoliapin_answers_total{kind=\"ok\"}");
+    assert!(answered < 4_000.0, "the socket took every answer");
+}
+
 #[test]
 fn several_requests_share_a_connection() {
     let handle = start();
--- a/crates/magnoliapin_entry/tests/whole_path.rs
+++ b/crates/magnoliapin_entry/tests/whole_path.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use magnoliapin_standin::TargetMode;
 use support::request;
 use support::request_with;
 use support::send_raw;
@@ -93,6 +94,23 @@
     assert!(records.iter().all(|record| record["entry"] == entry.as_str()));
 }
 
+#[test]
+fn a_connection_that_goes_silent_costs_no_answer_and_no_second_run() {
+    let site = TestSite::start(&["zone-a"], &["zone-a"]);
+    let address = site.address(0);
+    let answer = std::thread::scope(|scope| {
+        let caller = scope
+            .spawn(move || request_with(address, "POST", RUN_PATH, GUIDES, b"{\"run_ms\":700}"));
+        wait_for("the start of the work", || site.works().values().any(|work| work.starts == 1));
+        site.targets[0].set_mode(TargetMode::Silent);
+        caller.join().unwrap()
+    });
+    assert_eq!((answer.status, answer.body.as_slice()), (200, b"{\"run_ms\":700}".as_slice()));
+    let works = site.works();
+    let counts: Vec<_> = works.values().map(|work| (work.starts, work.effects)).collect();
+    assert_eq!(counts, [(1, 1)]);
+}
+
 /// Runs requests one after the other until told to stop; returns every answer.
 fn run_load(address: SocketAddr, stop: &AtomicBool, served: &AtomicUsize) -> Vec<RawResponse> {
     let body = b"{\"run_ms\":40}";
