Take a task for never started only by the answer to a fence or a stop

A question about the task was on its way when its deadline asked for a stop; the answer to the question was taken for the stop's. Change: the book remembers whether the question in flight fences. Before: the new test failed.

--- a/crates/magnoliapin_policy/src/lib.rs
+++ b/crates/magnoliapin_policy/src/lib.rs
@@ -23,6 +23,8 @@
 mod settings;
 mod targets;
 mod tasks;
+#[cfg(test)]
+mod tasks_tests;
 mod work;
 
 pub use counts::PolicyCounts;
--- a/crates/magnoliapin_policy/src/tasks.rs
+++ b/crates/magnoliapin_policy/src/tasks.rs
@@ -44,6 +44,8 @@
     pub(crate) wanted: bool,
     start_call: Option<CallId>,
     ask_call: Option<CallId>,
+    /// Whether the question in flight makes sure that a task not yet started never will be.
+    ask_fences: bool,
     next_ask: Moment,
     failed_asks: u32,
     fence: bool,
@@ -99,6 +101,7 @@
             wanted: true,
             start_call: Some(call),
             ask_call: None,
+            ask_fences: false,
             next_ask: out.now + times.silence,
             failed_asks: 0,
             fence: false,
@@ -126,6 +129,7 @@
             wanted: true,
             start_call: None,
             ask_call: None,
+            ask_fences: false,
             next_ask: now,
             failed_asks: 0,
             fence: true,
@@ -163,6 +167,7 @@
             }
             let call = out.next_call();
             entry.ask_call = Some(call);
+            entry.ask_fences = entry.stop || entry.fence;
             self.calls.insert(call, *task);
             let request = match (entry.stop, entry.fence) {
                 (true, _) => TargetRequest::Stop(*task),
@@ -251,9 +256,7 @@
             TaskState::Failed => Some(TaskVerdict::Failed),
             TaskState::Stopped => Some(TaskVerdict::Stopped),
             TaskState::Refused(reason) if is_start => Some(TaskVerdict::NotStarted(Some(reason))),
-            TaskState::NeverStarted if self.fence || self.stop => {
-                Some(TaskVerdict::NotStarted(None))
-            }
+            TaskState::NeverStarted if self.ask_fences => Some(TaskVerdict::NotStarted(None)),
             TaskState::NeverStarted => {
                 self.fence = true;
                 self.next_ask = out.now;
