--- a/crates/magnoliapin_fleet/examples/fleet_measure/trial.rs
+++ b/crates/magnoliapin_fleet/examples/fleet_measure/trial.rs
@@ -55,6 +55,8 @@
     moves: f64,
     /// From the new document until every instance that is up runs the image, in minutes.
     rollout_minutes: f64,
+    /// The four measures by the prices of `[weights]`; shares count by the instance-hours missed.
+    price: f64,
 }
 
 /// Reads one measure of a result.
@@ -62,11 +64,12 @@
 
 impl TrialResult {
     /// Every measure; lower is better.
-    pub(crate) const MEASURES: [(&'static str, MeasureReader); 4] = [
+    pub(crate) const MEASURES: [(&'static str, MeasureReader); 5] = [
         ("buffer, instance-hours held spare", |result| result.buffer_hours),
         ("distance from share, percent", |result| result.share_distance),
         ("moves", |result| result.moves),
         ("roll-out, minutes", |result| result.rollout_minutes),
+        ("price of all four by [weights]", |result| result.price),
     ];
 }
 
@@ -139,6 +142,11 @@
     }
     result.share_distance = 100.0 * day.missed_sum / day.entitled_sum;
     result.moves = f64::from(day.fleet.moves);
+    let weights = &day.document.weights;
+    result.price = weights.buffer * result.buffer_hours
+        + weights.share * day.missed_sum / 3_600.0
+        + weights.moves * result.moves
+        + weights.rollout * result.rollout_minutes / 60.0;
     result
 }
 
--- a/crates/magnoliapin_fleet/src/plan/moves.rs
+++ b/crates/magnoliapin_fleet/src/plan/moves.rs
@@ -12,6 +12,8 @@
 
 /// Time for which demand is reckoned to stay as it is, in hours.
 const HORIZON_HOURS: f64 = 2.0;
+/// Time for which a lent instance is reckoned to stay lent, in hours.
+const LENT_HOURS: f64 = 12.0;
 /// The receiving pool must be this much more loaded than the giving one after the move.
 const LOAD_RATIO: f64 = 1.3;
 /// Most moves of one plan.
@@ -138,8 +140,8 @@
             }
             let saved = taker.wait_cost(0.0) - taker.wait_cost(1.0);
             let lost = giver.wait_cost(-1.0) - giver.wait_cost(0.0);
-            let buffer = if giver.is_spare { weights.buffer } else { 0.0 };
-            let gain = HORIZON_HOURS * (weights.share * (saved - lost) + buffer);
+            let buffer = if giver.is_spare { weights.buffer * LENT_HOURS } else { 0.0 };
+            let gain = HORIZON_HOURS * weights.share * (saved - lost) + buffer;
             if gain > best_gain {
                 best_gain = gain;
                 best = Some((from, to));
