Keep the status screen inside 80 columns; show the zones

Cause: with names of 40 characters and six-digit versions three kinds of lines ran over 80 columns, and the screen had no line for the availability zones.

Ruled out: cutting the names of pools and teams, which differ at their ends.

Change: columns as narrow as their numbers allow; the first lines wrap. The zones line says how many entries of each take work. Only the zone of an entry is cut, as the zones line has it whole. The demo's summary breaks its longest line in two.

--- a/crates/magnoliapin/src/command.rs
+++ b/crates/magnoliapin/src/command.rs
@@ -3,6 +3,8 @@
 pub(crate) mod config;
 pub(crate) mod key;
 pub(crate) mod status;
+#[cfg(test)]
+mod status_tests;
 pub(crate) mod timeline;
 pub(crate) mod view;
 pub(crate) mod work;
--- a/crates/magnoliapin/src/command/status.rs
+++ b/crates/magnoliapin/src/command/status.rs
@@ -1,6 +1,8 @@
 //! The state of the system on one screen of 80 columns: `status`.
 
 use hyper::Method;
+use indexmap::IndexMap;
+use magnoliapin_model::ZoneId;
 use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::EntryState;
 use magnoliapin_wire::EntryView;
@@ -13,6 +15,9 @@
 use crate::command::CommandContext;
 use crate::command::CommandResult;
 
+/// Width of the screen.
+const COLUMNS: usize = 80;
+
 /// Shows the state of the system.
 ///
 /// # Errors
@@ -35,25 +40,32 @@
     }
 }
 
-fn status_text(status: &StatusView) -> String {
+/// Returns the state of the system as one screen.
+pub(crate) fn status_text(status: &StatusView) -> String {
     let spread = status.entries.iter().filter(|entry| entry.config == status.config).count();
     let freshness = if status.fresh { "current" } else { "not known to be current" };
     let platform = if status.platform_up { "answers" } else { "does not answer" };
-    let mut text = format!(
-        "configuration  version {}, {freshness}, in force at {spread} of {} entries\n\
-         platform       {platform}\n",
-        status.config,
-        status.entries.len()
-    );
-    text.push_str(
-        "\nentry             zone         address                state     config  heard\n",
-    );
+    let config = [
+        format!("version {}", status.config),
+        freshness.to_owned(),
+        format!("in force at {spread} of {} entries", status.entries.len()),
+    ];
+    let mut text = wrap("configuration  ", &config);
+    text.push_str(&format!("platform       {platform}\n"));
+    text.push_str(&zone_line(&status.entries));
+    text.push_str(&format!(
+        "\n{:16} {:16} {:21} {:8} {:>6} {:>8}\n",
+        "entry", "zone", "address", "state", "config", "heard"
+    ));
     for entry in &status.entries {
         text.push_str(&entry_line(entry));
     }
     text.push('\n');
     text.push_str(&view::pools_text(&status.pools));
-    text.push_str("\nteam                     weight  share%  running   limit  waiting\n");
+    text.push_str(&format!(
+        "\n{:40} {:>6} {:>6} {:>7} {:>6} {:>7}\n",
+        "team", "weight", "share%", "running", "limit", "waiting"
+    ));
     let weights: u64 = status.teams.iter().map(|team| u64::from(team.weight)).sum();
     for team in &status.teams {
         text.push_str(&team_line(team, weights));
@@ -61,28 +73,81 @@
     text
 }
 
+/// Returns the zones with how many of their entries take work.
+fn zone_line(entries: &[EntryView]) -> String {
+    let mut zones: IndexMap<ZoneId, ZoneCounts> = IndexMap::new();
+    for entry in entries {
+        let counts = zones.entry(entry.zone).or_default();
+        counts.known += 1;
+        counts.ready += u32::from(entry.state == EntryState::Ready);
+    }
+    zones.sort_unstable_keys();
+    let parts: Vec<String> = zones
+        .iter()
+        .map(|(zone, counts)| format!("{zone} {}/{} ready", counts.ready, counts.known))
+        .collect();
+    wrap("zones          ", &parts)
+}
+
+/// Entries of one availability zone.
+#[derive(Clone, Copy, Debug, Default)]
+struct ZoneCounts {
+    known: u32,
+    ready: u32,
+}
+
+/// Puts the parts behind a title, with commas, on lines of at most [`COLUMNS`].
+fn wrap(title: &str, parts: &[String]) -> String {
+    let mut text = title.to_owned();
+    let mut column = title.len();
+    for (number, part) in parts.iter().enumerate() {
+        let comma = if number + 1 < parts.len() { "," } else { "" };
+        let is_first = number == 0;
+        if !is_first && column + 1 + part.len() + comma.len() > COLUMNS {
+            text.push_str(&format!("\n{:indent$}", "", indent = title.len()));
+            column = title.len();
+        } else if !is_first {
+            text.push(' ');
+            column += 1;
+        }
+        text.push_str(part);
+        text.push_str(comma);
+        column += part.len() + comma.len();
+    }
+    text.push('\n');
+    text
+}
+
 fn entry_line(entry: &EntryView) -> String {
     let state = match entry.state {
         EntryState::Starting => "starting",
         EntryState::Ready => "ready",
         EntryState::Stopping => "stopping",
     };
-    let heard = format!("{}ms", entry.silent_ms);
     format!(
-        "{:17} {:12} {:22} {:9} {:>6} {:>6}\n",
+        "{:16} {:16.16} {:21} {:8} {:>6} {:>8}\n",
         entry.entry.to_string(),
         entry.zone,
         entry.address.to_string(),
         state,
         entry.config,
-        heard
+        heard_text(entry.silent_ms)
     )
 }
 
+/// Returns how long ago an entry was heard of.
+fn heard_text(silent_ms: u64) -> String {
+    if silent_ms < 10_000 {
+        format!("{silent_ms}ms")
+    } else {
+        format!("{}s", silent_ms / 1_000)
+    }
+}
+
 fn team_line(team: &TeamView, weights: u64) -> String {
     let share = 100.0 * f64::from(team.weight) / weights.max(1) as f64;
     format!(
-        "{:24} {:>6} {:>7.1} {:>8} {:>7} {:>8}\n",
+        "{:40} {:>6} {:>6.1} {:>7} {:>6} {:>7}\n",
         team.team, team.weight, share, team.running, team.limit, team.waiting
     )
 }
--- a/crates/magnoliapin/src/command/view.rs
+++ b/crates/magnoliapin/src/command/view.rs
@@ -61,12 +61,12 @@
 /// Returns the pools as lines of columns.
 pub(crate) fn pools_text(pools: &[PoolView]) -> String {
     let mut text = format!(
-        "{:24} {:>9} {:>11} {:>6} {:>6}\n",
+        "{:40} {:>9} {:>11} {:>6} {:>6}\n",
         "pool", "instances", "unavailable", "budget", "slots"
     );
     for pool in pools {
         text.push_str(&format!(
-            "{:24} {:>9} {:>11} {:>6} {:>6}\n",
+            "{:40} {:>9} {:>11} {:>6} {:>6}\n",
             pool.pool, pool.instances, pool.unavailable, pool.max_unavailable, pool.slots
         ));
     }
--- a/crates/magnoliapin/src/demo/report.rs
+++ b/crates/magnoliapin/src/demo/report.rs
@@ -104,7 +104,7 @@
         let others: Vec<String> =
             self.ended_otherwise.iter().map(|(state, count)| format!("{state} {count}")).collect();
         let budget_note =
-            if self.budget_samples == 0 { " (the platform's table names no instance)" } else { "" };
+            if self.budget_samples == 0 { "; no instance in the table to look at" } else { "" };
         let verdict = if self.is_broken() { "BROKEN" } else { "everything that must hold held" };
         format!(
             "{} pieces of work in {} s (seed {})\n\
@@ -112,8 +112,8 @@
              jobs      accepted {}, finished {}, {}\n\
              refused   {refused} ({}); outcome unknown {}, not sent {}\n\
              reruns of idempotent work {}; transactions for each job {:.2}\n\
-             lost {}, doubled {}, over limit {}, budget broken {}{budget_note}, not run but ran {}, \
-             wrong answers {}\n\
+             lost {}, doubled {}, not run but ran {}, wrong answers {}\n\
+             over limit {}, budget broken {}{budget_note}\n\
              {verdict}\n",
             self.handed_in,
             self.seconds,
@@ -131,10 +131,10 @@
             self.transactions_per_job,
             self.lost,
             self.doubled,
-            self.over_limit,
-            self.budget_broken,
             self.not_run_but_ran,
             self.wrong_answers,
+            self.over_limit,
+            self.budget_broken,
         )
     }
 
