Measure the policy at the size of a site in virtual time

The policy takes `PolicyOptions`, so that the ways in force can be measured against per-entry fairness, FIFO, owned targets and single transactions.

--- a/crates/magnoliapin_policy/src/commit.rs
+++ b/crates/magnoliapin_policy/src/commit.rs
@@ -141,9 +141,15 @@
     flight: Option<FlightBatch>,
     next_at: Moment,
     failures: u32,
+    is_single: bool,
 }
 
 impl CommitQueue {
+    /// Gives each change a transaction of its own, sent as soon as the one before is answered.
+    pub(crate) fn send_singly(&mut self) {
+        self.is_single = true;
+    }
+
     pub(crate) fn push(&mut self, change: RowChange) {
         self.waiting.push_back(change);
     }
@@ -187,20 +193,23 @@
         if self.waiting.is_empty() || self.next_at > out.now {
             return;
         }
+        let most = if self.is_single { 1 } else { MAX_BATCH_CHANGES };
         let mut keys = BatchKeys::default();
         let mut changes = Vec::new();
         let mut held_back = VecDeque::new();
         while let Some(change) = self.waiting.pop_front() {
             let collides = keys.collide(&change);
             keys.add(&change);
-            if collides || changes.len() >= MAX_BATCH_CHANGES {
+            if collides || changes.len() >= most {
                 held_back.push_back(change);
             } else {
                 changes.push(change);
             }
         }
         self.waiting = held_back;
-        self.next_at = out.now + times.commit_interval;
+        if !self.is_single {
+            self.next_at = out.now + times.commit_interval;
+        }
         out.counts.row_changes += changes.len() as u64;
         let token = out.draw_token();
         self.flight = Some(FlightBatch { token, changes, call: None, retry_at: out.now });
--- a/crates/magnoliapin_policy/src/machine.rs
+++ b/crates/magnoliapin_policy/src/machine.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod membership;
 mod outcomes;
+mod ownership;
 mod takeover;
 mod views;
 
@@ -39,6 +40,7 @@
 use crate::EntryEvent;
 use crate::EntryIdentity;
 use crate::PolicyCounts;
+use crate::PolicyOptions;
 use crate::PolicyTimes;
 use crate::TimelineEvent;
 use crate::TimelineName;
@@ -48,6 +50,7 @@
 pub struct EntryMachine {
     identity: EntryIdentity,
     times: PolicyTimes,
+    options: PolicyOptions,
     out: Outbox,
     config: ConfigKeeper,
     peers: PeerBook,
@@ -78,6 +81,7 @@
         Self {
             identity,
             times: PolicyTimes::default(),
+            options: PolicyOptions::default(),
             out: Outbox::new(seed),
             config: ConfigKeeper::default(),
             peers: PeerBook::default(),
@@ -108,6 +112,16 @@
         self
     }
 
+    /// Sets other ways to decide.
+    #[must_use]
+    pub fn with_options(mut self, options: PolicyOptions) -> Self {
+        self.options = options;
+        if !options.group_commit {
+            self.job_commits.send_singly();
+        }
+        self
+    }
+
     /// Returns what the entry knows of itself.
     pub fn identity(&self) -> &EntryIdentity {
         &self.identity
@@ -164,6 +178,7 @@
         self.release_targets();
         self.settle_lost_tasks();
         self.poll();
+        self.assign_targets();
         self.probe_peers();
         self.renew_lease();
         self.renew_tasks();
--- a/crates/magnoliapin_policy/src/machine/dispatch.rs
+++ b/crates/magnoliapin_policy/src/machine/dispatch.rs
@@ -19,6 +19,7 @@
 use crate::line::LinePlace;
 use crate::line::TeamLoad;
 use crate::work::WorkStage;
+use crate::DispatchOrder;
 use crate::EntryMachine;
 
 /// After its deadline a request is answered at the latest when its target was asked for this long.
@@ -134,8 +135,14 @@
         if !part.may_start(self.identity.entry, section.limit, is_fresh) {
             return None;
         }
-        let elsewhere = self.peers.usage_elsewhere(team, self.out.now);
-        Some(TeamLoad { running: part.running + elsewhere.running, weight: section.weight })
+        let running = match self.options.dispatch {
+            DispatchOrder::MaxMin => {
+                part.running + self.peers.usage_elsewhere(team, self.out.now).running
+            }
+            DispatchOrder::PerEntry => part.running,
+            DispatchOrder::Fifo => 0,
+        };
+        Some(TeamLoad { running, weight: section.weight })
     }
 
     /// Takes a slot of the team's part and of the target.
--- /dev/null
+++ b/crates/magnoliapin_policy/src/machine/ownership.rs
@@ -0,0 +1,54 @@
+//! Ownership of targets, where each target takes work from one entry of its zone only.
+
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use indexmap::IndexSet;
+use magnoliapin_model::EntryId;
+use magnoliapin_model::InstanceId;
+
+use crate::EntryMachine;
+use crate::TargetChoice;
+
+impl EntryMachine {
+    /// Shuts the targets that other entries own, where targets are owned.
+    pub(crate) fn assign_targets(&mut self) {
+        if self.options.targets == TargetChoice::Direct {
+            return;
+        }
+        let entries = self.entries_of_zone();
+        let own = self.identity.entry;
+        let zone = self.identity.zone;
+        let owned = self.targets.entries.iter().filter(|(instance, target)| {
+            target.record.zone == zone && owner(**instance, &entries) == Some(own)
+        });
+        let owned = owned.map(|(instance, _)| *instance).collect::<IndexSet<_>>();
+        let entries = self.targets.entries.values();
+        let pools = entries.filter(|entry| owned.contains(&entry.record.instance));
+        let pools = pools.map(|entry| entry.pool).collect::<IndexSet<_>>();
+        for (instance, target) in &mut self.targets.entries {
+            target.is_open = owned.contains(instance) || !pools.contains(&target.pool);
+        }
+    }
+
+    fn entries_of_zone(&self) -> Vec<EntryId> {
+        let ready = self.peers.ready(self.out.now, &self.times);
+        let is_near = |id: &EntryId| {
+            let record = self.peers.records.get(id);
+            record.is_some_and(|record| record.zone == self.identity.zone)
+        };
+        ready.into_iter().filter(is_near).chain([self.identity.entry]).collect()
+    }
+}
+
+/// Returns the entry with the highest hash for a target.
+fn owner(instance: InstanceId, entries: &[EntryId]) -> Option<EntryId> {
+    let score = |entry: &&EntryId| {
+        let mut hasher = DefaultHasher::new();
+        instance.hash(&mut hasher);
+        entry.hash(&mut hasher);
+        hasher.finish()
+    };
+    entries.iter().max_by_key(score).copied()
+}
--- a/crates/magnoliapin_policy/src/targets.rs
+++ b/crates/magnoliapin_policy/src/targets.rs
@@ -42,6 +42,8 @@
     pub(crate) held: u32,
     /// Whether it said itself, or another entry said, that it is leaving.
     pub(crate) leaving: bool,
+    /// Whether this entry may send work to it; false for one that another entry owns.
+    pub(crate) is_open: bool,
     /// End of its quarantine.
     pub(crate) quarantined_until: Option<Moment>,
     free: Option<(Moment, u32)>,
@@ -61,6 +63,7 @@
             in_service: true,
             held: 0,
             leaving: false,
+            is_open: true,
             quarantined_until: None,
             free: None,
             blocked_until: Moment::START,
@@ -82,7 +85,7 @@
 
     /// Returns how many more tasks the target seems to take now.
     fn free_slots(&self, now: Moment) -> u32 {
-        if !self.is_available(now) || self.blocked_until > now {
+        if !self.is_open || !self.is_available(now) || self.blocked_until > now {
             return 0;
         }
         let own = self.record.slots.0.saturating_sub(self.held);
--- a/crates/magnoliapin_soak/src/entry_node.rs
+++ b/crates/magnoliapin_soak/src/entry_node.rs
@@ -8,6 +8,7 @@
 use magnoliapin_policy::EntryIdentity;
 use magnoliapin_policy::EntryMachine;
 use magnoliapin_policy::PolicyCounts;
+use magnoliapin_policy::PolicyOptions;
 
 /// An entry.
 #[derive(Debug)]
@@ -39,7 +40,7 @@
     }
 
     /// Starts a new run of the entry.
-    pub(crate) fn start(&mut self, now: Moment, id: EntryId, seed: u64) {
+    pub(crate) fn start(&mut self, now: Moment, id: EntryId, seed: u64, options: PolicyOptions) {
         self.kill();
         self.id = id;
         self.booted_at = now;
@@ -49,7 +50,7 @@
             caller_address: self.address,
             peer_address: self.address,
         };
-        self.machine = Some(EntryMachine::new(identity, seed));
+        self.machine = Some(EntryMachine::new(identity, seed).with_options(options));
     }
 
     /// Ends the current run at once.
--- a/crates/magnoliapin_soak/src/final_checks.rs
+++ b/crates/magnoliapin_soak/src/final_checks.rs
@@ -23,6 +23,9 @@
     pub(crate) fn check_effect(&mut self, task: TaskId) {
         let now = self.now;
         let Some((marker, work)) = self.callers.note_effect(task) else { return };
+        if let Some(trial) = &mut self.trial {
+            trial.note_effect(now, marker);
+        }
         let holds = work.idempotent || work.effects <= 1;
         self.report.check(CheckKind::EffectOnce, holds, || {
             format!("{now:?} marker {marker} took effect {} times, last as {task}", work.effects)
--- a/crates/magnoliapin_soak/src/lib.rs
+++ b/crates/magnoliapin_soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod platform_node;
 mod report;
 mod target_node;
+pub mod trial;
 mod world;
 mod world_calls;
 
--- a/crates/magnoliapin_soak/src/load.rs
+++ b/crates/magnoliapin_soak/src/load.rs
@@ -80,8 +80,13 @@
 
 /// Returns the first document, with its keys hashed.
 pub(crate) fn first_document() -> String {
+    with_hashed_keys(DOCUMENT)
+}
+
+/// Returns a document in which the secret behind each `KEY:` is replaced by its hash.
+pub(crate) fn with_hashed_keys(document: &str) -> String {
     let mut text = String::new();
-    for line in DOCUMENT.lines() {
+    for line in document.lines() {
         match line.split_once("\"KEY:") {
             Some((head, secret)) => {
                 let hash = KeyHash::new(secret.trim_end_matches('"'));
@@ -209,7 +214,11 @@
 
     /// Applies the first document.
     pub(crate) fn send_first_document(&mut self) {
-        let document = ConfigDocument::parse(&first_document()).expect("the document is valid");
+        let text = match &self.trial {
+            Some(trial) => trial.document.clone(),
+            None => first_document(),
+        };
+        let document = ConfigDocument::parse(&text).expect("the document is valid");
         let sections = document.sections().into_iter().map(|(name, text)| (name, Some(text)));
         let change = ConfigChange { base: None, sections: sections.collect(), whole: true };
         self.send_change(change);
@@ -240,7 +249,7 @@
         self.send_change(ConfigChange { base, sections, whole: false });
     }
 
-    fn send_change(&mut self, change: ConfigChange) {
+    pub(crate) fn send_change(&mut self, change: ConfigChange) {
         let key = Some(KeyHash::new(OPERATOR_SECRET));
         let body = CallerBody::ApplyConfig(change);
         self.call_entry(CallKind::Apply, u64::MAX, CallerRequest { key, body });
--- a/crates/magnoliapin_soak/src/world.rs
+++ b/crates/magnoliapin_soak/src/world.rs
@@ -15,6 +15,7 @@
 use magnoliapin_policy::CallId;
 use magnoliapin_policy::EntryAction;
 use magnoliapin_policy::EntryEvent;
+use magnoliapin_policy::PolicyOptions;
 use magnoliapin_standin::CallFate;
 use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::CallerRequest;
@@ -35,6 +36,7 @@
 use crate::report::SoakReport;
 use crate::target_node::CallSource;
 use crate::target_node::TargetNode;
+use crate::trial::TrialLog;
 
 pub(crate) const ZONES: usize = 3;
 const TICK: Duration = Duration::from_millis(20);
@@ -130,12 +132,22 @@
     sequence: u64,
     last_caller_call: u64,
     pub(crate) is_settling: bool,
+    pub(crate) options: PolicyOptions,
+    /// What a trial measures; none in a soak.
+    pub(crate) trial: Option<Box<TrialLog>>,
 }
 
 impl SoakWorld {
     /// Makes a world that has not started.
     pub fn new(plan: SoakPlan) -> Self {
-        let mut world = Self {
+        let mut world = Self::empty(plan);
+        world.build();
+        world
+    }
+
+    /// Makes a world without entries and targets.
+    pub(crate) fn empty(plan: SoakPlan) -> Self {
+        Self {
             plan,
             now: Moment::from_millis(1_000),
             random: Pcg64Mcg::seed_from_u64(plan.seed),
@@ -152,9 +164,9 @@
             sequence: 0,
             last_caller_call: 0,
             is_settling: false,
-        };
-        world.build();
-        world
+            options: PolicyOptions::default(),
+            trial: None,
+        }
     }
 
     fn build(&mut self) {
@@ -205,7 +217,7 @@
         }
     }
 
-    fn step(&mut self) {
+    pub(crate) fn step(&mut self) {
         let Some(((at, _), event)) = self.events.pop_first() else { return };
         debug_assert!(at >= self.now, "time goes back");
         self.now = at;
@@ -220,7 +232,7 @@
             WorldEvent::Timeout { source, is_platform, target } => {
                 self.time_out(source, is_platform, target);
             }
-            WorldEvent::TargetDue(target) => self.poll_target(target),
+            WorldEvent::TargetDue(target) => self.take_target_due(target),
             WorldEvent::Register => self.register(),
             WorldEvent::Act => self.act_in_turn(),
             WorldEvent::Fault => self.inject(),
@@ -266,7 +278,7 @@
         }
         let id = EntryId(self.random.random());
         let seed = self.random.random();
-        self.entries[index].start(self.now, id, seed);
+        self.entries[index].start(self.now, id, seed, self.options);
         let boot = self.entries[index].boot;
         self.after(TICK, WorldEvent::Tick(index, boot));
     }
@@ -411,6 +423,9 @@
             format!("{now:?} a second answer to {source:?}: {answer:?}")
         });
         let Some(open) = open else { return };
+        if let Some(trial) = &mut self.trial {
+            trial.note_answer(now, open.marker, &answer);
+        }
         let ran = matches!(answer, CallerAnswer::Output { .. } | CallerAnswer::Accepted(_));
         if let Some(key) = open.key.filter(|_| ran) {
             let withdrawn = self.watch.is_long_withdrawn(&key, open.taken_at);
@@ -476,6 +491,6 @@
     format!("z{index}").parse().expect("a short name")
 }
 
-fn address(port: u16) -> SocketAddr {
+pub(crate) fn address(port: u16) -> SocketAddr {
     (Ipv4Addr::LOCALHOST, port).into()
 }
--- a/crates/magnoliapin_soak/src/world_calls.rs
+++ b/crates/magnoliapin_soak/src/world_calls.rs
@@ -55,7 +55,11 @@
         if fate == CallFate::Dropped {
             return;
         }
-        let reply = self.platform.carry_out(self.now, request);
+        let now = self.now;
+        if let Some(trial) = &mut self.trial {
+            trial.note_platform(now, &request);
+        }
+        let reply = self.platform.carry_out(now, request);
         if matches!(reply, PlatformReply::Transaction(_)) {
             self.watch.look(self.now, &mut self.platform.table);
             self.check_parts();
@@ -110,6 +114,9 @@
             TargetRequest::Start(start) => Some(start.clone()),
             _ => None,
         };
+        if let Some(trial) = self.trial.as_mut().filter(|_| start.is_some()) {
+            trial.note_start_call(self.now, index);
+        }
         let starts = |target: &TargetNode| match &start {
             Some(start) => target.state.ledger().starts().get(&start.task).copied().unwrap_or(0),
             None => 0,
@@ -119,14 +126,34 @@
         let after = starts(target);
         if let Some(start) = start.filter(|_| after > before) {
             self.callers.note_start(&start);
+            if let Some(trial) = &mut self.trial {
+                trial.note_start(self.now, index, &start);
+            }
             self.check_limit(start.team, source.entry, sent_at);
         }
         if let Some(reply) = reply.filter(|_| answers) {
             self.answer_target(source, reply);
         }
         self.poll_target(index);
-        if let Some(due) = self.targets[index].state.next_end() {
-            self.after(due.since(self.now), WorldEvent::TargetDue(index));
+        self.schedule_due(index);
+    }
+
+    /// Looks at a target again when its next task ends.
+    fn schedule_due(&mut self, index: usize) {
+        let Some(due) = self.targets[index].state.next_end() else { return };
+        let now = self.now;
+        let is_news = self.trial.as_mut().is_none_or(|trial| trial.plan_due(now, index, due));
+        if is_news {
+            self.after(due.since(now), WorldEvent::TargetDue(index));
+        }
+    }
+
+    /// Takes the end of a task at a target. A trial sees each end when it comes, a soak at the
+    /// next call at the latest.
+    pub(crate) fn take_target_due(&mut self, index: usize) {
+        self.poll_target(index);
+        if self.trial.is_some() {
+            self.schedule_due(index);
         }
     }
 
