Measure slopes of every role in virtual time

Cause: the capacity page needs what each role costs for each target, team, entry, task and change, from real code.

Ruled out: a counting allocator, as the workspace forbids unsafe code; memory is the growth of resident pages instead. Means of event times, as they show the machine's other load; a table shows the median second.

Change: the example slopes runs entries' machines, the fleet's machine and the stand-ins' pure states at up to 28 entries, 3,300 targets, 101 pools and 390 teams, and prints Markdown tables.

--- /dev/null
+++ b/crates/magnoliapin_soak/examples/slopes/idle.rs
@@ -0,0 +1,96 @@
+//! What an entry without work costs, by the size of the site.
+
+use std::fmt::Display;
+use std::io;
+use std::io::Write;
+use std::time::Duration;
+
+use crate::driver::TrafficCount;
+use crate::markdown::fixed;
+use crate::markdown::write_head;
+use crate::markdown::write_row;
+use crate::site::SiteSize;
+use crate::site::SlopeSite;
+
+/// Time in which the parts of the teams' limits are shared out.
+const SETTLING: Duration = Duration::from_secs(4);
+const SPAN: Duration = Duration::from_secs(10);
+
+/// Writes the tables.
+pub(crate) fn write_tables(output: &mut impl Write) -> io::Result<()> {
+    let columns = [
+        "entries",
+        "zones",
+        "targets",
+        "pools",
+        "teams",
+        "µs a tick",
+        "ticks % of a core",
+        "peers %",
+        "answers of the platform %",
+        "all %",
+    ];
+    write_head(output, "One entry's machine without work, processor time of its events", &columns)?;
+    for size in [
+        SiteSize::new(2, 1, 50, 5, 6),
+        SiteSize::new(9, 1, 50, 5, 6),
+        SiteSize::new(28, 8, 50, 5, 6),
+        SiteSize::new(2, 1, 410, 5, 6),
+        SiteSize::new(2, 1, 3_300, 5, 6),
+        SiteSize::new(2, 1, 50, 5, 100),
+        SiteSize::new(2, 1, 50, 5, 390),
+    ] {
+        write_cost(output, size)?;
+    }
+    let today = write_cost(output, SiteSize::today())?;
+    let designed = write_cost(output, SiteSize::designed())?;
+    write_traffic(output, "today", &today)?;
+    write_traffic(output, "size to design for", &designed)
+}
+
+/// Measures a site and writes the row of its first entry.
+fn write_cost(output: &mut impl Write, size: SiteSize) -> io::Result<SlopeSite> {
+    let mut site = SlopeSite::started(size);
+    site.run_for(SETTLING);
+    site.reset();
+    site.run_for(SPAN);
+    let percent = |kind| fixed(site.cost.share_of(kind) * 100.0);
+    let tick = fixed(site.cost.time_of("tick").as_secs_f64() * 1_000_000.0);
+    let all = fixed(site.cost.core_share() * 100.0);
+    let document = size.document;
+    let cells: [&dyn Display; 10] = [
+        &size.entries,
+        &size.zones,
+        &size.targets,
+        &document.pools,
+        &document.teams,
+        &tick,
+        &percent("tick"),
+        &percent("peer"),
+        &percent("platform"),
+        &all,
+    ];
+    write_row(output, &cells)?;
+    Ok(site)
+}
+
+fn write_traffic(output: &mut impl Write, name: &str, site: &SlopeSite) -> io::Result<()> {
+    let entries = site.size.entries;
+    let title = format!("One entry without work, a second: {name}, {entries} entries");
+    write_head(output, &title, &["what", "calls or datagrams", "bytes", "calls of all entries"])?;
+    write_counts(output, &site.traffic, entries as f64)
+}
+
+fn write_counts(output: &mut impl Write, traffic: &TrafficCount, entries: f64) -> io::Result<()> {
+    let second = SPAN.as_secs_f64();
+    let mut row = |what: &str, count: u64, bytes: u64| {
+        let (count, bytes) = (count as f64 / second, bytes as f64 / second);
+        write_row(output, &[&what, &fixed(count), &bytes.round(), &fixed(count * entries)])
+    };
+    row("datagrams sent, as many come", traffic.datagrams, traffic.datagram_bytes)?;
+    for (kind, (count, bytes)) in &traffic.platform {
+        row(kind, *count, *bytes)?;
+    }
+    row("rows and records read", traffic.rows_read, 0)?;
+    row("rows written", traffic.rows_written, 0)
+}
