Mend links of the command line's documentation

Cause: cargo doc with warnings denied failed on 7 links to CommandError, which two files name without importing it.

Ruled out: an import only for a comment, which the linter refuses.

Change: the links name the path.

--- a/crates/magnoliapin/src/command/key.rs
+++ b/crates/magnoliapin/src/command/key.rs
@@ -23,7 +23,7 @@
 ///
 /// # Errors
 ///
-/// Returns a [`CommandError`] if the system has no random numbers.
+/// Returns a [`CommandError`](crate::command_error::CommandError) if the system has no random numbers.
 pub(crate) fn new(context: &CommandContext, flags: &flags::New) -> CommandResult {
     let mut generator = StdRng::try_from_os_rng()
         .map_err(|error| refused(format!("no random numbers: {error}")))?;
@@ -36,7 +36,7 @@
 ///
 /// # Errors
 ///
-/// Returns a [`CommandError`] if no entry answers.
+/// Returns a [`CommandError`](crate::command_error::CommandError) if no entry answers.
 pub(crate) async fn list(context: &CommandContext, flags: &flags::List) -> CommandResult {
     let view = config::read_config(context).await?;
     let mut keys = Vec::new();
@@ -56,7 +56,7 @@
 ///
 /// # Errors
 ///
-/// Returns a [`CommandError`] if there is no such key or the change is refused.
+/// Returns a [`CommandError`](crate::command_error::CommandError) if there is no such key or the change is refused.
 pub(crate) async fn withdraw(context: &CommandContext, flags: &flags::Withdraw) -> CommandResult {
     let view = config::read_config(context).await?;
     let section = SectionName::Team(flags.team);
--- a/crates/magnoliapin/src/command/work.rs
+++ b/crates/magnoliapin/src/command/work.rs
@@ -35,7 +35,7 @@
 ///
 /// # Errors
 ///
-/// Returns a [`CommandError`] if it is refused, or if it was waited for and did not finish.
+/// Returns a [`CommandError`](crate::command_error::CommandError) if it is refused, or if it was waited for and did not finish.
 pub(crate) async fn submit(context: &CommandContext, flags: flags::Submit) -> CommandResult {
     let payload = read_payload(flags.payload, flags.file)?;
     let path = format!("/v1/queues/{}/jobs", flags.queue);
@@ -60,7 +60,7 @@
 ///
 /// # Errors
 ///
-/// Returns a [`CommandError`] if it is refused or fails.
+/// Returns a [`CommandError`](crate::command_error::CommandError) if it is refused or fails.
 pub(crate) async fn request(context: &CommandContext, flags: flags::Request) -> CommandResult {
     let payload = read_payload(flags.payload, flags.file)?;
     let wait = flags.timeout_ms.map_or(LONGEST_WAIT, Duration::from_millis);
@@ -84,7 +84,7 @@
 ///
 /// # Errors
 ///
-/// Returns a [`CommandError`] if it cannot be read.
+/// Returns a [`CommandError`](crate::command_error::CommandError) if it cannot be read.
 pub(crate) async fn job(context: &CommandContext, flags: flags::Job) -> CommandResult {
     let job = read_job(context, flags.id).await?;
     context.print(&job, job_text)
@@ -94,7 +94,7 @@
 ///
 /// # Errors
 ///
-/// Returns a [`CommandError`] if the job cannot be cancelled or had ended in another way.
+/// Returns a [`CommandError`](crate::command_error::CommandError) if the job cannot be cancelled or had ended in another way.
 pub(crate) async fn cancel(context: &CommandContext, flags: flags::Cancel) -> CommandResult {
     let call = EntryCall::new(Method::DELETE, format!("/v1/jobs/{}", flags.id));
     let job = ask_job(context, call).await?;
