Take operators' requests and rows of conflicts out of the fleet's machine

Cause: machine.rs held the queue of operators' requests with its bookkeeping and the parsing of rows besides the machine itself.

Change: CaseQueue holds the requests; the reader parses the rows of a conflict.

--- a/crates/magnoliapin_fleet/src/feasibility.rs
+++ b/crates/magnoliapin_fleet/src/feasibility.rs
@@ -9,6 +9,7 @@
 use magnoliapin_model::RackId;
 
 use crate::FleetSnapshot;
+use crate::UnixSeconds;
 
 /// Time that a restart is reckoned with, besides the drain, in seconds.
 pub const RESTART_SECONDS: u64 = 150;
@@ -138,6 +139,16 @@
     Ok(())
 }
 
+/// Counts the instances whose last maintenance is longer ago than the period.
+pub(crate) fn overdue_instances(
+    document: &ConfigDocument,
+    snapshot: &FleetSnapshot,
+    wall: UnixSeconds,
+) -> usize {
+    let period = u64::from(document.maintenance.period_hours) * 3_600;
+    snapshot.rows().filter(|(_, _, row)| wall.since(row.maintained_at) > period).count()
+}
+
 fn wave_seconds(document: &ConfigDocument) -> u64 {
     u64::from(document.maintenance.drain_seconds) + RESTART_SECONDS
 }
--- a/crates/magnoliapin_fleet/src/machine.rs
+++ b/crates/magnoliapin_fleet/src/machine.rs
@@ -1,5 +1,6 @@
 //! The fleet's state machine, which every entry runs.
 
+mod case_queue;
 mod counters;
 mod desk;
 mod event;
@@ -21,7 +22,6 @@
 use magnoliapin_model::Moment;
 use magnoliapin_wire::PlatformReply;
 use magnoliapin_wire::PlatformRequest;
-use magnoliapin_wire::TableRow;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -37,8 +37,8 @@
 pub use operator::PoolForecast;
 pub use times::FleetTimes;
 
+use self::case_queue::CaseQueue;
 use self::desk::DeskVerdict;
-use self::desk::OperatorCase;
 use self::desk::OperatorDesk;
 use self::hearsay::InstanceHearsay;
 use self::lane::LaneOutcome;
@@ -49,20 +49,17 @@
 use self::reader::FleetReader;
 use self::reader::ReadResult;
 use crate::check_feasible;
+use crate::feasibility::overdue_instances;
 use crate::plan;
 use crate::BookMismatch;
 use crate::DemandHistory;
 use crate::FleetSnapshot;
 use crate::FleetStep;
 use crate::InstanceBook;
-use crate::RowKey;
 use crate::StepRefusal;
 use crate::StepWrites;
 use crate::UnixSeconds;
 
-/// How often an operator's step is tried again after a conflict.
-const MAX_CONFLICTS: u32 = 5;
-
 /// Decides what becomes of the fleet. It does no I/O and reads no clock.
 ///
 /// Every entry runs one. The holder of the planner's lease plans; the others only carry out what
@@ -80,7 +77,7 @@
     lane: StepLane,
     orders: OrderBook,
     steps: VecDeque<FleetStep>,
-    cases: VecDeque<OperatorCase>,
+    cases: CaseQueue,
     hearsay: InstanceHearsay,
     reports: IndexSet<InstanceId>,
     counters: FleetCounters,
@@ -102,7 +99,7 @@
             lane: StepLane::default(),
             orders: OrderBook::default(),
             steps: VecDeque::new(),
-            cases: VecDeque::new(),
+            cases: CaseQueue::default(),
             hearsay: InstanceHearsay::default(),
             reports: IndexSet::new(),
             counters: FleetCounters::default(),
@@ -157,14 +154,7 @@
             }
             FleetEvent::Demand { queue, slots } => self.demand.observe(queue, slots, self.wall),
             FleetEvent::Operator { call, request } => {
-                let (asked_at, conflicts) = (now, 0);
-                self.cases.push_back(OperatorCase {
-                    call,
-                    request,
-                    came_at: now,
-                    asked_at,
-                    conflicts,
-                });
+                self.cases.push(call, request, now);
             }
         }
         self.proceed(now, actions);
@@ -196,7 +186,7 @@
 
     fn wants_read(&self, now: Moment) -> bool {
         let is_idle = !self.reader.is_reading() && self.lane.is_free();
-        let has_new_case = self.cases.front().is_some_and(|case| !self.has_read_since(case));
+        let has_new_case = self.cases.needs_read(self.reader.finished_start());
         let interval = if has_new_case {
             self.times.read_interval
         } else if self.lease.is_held(now) || !self.reports.is_empty() {
@@ -208,10 +198,6 @@
         is_idle && is_free && self.document.is_some() && self.reader.is_due(now, interval)
     }
 
-    fn has_read_since(&self, case: &OperatorCase) -> bool {
-        self.reader.finished_start().is_some_and(|started_at| started_at >= case.asked_at)
-    }
-
     fn take_reply(
         &mut self,
         now: Moment,
@@ -297,15 +283,13 @@
     fn start_case(&mut self, actions: &mut Vec<FleetAction>) {
         while self.lane.is_free() {
             let Some(document) = &self.document else { return };
-            let is_ready = self.cases.front().is_some_and(|case| self.has_read_since(case));
-            let Some(case) = self.cases.front().filter(|_| is_ready) else { return };
+            let Some(case) = self.cases.ready(self.reader.finished_start()) else { return };
             let (snapshot, demand, wall) = (&self.snapshot, &self.demand, self.wall);
             let desk = OperatorDesk { snapshot, document, demand, wall };
             match desk.judge(&case.request) {
                 DeskVerdict::Answer(answer) => {
                     let call = case.call;
-                    self.cases.pop_front();
-                    actions.push(FleetAction::Answer { call, answer });
+                    self.answer(call, answer, actions);
                 }
                 DeskVerdict::Step(step, writes) => {
                     let (call, token) = (case.call, self.next_token());
@@ -326,15 +310,21 @@
             LaneOutcome::Committed(versions) => {
                 step.writes.apply_to(&mut self.snapshot, &versions);
                 self.counters.steps_committed += 1;
-                self.answer(step.operator, OperatorAnswer::Done, actions);
+                if let Some(call) = step.operator {
+                    self.answer(call, OperatorAnswer::Done, actions);
+                }
                 actions.push(FleetAction::Record(step.step));
                 self.send_orders(now, actions);
             }
             LaneOutcome::Conflict(rows) => {
                 self.counters.steps_conflicted += 1;
-                self.take_rows(&rows);
+                reader::take_rows(&mut self.snapshot, &rows);
                 self.put_off(now, &step);
-                self.count_conflict(step.operator, actions);
+                let given_up = step.operator.filter(|call| self.cases.count_conflict(*call));
+                if let Some(call) = given_up {
+                    let refusal = OperatorAnswer::Refused(StepRefusal::Conflict);
+                    self.answer(call, refusal, actions);
+                }
             }
             LaneOutcome::NotSent => self.put_off(now, &step),
         }
@@ -350,73 +340,30 @@
     /// Lets a step that was not taken be decided again after the next read.
     fn put_off(&mut self, now: Moment, step: &LaneStep) {
         self.drop_steps();
-        if let Some(case) = self.cases.iter_mut().find(|case| Some(case.call) == step.operator) {
-            case.asked_at = now;
+        if let Some(call) = step.operator {
+            self.cases.put_off(call, now);
         }
         if let Some(instance) = step.step.instance().filter(|_| is_report_step(&step.step)) {
             self.reports.insert(instance);
         }
     }
 
-    fn count_conflict(&mut self, operator: Option<FleetCall>, actions: &mut Vec<FleetAction>) {
-        let Some(call) = operator else { return };
-        let Some(case) = self.cases.iter_mut().find(|case| case.call == call) else { return };
-        case.conflicts += 1;
-        if case.conflicts > MAX_CONFLICTS {
-            self.answer(operator, OperatorAnswer::Refused(StepRefusal::Conflict), actions);
+    /// Answers an operator who still waits.
+    fn answer(&mut self, call: FleetCall, answer: OperatorAnswer, actions: &mut Vec<FleetAction>) {
+        if self.cases.remove(call) {
+            actions.push(FleetAction::Answer { call, answer });
         }
     }
 
-    /// Answers the operator behind a step, if there is one who still waits.
-    fn answer(
-        &mut self,
-        operator: Option<FleetCall>,
-        answer: OperatorAnswer,
-        actions: &mut Vec<FleetAction>,
-    ) {
-        let Some(call) = operator else { return };
-        let Some(place) = self.cases.iter().position(|case| case.call == call) else { return };
-        self.cases.remove(place);
-        actions.push(FleetAction::Answer { call, answer });
-    }
-
     fn drop_late_cases(&mut self, now: Moment, actions: &mut Vec<FleetAction>) {
-        let deadline = self.times.operator_deadline;
-        while let Some(case) = self.cases.iter().find(|case| now.since(case.came_at) >= deadline) {
-            let call = case.call;
+        while let Some(call) = self.cases.late(now, self.times.operator_deadline) {
             let is_doubtful = self.lane.operator() == Some(call) && self.lane.may_be_taken();
             let refusal =
                 if is_doubtful { StepRefusal::PlatformUnknown } else { StepRefusal::PlatformDown };
             if self.lane.operator() == Some(call) {
                 self.lane.forget_operator();
             }
-            self.answer(Some(call), OperatorAnswer::Refused(refusal), actions);
-        }
-    }
-
-    /// Takes rows out of a conflict, so that the next step is not decided from old ones.
-    fn take_rows(&mut self, rows: &[TableRow]) {
-        for row in rows {
-            match row.key.parse() {
-                Ok(RowKey::Instance(instance)) => {
-                    self.snapshot.instances.entry(instance).or_default().row = reader::parse(row);
-                }
-                Ok(RowKey::Pool(pool)) => {
-                    let value = reader::parse(row).unwrap_or_default();
-                    self.snapshot.pools.insert(pool, value);
-                }
-                Ok(RowKey::Rollout(pool)) => match reader::parse(row) {
-                    Some(value) => drop(self.snapshot.rollouts.insert(pool, value)),
-                    None => drop(self.snapshot.rollouts.shift_remove(&pool)),
-                },
-                Ok(RowKey::Racks) => {
-                    self.snapshot.racks = reader::parse(row).unwrap_or_default();
-                }
-                Ok(RowKey::Control) => {
-                    self.snapshot.control = reader::parse(row).unwrap_or_default();
-                }
-                _ => {}
-            }
+            self.answer(call, OperatorAnswer::Refused(refusal), actions);
         }
     }
 
@@ -456,16 +403,6 @@
     }
 }
 
-/// Counts the instances whose last maintenance is longer ago than the period.
-fn overdue_instances(
-    document: &ConfigDocument,
-    snapshot: &FleetSnapshot,
-    wall: UnixSeconds,
-) -> usize {
-    let period = u64::from(document.maintenance.period_hours) * 3_600;
-    snapshot.rows().filter(|(_, _, row)| wall.since(row.maintained_at) > period).count()
-}
-
 /// Returns whether a step only writes down what this entry found out about an instance.
 fn is_report(step: &FleetStep, reports: &IndexSet<InstanceId>) -> bool {
     step.instance().is_some_and(|instance| reports.contains(&instance)) && is_report_step(step)
--- a/crates/magnoliapin_fleet/src/machine/desk.rs
+++ b/crates/magnoliapin_fleet/src/machine/desk.rs
@@ -3,13 +3,11 @@
 
 use magnoliapin_model::ConfigDocument;
 use magnoliapin_model::InstanceId;
-use magnoliapin_model::Moment;
 use magnoliapin_model::PoolId;
 use magnoliapin_model::SlotCount;
 use magnoliapin_wire::InstanceView;
 use magnoliapin_wire::PoolView;
 
-use super::FleetCall;
 use crate::check_feasible;
 use crate::plan;
 use crate::ControlRow;
@@ -34,21 +32,6 @@
 /// Deadlines shown to an operator.
 const SHOWN_DEADLINES: usize = 20;
 
-/// A request that waits for its answer.
-#[derive(Clone, Debug)]
-pub(super) struct OperatorCase {
-    /// The call.
-    pub(super) call: FleetCall,
-    /// The request.
-    pub(super) request: OperatorRequest,
-    /// When it came.
-    pub(super) came_at: Moment,
-    /// It is judged by rows that were read later than this.
-    pub(super) asked_at: Moment,
-    /// How often its step met a conflict.
-    pub(super) conflicts: u32,
-}
-
 /// What a request comes to.
 #[derive(Clone, Debug)]
 pub(super) enum DeskVerdict {
--- a/crates/magnoliapin_fleet/src/machine/reader.rs
+++ b/crates/magnoliapin_fleet/src/machine/reader.rs
@@ -212,8 +212,30 @@
     pools
 }
 
+/// Takes rows out of a conflict into a snapshot, so that the next step is not decided from old
+/// ones.
+pub(super) fn take_rows(snapshot: &mut FleetSnapshot, rows: &[TableRow]) {
+    for row in rows {
+        match row.key.parse() {
+            Ok(RowKey::Instance(instance)) => {
+                snapshot.instances.entry(instance).or_default().row = parse(row);
+            }
+            Ok(RowKey::Pool(pool)) => {
+                snapshot.pools.insert(pool, parse(row).unwrap_or_default());
+            }
+            Ok(RowKey::Rollout(pool)) => match parse(row) {
+                Some(value) => drop(snapshot.rollouts.insert(pool, value)),
+                None => drop(snapshot.rollouts.shift_remove(&pool)),
+            },
+            Ok(RowKey::Racks) => snapshot.racks = parse(row).unwrap_or_default(),
+            Ok(RowKey::Control) => snapshot.control = parse(row).unwrap_or_default(),
+            Ok(RowKey::Lease) | Err(_) => {}
+        }
+    }
+}
+
 /// Returns the value of a row, or none if another version of the program wrote it.
-pub(super) fn parse<T: DeserializeOwned>(row: &TableRow) -> Option<VersionedRow<T>> {
+fn parse<T: DeserializeOwned>(row: &TableRow) -> Option<VersionedRow<T>> {
     if row.version == RowVersion(0) {
         return None;
     }
