--- a/crates/magnoliapin_fleet/src/lib.rs
+++ b/crates/magnoliapin_fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`check_feasible`] says whether the maintenance can be done in its period.
 
 mod book;
+mod budget;
 mod demand;
 mod feasibility;
 mod machine;
--- a/crates/magnoliapin_fleet/src/machine/desk.rs
+++ b/crates/magnoliapin_fleet/src/machine/desk.rs
@@ -8,6 +8,7 @@
 use magnoliapin_wire::InstanceView;
 use magnoliapin_wire::PoolView;
 
+use crate::budget::max_unavailable;
 use crate::check_feasible;
 use crate::plan;
 use crate::ControlRow;
@@ -147,7 +148,7 @@
     /// Checks that the receiving pool can count one more joining instance.
     fn check_room(&self, pool: PoolId) -> Result<(), StepRefusal> {
         let unavailable = self.snapshot.pool(pool).row.unavailable;
-        let max_unavailable = self.max_unavailable(pool);
+        let max_unavailable = max_unavailable(self.document, pool);
         if unavailable.total() >= max_unavailable {
             return Err(StepRefusal::Budget { pool, unavailable, max_unavailable });
         }
@@ -157,11 +158,12 @@
     fn forecast(&self, pool: PoolId, change: i32) -> PoolForecast {
         let now = self.snapshot.pool(pool).row;
         let members_after = now.members.saturating_add_signed(change);
-        PoolForecast { pool, now, members_after, max_unavailable: self.max_unavailable(pool) }
-    }
-
-    fn max_unavailable(&self, pool: PoolId) -> u32 {
-        self.document.pools.get(&pool).map_or(0, |pool| pool.max_unavailable)
+        PoolForecast {
+            pool,
+            now,
+            members_after,
+            max_unavailable: max_unavailable(self.document, pool),
+        }
     }
 
     fn rollout(&self, pool: PoolId, step: &str) -> Result<&RolloutRow, StepRefusal> {
--- a/crates/magnoliapin_fleet/src/machine/event.rs
+++ b/crates/magnoliapin_fleet/src/machine/event.rs
@@ -72,7 +72,8 @@
         /// Whether to set it apart.
         suspect: bool,
     },
-    /// What a queue asked for on the mean since the last such event, over all entries.
+    /// What a queue asked for on the mean since the last such event, over all entries. Every entry
+    /// is told, and of every queue, so that a new planner knows the trend.
     Demand {
         /// The queue.
         queue: QueueId,
--- a/crates/magnoliapin_fleet/src/plan/draft.rs
+++ b/crates/magnoliapin_fleet/src/plan/draft.rs
@@ -5,6 +5,7 @@
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::PoolId;
 
+use crate::budget::max_unavailable;
 use crate::FleetSnapshot;
 use crate::FleetStep;
 use crate::InstanceChange;
@@ -85,6 +86,6 @@
     }
 
     fn max_unavailable(&self, pool: PoolId) -> u32 {
-        self.document.pools.get(&pool).map_or(0, |pool| pool.max_unavailable)
+        max_unavailable(self.document, pool)
     }
 }
--- a/crates/magnoliapin_fleet/src/plan/moves.rs
+++ b/crates/magnoliapin_fleet/src/plan/moves.rs
@@ -56,6 +56,7 @@
     if draft.is_paused() {
         return;
     }
+    clear_removed_pools(draft);
     let Some(mut loads) = pool_loads(draft, demand) else { return };
     for _ in 0..MOVES_PER_PLAN {
         let Some((from, to)) = best_move(draft, &loads) else { return };
@@ -67,6 +68,23 @@
     }
 }
 
+/// Moves the instances of pools that the document no longer has to the spare pool.
+fn clear_removed_pools(draft: &mut PlanDraft<'_>) {
+    let pools = &draft.document.pools;
+    let spare = pools.iter().find(|(_, section)| section.spare).or_else(|| pools.first());
+    let Some(to) = spare.map(|(pool, _)| *pool) else { return };
+    let removed: Vec<PoolId> = draft
+        .snapshot
+        .pools
+        .iter()
+        .filter(|(pool, row)| row.row.members > 0 && !pools.contains_key(*pool))
+        .map(|(pool, _)| *pool)
+        .collect();
+    for from in removed {
+        start_move(draft, from, to);
+    }
+}
+
 /// Returns the load of each pool, or none if some queue's demand is not known yet.
 fn pool_loads(draft: &PlanDraft<'_>, demand: &DemandHistory) -> Option<Vec<PoolLoad>> {
     let slots = slots_per_instance(draft)?;
--- a/crates/magnoliapin_fleet/src/step_writes.rs
+++ b/crates/magnoliapin_fleet/src/step_writes.rs
@@ -11,6 +11,7 @@
 use magnoliapin_wire::TableTransaction;
 use serde::Serialize;
 
+use crate::budget::max_unavailable;
 use crate::transition::InstanceTransition;
 use crate::ControlRow;
 use crate::FleetSnapshot;
@@ -239,7 +240,7 @@
     before: PoolRow,
     after: PoolRow,
 ) -> Result<(), StepRefusal> {
-    let max_unavailable = document.pools.get(&pool).map_or(0, |pool| pool.max_unavailable);
+    let max_unavailable = max_unavailable(document, pool);
     let (was, is) = (before.unavailable.total(), after.unavailable.total());
     if is > was && is > max_unavailable {
         let unavailable = before.unavailable;
--- a/crates/magnoliapin_fleet/tests/fleet/machine.rs
+++ b/crates/magnoliapin_fleet/tests/fleet/machine.rs
@@ -90,3 +90,62 @@
     world.run(100);
     assert_eq!(world.answers, [OperatorAnswer::Refused(StepRefusal::PlatformDown)]);
 }
+
+/// Returns how many instances of `east` run an image.
+fn east_with(world: &TinyWorld, image: &str) -> usize {
+    let east = world.table.fleet.members(PoolId::new("east").unwrap());
+    east.filter(|(_, _, row)| row.image == image).count()
+}
+
+fn ask_and_run(world: &mut TinyWorld, request: OperatorRequest, steps: u64) {
+    world.ask(2, request);
+    world.run(50);
+    assert_eq!(world.answers.last(), Some(&OperatorAnswer::Done), "{:?}", world.answers);
+    world.run(steps);
+}
+
+#[test]
+fn rollout_is_paused_resumed_and_rolled_back_by_an_operator() {
+    let mut world = quiet_world(11);
+    let pool = PoolId::new("east").unwrap();
+    let mut document = world.document.clone();
+    document.pools[&pool].image = "two".to_owned();
+    world.apply(document);
+    world.run(600);
+    assert_eq!(east_with(&world, "two"), 1, "one canary, which is still watched");
+    ask_and_run(&mut world, OperatorRequest::PauseRollout { pool }, 3_000);
+    assert_eq!(east_with(&world, "two"), 1, "paused");
+    ask_and_run(&mut world, OperatorRequest::ResumeRollout { pool }, 6_000);
+    assert_eq!(east_with(&world, "two"), 8, "rolled out");
+    ask_and_run(&mut world, OperatorRequest::RollBack { pool }, 6_000);
+    assert_eq!(east_with(&world, "one"), 8, "rolled back");
+    world.run(1_000);
+    assert_eq!(east_with(&world, "one"), 8, "does not start again by itself");
+    ask_and_run(&mut world, OperatorRequest::StartRollout { pool }, 600);
+    assert_eq!(east_with(&world, "two"), 1, "starts again when asked");
+}
+
+#[test]
+fn instances_of_a_pool_that_was_removed_move_to_the_spare_pool() {
+    let mut world = quiet_world(13);
+    let mut document = world.document.clone();
+    document.pools.shift_remove(&PoolId::new("west").unwrap());
+    world.apply(document);
+    world.run(6_000);
+    let extra = world.table.fleet.pool(PoolId::new("extra").unwrap()).row;
+    assert_eq!(extra.members, 16, "{extra:?}");
+}
+
+#[test]
+fn paused_maintenance_starts_nothing_and_resumes() {
+    let mut world = quiet_world(12);
+    ask_and_run(&mut world, OperatorRequest::PauseMaintenance { paused: true }, 20_000);
+    let reboots = |world: &TinyWorld| {
+        let rows = world.table.fleet.rows();
+        rows.filter(|(_, _, row)| row.run.0 > 1).count()
+    };
+    assert_eq!(reboots(&world), 0, "due since 15 minutes");
+    ask_and_run(&mut world, OperatorRequest::PauseMaintenance { paused: false }, 10_000);
+    assert_eq!(reboots(&world), 24);
+    assert_eq!(world.overdue(), Vec::new());
+}
