Run the fleet's machine in every entry

Cause: the planner existed beside the product; drains were refused. Ruled out: a process of its own for the planner, as no instance is set aside for control. Change: the driver runs a FleetMachine beside each EntryMachine: it tells it the document, the demand of the queues and the targets set apart, asks targets for their load, and takes operators' requests (POST /v1/fleet, /v1/instances/{id}/drain and /undrain) with an operator's key. Not built: stopping the work of other entries when an operator forces a drain; it is logged.

--- a/crates/magnoliapin_entry/src/caller/connection.rs
+++ b/crates/magnoliapin_entry/src/caller/connection.rs
@@ -18,11 +18,15 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use magnoliapin_fleet::OperatorAnswer;
+use magnoliapin_fleet::OperatorRequest;
 use magnoliapin_model::ErrorKind;
 use magnoliapin_model::KeyHash;
+use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::CallerBody;
 use magnoliapin_wire::CallerRequest;
 use magnoliapin_wire::ConfigChange;
+use magnoliapin_wire::RefusalView;
 use smol::io::AsyncReadExt;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
@@ -173,7 +177,14 @@
                 let headers = CallerHeaders::read(&head.headers)?;
                 return Ok(self.ask(headers.key, body).await);
             }
-            CallerRoute::Run(_) | CallerRoute::Submit(_) | CallerRoute::Apply => {
+            CallerRoute::Operate(request) => {
+                let headers = CallerHeaders::read(&head.headers)?;
+                return Ok(self.operate(headers.key, request).await);
+            }
+            CallerRoute::Run(_)
+            | CallerRoute::Submit(_)
+            | CallerRoute::Apply
+            | CallerRoute::Fleet => {
                 // The headers are checked before a body is read for nothing.
                 let headers = CallerHeaders::read(&head.headers)?;
                 return self.ask_with_body(headers, route, body).await;
@@ -198,6 +209,10 @@
                 let idempotency_key = headers.idempotency_key;
                 CallerBody::Submit { queue, payload, idempotency_key }
             }
+            CallerRoute::Fleet => {
+                let request = read_operator(&payload)?;
+                return Ok(self.operate(headers.key, request).await);
+            }
             _ => CallerBody::ApplyConfig(read_change(&payload)?),
         };
         let reply = self.ask(headers.key, body).await;
@@ -205,6 +220,20 @@
         Ok(reply)
     }
 
+    async fn operate(&self, key: Option<KeyHash>, request: OperatorRequest) -> CallerReply {
+        match self.shared.desk.operate(key, request).await {
+            Ok(OperatorAnswer::Refused(refusal)) => {
+                let kind = ErrorKind::BudgetExceeded;
+                CallerReply::from(CallerAnswer::Refused(RefusalView::new(
+                    kind,
+                    refusal.to_string(),
+                )))
+            }
+            Ok(answer) => CallerReply::ok(json_response(StatusCode::OK, &answer)),
+            Err(refusal) => CallerReply::from(CallerAnswer::Refused(*refusal)),
+        }
+    }
+
     async fn ask(&self, key: Option<KeyHash>, body: CallerBody) -> CallerReply {
         let answer = self.shared.desk.ask(CallerRequest { key, body }).await;
         CallerReply::from(answer)
@@ -256,6 +285,13 @@
     body_response(StatusCode::OK, content_type, text.into_bytes())
 }
 
+fn read_operator(payload: &[u8]) -> Result<OperatorRequest, RequestFault> {
+    serde_json::from_slice(payload).map_err(|error| {
+        let message = format!("the body is no request to the fleet: {error}");
+        RequestFault::new(ErrorKind::BadRequest, message)
+    })
+}
+
 fn read_change(payload: &[u8]) -> Result<ConfigChange, RequestFault> {
     serde_json::from_slice(payload).map_err(|error| {
         let message = format!("the body is no change of the configuration: {error}");
--- a/crates/magnoliapin_entry/src/caller/route.rs
+++ b/crates/magnoliapin_entry/src/caller/route.rs
@@ -1,8 +1,8 @@
 //! Finds what a request asks for from its method and path.
 
 use hyper::Method;
+use magnoliapin_fleet::OperatorRequest;
 use magnoliapin_model::ErrorKind;
-use magnoliapin_model::InstanceId;
 use magnoliapin_model::QueueId;
 use magnoliapin_wire::CallerBody;
 
@@ -19,6 +19,10 @@
     Submit(QueueId),
     /// A change of the configuration in the body.
     Apply,
+    /// A request of an operator to the fleet, in the body.
+    Fleet,
+    /// A request of an operator to the fleet.
+    Operate(OperatorRequest),
     /// Whether the process lives.
     Health,
     /// Whether the entry takes new work.
@@ -50,10 +54,9 @@
 
     fn method(&self) -> Method {
         match self {
-            Self::Run(_)
-            | Self::Submit(_)
-            | Self::Apply
-            | Self::Ask(CallerBody::DrainInstance { .. }) => Method::POST,
+            Self::Run(_) | Self::Submit(_) | Self::Apply | Self::Fleet | Self::Operate(_) => {
+                Method::POST
+            }
             Self::Ask(CallerBody::CancelJob(_)) => Method::DELETE,
             Self::Ask(_) | Self::Health | Self::Ready | Self::Metrics | Self::Timeline => {
                 Method::GET
@@ -91,8 +94,15 @@
         ["v1", "pools"] => CallerRoute::Ask(CallerBody::ShowPools),
         ["v1", "queues", queue, "requests"] => CallerRoute::Run(queue.parse().ok()?),
         ["v1", "queues", queue, "jobs"] => CallerRoute::Submit(queue.parse().ok()?),
-        ["v1", "instances", instance, "drain"] => drain_route(instance, true)?,
-        ["v1", "instances", instance, "undrain"] => drain_route(instance, false)?,
+        ["v1", "fleet"] => CallerRoute::Fleet,
+        ["v1", "instances", instance, "drain"] => {
+            let instance = instance.parse().ok()?;
+            CallerRoute::Operate(OperatorRequest::Drain { instance, force: false })
+        }
+        ["v1", "instances", instance, "undrain"] => {
+            let instance = instance.parse().ok()?;
+            CallerRoute::Operate(OperatorRequest::Undrain { instance })
+        }
         ["v1", "config"] => {
             let show = CallerRoute::Ask(CallerBody::ShowConfig);
             return Some([Some(CallerRoute::Apply), Some(show)]);
@@ -107,11 +117,6 @@
     Some([Some(route), None])
 }
 
-fn drain_route(instance: &str, drain: bool) -> Option<CallerRoute> {
-    let instance: InstanceId = instance.parse().ok()?;
-    Some(CallerRoute::Ask(CallerBody::DrainInstance { instance, drain }))
-}
-
 fn not_found(path: &str) -> RequestFault {
     // Paths of callers may be long; only their start helps.
     let shown: String = path.chars().take(80).collect();
--- a/crates/magnoliapin_entry/src/driver.rs
+++ b/crates/magnoliapin_entry/src/driver.rs
@@ -2,6 +2,7 @@
 
 mod call_table;
 mod caller_desk;
+mod fleet_run;
 mod machine_run;
 mod state;
 
@@ -9,8 +10,11 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use magnoliapin_fleet::FleetEvent;
+use magnoliapin_fleet::OperatorRequest;
 use magnoliapin_model::EntryId;
 use magnoliapin_model::ErrorKind;
+use magnoliapin_model::KeyHash;
 use magnoliapin_policy::CallId;
 use magnoliapin_policy::EntryEvent;
 use magnoliapin_policy::EntryIdentity;
@@ -35,6 +39,7 @@
 pub(crate) use call_table::CallTable;
 pub(crate) use call_table::CallTarget;
 pub(crate) use caller_desk::CallerDesk;
+pub(crate) use fleet_run::OperatorOutcome;
 pub(crate) use state::DriverState;
 
 use self::machine_run::MachineRun;
@@ -49,6 +54,10 @@
     Reply(MachineNumber, EntryEvent),
     /// A caller asks for something and waits at the other end of the channel.
     Caller(CallId, CallerRequest, Sender<CallerAnswer>),
+    /// An operator asks the fleet for something and waits at the other end of the channel.
+    Operator(Option<KeyHash>, OperatorRequest, Sender<OperatorOutcome>),
+    /// Answers a call of the fleet's machine beside the machine with this number.
+    FleetReply(MachineNumber, u64, FleetEvent),
 }
 
 /// Numbers the machines of one process, from 1.
@@ -103,8 +112,14 @@
 
     async fn refuse_late_callers(&self) {
         while let Ok(event) = self.events.recv().await {
-            if let DriverEvent::Caller(_, _, answers) = event {
-                let _ = answers.try_send(stopped_answer());
+            match event {
+                DriverEvent::Caller(_, _, answers) => {
+                    let _ = answers.try_send(CallerAnswer::Refused(*stopped_refusal()));
+                }
+                DriverEvent::Operator(_, _, answers) => {
+                    let _ = answers.try_send(Err(stopped_refusal()));
+                }
+                _ => {}
             }
         }
     }
@@ -123,11 +138,16 @@
 
 /// Returns the answer for a caller whose machine is gone.
 pub(crate) fn lost_answer() -> CallerAnswer {
+    CallerAnswer::Refused(*lost_refusal())
+}
+
+/// Returns the refusal for whoever waits for a machine that is gone.
+pub(crate) fn lost_refusal() -> Box<RefusalView> {
     let message = "the entry lost track of the request";
-    CallerAnswer::Refused(RefusalView::new(ErrorKind::OutcomeUnknown, message))
+    Box::new(RefusalView::new(ErrorKind::OutcomeUnknown, message))
 }
 
-/// Returns the answer for a caller that came after the planned stop.
-fn stopped_answer() -> CallerAnswer {
-    CallerAnswer::Refused(RefusalView::new(ErrorKind::NotReady, "the entry has stopped"))
+/// Returns the refusal for whoever came after the planned stop.
+fn stopped_refusal() -> Box<RefusalView> {
+    Box::new(RefusalView::new(ErrorKind::NotReady, "the entry has stopped"))
 }
--- a/crates/magnoliapin_entry/src/driver/caller_desk.rs
+++ b/crates/magnoliapin_entry/src/driver/caller_desk.rs
@@ -5,14 +5,18 @@
 use std::sync::Arc;
 
 use async_channel::Sender;
+use magnoliapin_fleet::OperatorRequest;
+use magnoliapin_model::KeyHash;
 use magnoliapin_policy::CallId;
 use magnoliapin_policy::EntryEvent;
 use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::CallerRequest;
 
 use crate::driver::lost_answer;
+use crate::driver::lost_refusal;
 use crate::driver::DriverEvent;
 use crate::driver::DriverState;
+use crate::driver::OperatorOutcome;
 
 /// Hands requests of callers to the driver and waits for their answers.
 #[derive(Clone, Debug)]
@@ -42,6 +46,17 @@
         answer.unwrap_or_else(|_| lost_answer())
     }
 
+    /// Asks the fleet for something on behalf of an operator and waits for the answer.
+    pub(crate) async fn operate(
+        &self,
+        key: Option<KeyHash>,
+        request: OperatorRequest,
+    ) -> OperatorOutcome {
+        let (sender, receiver) = async_channel::bounded(1);
+        let _ = self.events.try_send(DriverEvent::Operator(key, request, sender));
+        receiver.recv().await.unwrap_or_else(|_| Err(lost_refusal()))
+    }
+
     /// Returns what the driver lets other tasks see.
     pub(crate) fn state(&self) -> &DriverState {
         &self.state
--- /dev/null
+++ b/crates/magnoliapin_entry/src/driver/fleet_run.rs
@@ -0,0 +1,217 @@
+//! The run of one machine of the fleet, beside the machine of the entry.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use indexmap::IndexMap;
+use magnoliapin_fleet::FleetAction;
+use magnoliapin_fleet::FleetCall;
+use magnoliapin_fleet::FleetEvent;
+use magnoliapin_fleet::FleetMachine;
+use magnoliapin_fleet::OperatorAnswer;
+use magnoliapin_fleet::OperatorRequest;
+use magnoliapin_fleet::TargetLoad;
+use magnoliapin_fleet::UnixSeconds;
+use magnoliapin_model::ConfigVersion;
+use magnoliapin_model::EntryId;
+use magnoliapin_model::InstanceId;
+use magnoliapin_model::Moment;
+use magnoliapin_model::RowVersion;
+use magnoliapin_policy::EntryMachine;
+use magnoliapin_policy::TimelineEvent;
+use magnoliapin_policy::TimelineName;
+use magnoliapin_wire::LeaseGrant;
+use magnoliapin_wire::RefusalView;
+use magnoliapin_wire::TargetReply;
+use magnoliapin_wire::TargetRequest;
+use smol::Task;
+
+use crate::driver::DriverEvent;
+use crate::driver::EntryDriver;
+use crate::driver::MachineNumber;
+use crate::TargetCall;
+
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+const TELL_INTERVAL: Duration = Duration::from_secs(5);
+const LOAD_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Asks in the name of no entry: the answer tells the load and no lease is renewed.
+const NO_ENTRY: EntryId = EntryId(0);
+
+/// Answer to an operator, or why there is none.
+pub(crate) type OperatorOutcome = Result<OperatorAnswer, Box<RefusalView>>;
+
+/// The run of one machine of the fleet.
+pub(super) struct FleetRun {
+    machine: FleetMachine,
+    number: MachineNumber,
+    version: ConfigVersion,
+    next_tick: Moment,
+    next_tell: Moment,
+    last_call: u64,
+    waiting: IndexMap<FleetCall, Sender<OperatorOutcome>>,
+    calls: IndexMap<u64, Task<()>>,
+    last_task: u64,
+}
+
+impl FleetRun {
+    pub(super) fn new(entry: EntryId, seed: u64, number: MachineNumber) -> Self {
+        Self {
+            machine: FleetMachine::new(entry, seed),
+            number,
+            version: ConfigVersion(0),
+            next_tick: Moment::START,
+            next_tell: Moment::START,
+            last_call: 0,
+            waiting: IndexMap::new(),
+            calls: IndexMap::new(),
+            last_task: 0,
+        }
+    }
+
+    /// Lets time pass and tells the machine what the entry knows.
+    pub(super) fn tick(&mut self, driver: &EntryDriver, entry: &EntryMachine) {
+        let now = driver.clock.now();
+        if now < self.next_tick {
+            return;
+        }
+        self.next_tick = now + TICK_INTERVAL;
+        let Some(document) = entry.document().filter(|_| entry.is_ready()) else { return };
+        if entry.config_version() > self.version {
+            self.version = entry.config_version();
+            self.handle(driver, entry, FleetEvent::Document(Box::new(document.clone())));
+        }
+        if now >= self.next_tell {
+            self.next_tell = now + TELL_INTERVAL;
+            self.tell(driver, entry, now);
+        }
+        let wall = UnixSeconds(driver.clock.wall_micros() / 1_000_000);
+        self.handle(driver, entry, FleetEvent::Tick { wall });
+    }
+
+    fn tell(&mut self, driver: &EntryDriver, entry: &EntryMachine, now: Moment) {
+        for (queue, slots) in entry.queue_demand(now) {
+            self.handle(driver, entry, FleetEvent::Demand { queue, slots });
+        }
+        for target in entry.suspects(now) {
+            let (instance, run) = (target.instance, target.run);
+            self.handle(driver, entry, FleetEvent::Suspect { instance, run, suspect: true });
+        }
+    }
+
+    /// Takes an operator's request, whose key was checked before.
+    pub(super) fn take_operator(
+        &mut self,
+        driver: &EntryDriver,
+        entry: &EntryMachine,
+        request: OperatorRequest,
+        answers: Sender<OperatorOutcome>,
+    ) {
+        self.last_call += 1;
+        let call = FleetCall(self.last_call);
+        self.waiting.insert(call, answers);
+        self.handle(driver, entry, FleetEvent::Operator { call, request });
+    }
+
+    /// Takes the answer to a call of this machine.
+    pub(super) fn take_reply(
+        &mut self,
+        driver: &EntryDriver,
+        entry: &EntryMachine,
+        task: u64,
+        event: FleetEvent,
+    ) {
+        if let Some(task) = self.calls.swap_remove(&task) {
+            task.detach();
+        }
+        self.handle(driver, entry, event);
+    }
+
+    /// Returns the number of the machine whose calls this run makes.
+    pub(super) fn number(&self) -> MachineNumber {
+        self.number
+    }
+
+    fn handle(&mut self, driver: &EntryDriver, entry: &EntryMachine, event: FleetEvent) {
+        let mut actions = Vec::new();
+        self.machine.handle(driver.clock.now(), event, &mut actions);
+        for action in actions {
+            self.carry_out(driver, entry, action);
+        }
+    }
+
+    fn carry_out(&mut self, driver: &EntryDriver, entry: &EntryMachine, action: FleetAction) {
+        match action {
+            FleetAction::Platform { call, request, timeout } => {
+                let platform = Arc::clone(&driver.platform);
+                self.spawn(driver, async move {
+                    let reply = platform.call(request, timeout).await;
+                    Some(FleetEvent::Platform { call, reply })
+                });
+            }
+            FleetAction::AskLoad { instance, epoch } => {
+                self.ask_load(driver, entry, instance, epoch);
+            }
+            FleetAction::StopWork { instance, run: _ } => {
+                log::warn!("event=work_not_stopped instance={instance}");
+            }
+            FleetAction::Answer { call, answer } => {
+                if let Some(answers) = self.waiting.swap_remove(&call) {
+                    let _ = answers.try_send(Ok(answer));
+                }
+            }
+            FleetAction::Record(step) => {
+                let event = TimelineEvent::new(TimelineName::InstanceChanged);
+                let event = match step.instance() {
+                    Some(instance) => event.with_instance(instance),
+                    None => event,
+                };
+                let (wall_us, zone) = (driver.clock.wall_micros(), driver.identity.zone);
+                driver.state.timeline().push(wall_us, driver.state.entry(), zone, event);
+            }
+        }
+    }
+
+    fn ask_load(
+        &mut self,
+        driver: &EntryDriver,
+        entry: &EntryMachine,
+        instance: InstanceId,
+        epoch: RowVersion,
+    ) {
+        let Some(known) = entry.known_target(instance) else { return };
+        let call = TargetCall {
+            address: known.target.address,
+            request: TargetRequest::Renew(NO_ENTRY, LeaseGrant { lease_ms: 0 }),
+            timeout: LOAD_TIMEOUT,
+            new_connection: false,
+            send_before: driver.clock.now() + LOAD_TIMEOUT,
+        };
+        let targets = Arc::clone(&driver.targets);
+        self.spawn(driver, async move {
+            let TargetReply::Entry(tasks) = targets.call(call).await else { return None };
+            let busy = known.slots.0.saturating_sub(tasks.free_slots.0);
+            let load = TargetLoad { run: tasks.run, leaving: tasks.leaving, busy };
+            Some(FleetEvent::Load { instance, epoch, load })
+        });
+    }
+
+    fn spawn(
+        &mut self,
+        driver: &EntryDriver,
+        event: impl std::future::Future<Output = Option<FleetEvent>> + Send + 'static,
+    ) {
+        self.last_task += 1;
+        let (number, task) = (self.number, self.last_task);
+        let replies = driver.replies.clone();
+        let spawned = driver.spawner.spawn(async move {
+            if let Some(event) = event.await {
+                let _ = replies.try_send(DriverEvent::FleetReply(number, task, event));
+            }
+        });
+        if let Some(spawned) = spawned {
+            self.calls.insert(task, spawned);
+        }
+        self.calls.retain(|_, task| !task.is_finished());
+    }
+}
--- a/crates/magnoliapin_entry/src/driver/machine_run.rs
+++ b/crates/magnoliapin_entry/src/driver/machine_run.rs
@@ -9,7 +9,9 @@
 use futures_lite::future;
 use futures_lite::FutureExt;
 use indexmap::IndexMap;
+use magnoliapin_fleet::OperatorRequest;
 use magnoliapin_model::EntryId;
+use magnoliapin_model::KeyHash;
 use magnoliapin_policy::CallId;
 use magnoliapin_policy::EntryAction;
 use magnoliapin_policy::EntryEvent;
@@ -19,11 +21,13 @@
 use magnoliapin_wire::PeerMessage;
 use smol::Timer;
 
+use crate::driver::fleet_run::FleetRun;
 use crate::driver::CallTable;
 use crate::driver::CallTarget;
 use crate::driver::DriverEvent;
 use crate::driver::EntryDriver;
 use crate::driver::MachineNumber;
+use crate::driver::OperatorOutcome;
 use crate::metrics::DatagramFate;
 use crate::metrics::EventName;
 use crate::TargetCall;
@@ -50,6 +54,7 @@
     sequence: u64,
     waiting: IndexMap<CallId, Sender<CallerAnswer>>,
     calls: CallTable,
+    fleet: FleetRun,
     actions: Vec<EntryAction>,
     next_tick: Instant,
     end: Option<RunEnd>,
@@ -72,6 +77,7 @@
             sequence: 0,
             waiting: IndexMap::new(),
             calls: CallTable::default(),
+            fleet: FleetRun::new(entry, entry.0, number),
             actions: Vec::new(),
             next_tick: Instant::now(),
             end: None,
@@ -102,6 +108,7 @@
             self.next_tick = Instant::now() + TICK_INTERVAL;
             self.handle(EntryEvent::Tick);
             self.driver.metrics.set_policy(&self.machine.counts());
+            self.fleet.tick(self.driver, &self.machine);
         }
         for _ in 0..EVENTS_PER_TURN {
             let Ok(event) = self.driver.events.try_recv() else {
@@ -139,6 +146,12 @@
             }
             DriverEvent::Machine(event) => self.handle(event),
             DriverEvent::Reply(number, event) => self.take_reply(number, event),
+            DriverEvent::Operator(key, request, answers) => self.operate(key, request, answers),
+            DriverEvent::FleetReply(number, task, event) => {
+                if number == self.fleet.number() {
+                    self.fleet.take_reply(self.driver, &self.machine, task, event);
+                }
+            }
             DriverEvent::Caller(call, request, answers) => {
                 self.waiting.insert(call, answers);
                 self.handle(EntryEvent::Caller { call, request });
@@ -146,6 +159,21 @@
         }
     }
 
+    /// Hands an operator's request to the fleet if the key is an operator's.
+    fn operate(
+        &mut self,
+        key: Option<KeyHash>,
+        request: OperatorRequest,
+        answers: Sender<OperatorOutcome>,
+    ) {
+        match self.machine.check_operator(self.driver.clock.now(), key) {
+            Ok(_) => self.fleet.take_operator(self.driver, &self.machine, request, answers),
+            Err(refusal) => {
+                let _ = answers.try_send(Err(refusal));
+            }
+        }
+    }
+
     fn take_reply(&mut self, number: MachineNumber, event: EntryEvent) {
         if number != self.number {
             self.driver.metrics.count_event(EventName::Outdated, Duration::ZERO);
--- a/crates/magnoliapin_policy/src/lib.rs
+++ b/crates/magnoliapin_policy/src/lib.rs
@@ -35,6 +35,7 @@
 pub use event::TimelineEvent;
 pub use event::TimelineName;
 pub use machine::EntryMachine;
+pub use machine::KnownTarget;
 pub use options::DispatchOrder;
 pub use options::PolicyOptions;
 pub use options::TargetChoice;
--- a/crates/magnoliapin_policy/src/machine.rs
+++ b/crates/magnoliapin_policy/src/machine.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod applies;
 mod dispatch;
+mod fleet_view;
 mod jobs;
 mod limits;
 mod membership;
@@ -11,6 +12,8 @@
 mod takeover;
 mod views;
 
+pub use fleet_view::KnownTarget;
+
 use indexmap::IndexMap;
 use magnoliapin_model::ConfigVersion;
 use magnoliapin_model::EntryId;
@@ -219,9 +222,6 @@
             CallerBody::ShowStatus => self.show_status(call),
             CallerBody::ShowInstances => self.show_instances(call),
             CallerBody::ShowPools => self.show_pools(call),
-            CallerBody::DrainInstance { instance, drain } => {
-                self.drain_instance(call, key, instance, drain);
-            }
         }
     }
 
--- a/crates/magnoliapin_policy/src/machine/views.rs
+++ b/crates/magnoliapin_policy/src/machine/views.rs
@@ -1,6 +1,5 @@
 //! What operators are shown, and the settling of row changes.
 
-use magnoliapin_model::ErrorKind;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::KeyHash;
 use magnoliapin_model::PoolId;
@@ -129,21 +128,6 @@
         let instances = self.targets.entries.iter().map(view).collect();
         self.out.answer(call, CallerAnswer::Instances { instances });
     }
-
-    pub(crate) fn drain_instance(
-        &mut self,
-        call: CallId,
-        key: Option<KeyHash>,
-        instance: InstanceId,
-        _drain: bool,
-    ) {
-        if let Err(error) = self.operator_of(key) {
-            self.reject(call, error);
-            return;
-        }
-        let message = format!("instance {instance} cannot be drained by this release");
-        self.out.refuse(call, ErrorKind::NotFound, message);
-    }
 }
 
 fn state_name(entry: &TargetEntry, now: magnoliapin_model::Moment) -> &'static str {
--- a/crates/magnoliapin_wire/src/caller.rs
+++ b/crates/magnoliapin_wire/src/caller.rs
@@ -69,13 +69,6 @@
         ShowInstances,
         /// `GET /v1/pools`
         ShowPools,
-        /// `POST /v1/instances/{id}/drain` and `/undrain`
-        DrainInstance {
-            /// The instance.
-            instance: InstanceId,
-            /// Whether to drain or to take back an earlier drain.
-            drain: bool,
-        },
     }
 
     /// A change of sections, based on a version that the operator saw.
