Use plain names for the parts of the fleet's machine

Cause: hearsay, lane, desk, case, wish and census are no terms of the field and had to be explained to a newcomer.

Change: findings, step sender, operator handler, request queue, reboot candidate and image counts.

--- a/crates/magnoliapin_fleet/src/machine.rs
+++ b/crates/magnoliapin_fleet/src/machine.rs
@@ -1,15 +1,15 @@
 //! The fleet's state machine, which every entry runs.
 
-mod case_queue;
 mod counters;
-mod desk;
 mod event;
-mod hearsay;
-mod lane;
+mod findings;
 mod lease;
 mod operator;
+mod operator_handler;
 mod orders;
 mod reader;
+mod request_queue;
+mod step_sender;
 mod times;
 
 use std::collections::VecDeque;
@@ -37,17 +37,17 @@
 pub use operator::PoolForecast;
 pub use times::FleetTimes;
 
-use self::case_queue::CaseQueue;
-use self::desk::DeskVerdict;
-use self::desk::OperatorDesk;
-use self::hearsay::InstanceHearsay;
-use self::lane::LaneOutcome;
-use self::lane::LaneStep;
-use self::lane::StepLane;
+use self::findings::InstanceFindings;
 use self::lease::PlannerLease;
-use self::orders::OrderBook;
+use self::operator_handler::HandlerVerdict;
+use self::operator_handler::OperatorHandler;
+use self::orders::OrderTracker;
 use self::reader::FleetReader;
 use self::reader::ReadResult;
+use self::request_queue::RequestQueue;
+use self::step_sender::SentStep;
+use self::step_sender::StepOutcome;
+use self::step_sender::StepSender;
 use crate::check_feasible;
 use crate::feasibility::overdue_instances;
 use crate::plan;
@@ -74,11 +74,11 @@
     demand: DemandHistory,
     lease: PlannerLease,
     reader: FleetReader,
-    lane: StepLane,
-    orders: OrderBook,
+    sender: StepSender,
+    orders: OrderTracker,
     steps: VecDeque<FleetStep>,
-    cases: CaseQueue,
-    hearsay: InstanceHearsay,
+    requests: RequestQueue,
+    findings: InstanceFindings,
     reports: IndexSet<InstanceId>,
     counters: FleetCounters,
     wall: UnixSeconds,
@@ -96,11 +96,11 @@
             demand: DemandHistory::default(),
             lease: PlannerLease::new(entry),
             reader: FleetReader::new(times.page_rows),
-            lane: StepLane::default(),
-            orders: OrderBook::default(),
+            sender: StepSender::default(),
+            orders: OrderTracker::default(),
             steps: VecDeque::new(),
-            cases: CaseQueue::default(),
-            hearsay: InstanceHearsay::default(),
+            requests: RequestQueue::default(),
+            findings: InstanceFindings::default(),
             reports: IndexSet::new(),
             counters: FleetCounters::default(),
             wall: UnixSeconds(0),
@@ -145,16 +145,16 @@
                 }
             }
             FleetEvent::Health { instance, run, healthy } => {
-                self.hearsay.hear_health(now, instance, run, healthy);
+                self.findings.note_health(now, instance, run, healthy);
                 self.reports.insert(instance);
             }
             FleetEvent::Suspect { instance, run, suspect } => {
-                self.hearsay.hear_suspect(now, instance, run, suspect);
+                self.findings.note_suspect(now, instance, run, suspect);
                 self.reports.insert(instance);
             }
             FleetEvent::Demand { queue, slots } => self.demand.observe(queue, slots, self.wall),
             FleetEvent::Operator { call, request } => {
-                self.cases.push(call, request, now);
+                self.requests.push(call, request, now);
             }
         }
         self.proceed(now, actions);
@@ -162,7 +162,7 @@
 
     /// Does whatever can be done now.
     fn proceed(&mut self, now: Moment, actions: &mut Vec<FleetAction>) {
-        self.drop_late_cases(now, actions);
+        self.drop_late_requests(now, actions);
         let (call, token) = (self.next_call(), self.next_token());
         if let Some(request) = self.lease.next_request(now, &self.times, call, token) {
             self.call(call, request, actions);
@@ -175,26 +175,26 @@
         if let Some(request) = self.reader.next_request(call) {
             self.call(call, request, actions);
         }
-        if self.lane.is_free() && !self.reader.is_reading() {
+        if self.sender.is_free() && !self.reader.is_reading() {
             self.start_step(now, actions);
         }
         let call = self.next_call();
-        if let Some(request) = self.lane.next_request(now, call) {
+        if let Some(request) = self.sender.next_request(now, call) {
             self.call(call, request, actions);
         }
     }
 
     fn wants_read(&self, now: Moment) -> bool {
-        let is_idle = !self.reader.is_reading() && self.lane.is_free();
-        let has_new_case = self.cases.needs_read(self.reader.finished_start());
-        let interval = if has_new_case {
+        let is_idle = !self.reader.is_reading() && self.sender.is_free();
+        let has_new_request = self.requests.needs_read(self.reader.finished_start());
+        let interval = if has_new_request {
             self.times.read_interval
         } else if self.lease.is_held(now) || !self.reports.is_empty() {
             self.times.plan_interval
         } else {
             self.times.follow_interval
         };
-        let is_free = self.steps.is_empty() || has_new_case;
+        let is_free = self.steps.is_empty() || has_new_request;
         is_idle && is_free && self.document.is_some() && self.reader.is_due(now, interval)
     }
 
@@ -213,8 +213,8 @@
             if let Some(result) = self.reader.take_reply(reply) {
                 self.take_snapshot(now, result, actions);
             }
-        } else if self.lane.owns(call) {
-            if let Some((step, outcome)) = self.lane.take_reply(now, &self.times, reply) {
+        } else if self.sender.owns(call) {
+            if let Some((step, outcome)) = self.sender.take_reply(now, &self.times, reply) {
                 self.end_step(now, step, outcome, actions);
             }
         }
@@ -229,7 +229,7 @@
                 facts.load_epoch = old.load_epoch;
             }
         }
-        self.hearsay.fill(now, &self.times, &mut self.snapshot);
+        self.findings.fill(now, &self.times, &mut self.snapshot);
         let is_sound = self.check_counters(result.is_consistent);
         let Some(document) = &self.document else { return };
         let is_planner = self.lease.is_held(now);
@@ -262,8 +262,8 @@
     }
 
     fn start_step(&mut self, now: Moment, actions: &mut Vec<FleetAction>) {
-        self.start_case(actions);
-        while self.lane.is_free() {
+        self.start_request(actions);
+        while self.sender.is_free() {
             let Some(step) = self.steps.pop_front() else { return };
             if !self.lease.is_held(now) && !is_report_step(&step) {
                 continue;
@@ -272,7 +272,7 @@
             match StepWrites::new(&self.snapshot, document, &step, self.wall) {
                 Ok(writes) => {
                     let token = self.next_token();
-                    self.lane.start(step, writes, None, token);
+                    self.sender.start(step, writes, None, token);
                 }
                 Err(_) => self.counters.steps_refused += 1,
             }
@@ -280,20 +280,20 @@
     }
 
     /// Judges the oldest request of an operator by rows that were read after it came.
-    fn start_case(&mut self, actions: &mut Vec<FleetAction>) {
-        while self.lane.is_free() {
+    fn start_request(&mut self, actions: &mut Vec<FleetAction>) {
+        while self.sender.is_free() {
             let Some(document) = &self.document else { return };
-            let Some(case) = self.cases.ready(self.reader.finished_start()) else { return };
+            let Some(request) = self.requests.ready(self.reader.finished_start()) else { return };
             let (snapshot, demand, wall) = (&self.snapshot, &self.demand, self.wall);
-            let desk = OperatorDesk { snapshot, document, demand, wall };
-            match desk.judge(&case.request) {
-                DeskVerdict::Answer(answer) => {
-                    let call = case.call;
+            let handler = OperatorHandler { snapshot, document, demand, wall };
+            match handler.judge(&request.request) {
+                HandlerVerdict::Answer(answer) => {
+                    let call = request.call;
                     self.answer(call, answer, actions);
                 }
-                DeskVerdict::Step(step, writes) => {
-                    let (call, token) = (case.call, self.next_token());
-                    self.lane.start(step, *writes, Some(call), token);
+                HandlerVerdict::Step(step, writes) => {
+                    let (call, token) = (request.call, self.next_token());
+                    self.sender.start(step, *writes, Some(call), token);
                 }
             }
         }
@@ -302,12 +302,12 @@
     fn end_step(
         &mut self,
         now: Moment,
-        step: LaneStep,
-        outcome: LaneOutcome,
+        step: SentStep,
+        outcome: StepOutcome,
         actions: &mut Vec<FleetAction>,
     ) {
         match outcome {
-            LaneOutcome::Committed(versions) => {
+            StepOutcome::Committed(versions) => {
                 step.writes.apply_to(&mut self.snapshot, &versions);
                 self.counters.steps_committed += 1;
                 if let Some(call) = step.operator {
@@ -316,17 +316,17 @@
                 actions.push(FleetAction::Record(step.step));
                 self.send_orders(now, actions);
             }
-            LaneOutcome::Conflict(rows) => {
+            StepOutcome::Conflict(rows) => {
                 self.counters.steps_conflicted += 1;
                 reader::take_rows(&mut self.snapshot, &rows);
                 self.put_off(now, &step);
-                let given_up = step.operator.filter(|call| self.cases.count_conflict(*call));
+                let given_up = step.operator.filter(|call| self.requests.count_conflict(*call));
                 if let Some(call) = given_up {
                     let refusal = OperatorAnswer::Refused(StepRefusal::Conflict);
                     self.answer(call, refusal, actions);
                 }
             }
-            LaneOutcome::NotSent => self.put_off(now, &step),
+            StepOutcome::NotSent => self.put_off(now, &step),
         }
     }
 
@@ -338,10 +338,10 @@
     }
 
     /// Lets a step that was not taken be decided again after the next read.
-    fn put_off(&mut self, now: Moment, step: &LaneStep) {
+    fn put_off(&mut self, now: Moment, step: &SentStep) {
         self.drop_steps();
         if let Some(call) = step.operator {
-            self.cases.put_off(call, now);
+            self.requests.put_off(call, now);
         }
         if let Some(instance) = step.step.instance().filter(|_| is_report_step(&step.step)) {
             self.reports.insert(instance);
@@ -350,18 +350,18 @@
 
     /// Answers an operator who still waits.
     fn answer(&mut self, call: FleetCall, answer: OperatorAnswer, actions: &mut Vec<FleetAction>) {
-        if self.cases.remove(call) {
+        if self.requests.remove(call) {
             actions.push(FleetAction::Answer { call, answer });
         }
     }
 
-    fn drop_late_cases(&mut self, now: Moment, actions: &mut Vec<FleetAction>) {
-        while let Some(call) = self.cases.late(now, self.times.operator_deadline) {
-            let is_doubtful = self.lane.operator() == Some(call) && self.lane.may_be_taken();
+    fn drop_late_requests(&mut self, now: Moment, actions: &mut Vec<FleetAction>) {
+        while let Some(call) = self.requests.late(now, self.times.operator_deadline) {
+            let is_doubtful = self.sender.operator() == Some(call) && self.sender.may_be_taken();
             let refusal =
                 if is_doubtful { StepRefusal::PlatformUnknown } else { StepRefusal::PlatformDown };
-            if self.lane.operator() == Some(call) {
-                self.lane.forget_operator();
+            if self.sender.operator() == Some(call) {
+                self.sender.forget_operator();
             }
             self.answer(call, OperatorAnswer::Refused(refusal), actions);
         }
--- a/crates/magnoliapin_fleet/src/machine/hearsay.rs
+++ b/crates/magnoliapin_fleet/src/machine/findings.rs
@@ -16,39 +16,39 @@
 /// Findings about instances. Each holds for one run and for a limited time, so that what another
 /// entry found out later is not overruled.
 #[derive(Debug, Default)]
-pub(super) struct InstanceHearsay {
-    health: IndexMap<InstanceId, HeardFact>,
-    suspects: IndexMap<InstanceId, HeardFact>,
+pub(super) struct InstanceFindings {
+    health: IndexMap<InstanceId, HeardFinding>,
+    suspects: IndexMap<InstanceId, HeardFinding>,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct HeardFact {
+struct HeardFinding {
     run: TargetRun,
     value: bool,
     at: Moment,
 }
 
-impl InstanceHearsay {
+impl InstanceFindings {
     /// Takes down whether a run of an instance answers.
-    pub(super) fn hear_health(
+    pub(super) fn note_health(
         &mut self,
         now: Moment,
         instance: InstanceId,
         run: TargetRun,
         healthy: bool,
     ) {
-        self.health.insert(instance, HeardFact { run, value: healthy, at: now });
+        self.health.insert(instance, HeardFinding { run, value: healthy, at: now });
     }
 
     /// Takes down whether a run of an instance should be set apart.
-    pub(super) fn hear_suspect(
+    pub(super) fn note_suspect(
         &mut self,
         now: Moment,
         instance: InstanceId,
         run: TargetRun,
         suspect: bool,
     ) {
-        self.suspects.insert(instance, HeardFact { run, value: suspect, at: now });
+        self.suspects.insert(instance, HeardFinding { run, value: suspect, at: now });
     }
 
     /// Fills what still counts into a snapshot and forgets the rest.
@@ -65,7 +65,7 @@
             let listed = facts.record.as_ref().map(|record| record.run);
             let known = listed.or(facts.row.as_ref().map(|row| row.row.run));
             let Some(run) = known else { continue };
-            let value = |heard: &IndexMap<InstanceId, HeardFact>| {
+            let value = |heard: &IndexMap<InstanceId, HeardFinding>| {
                 heard.get(instance).filter(|heard| heard.run == run).map(|heard| heard.value)
             };
             facts.healthy = value(&self.health);
@@ -74,6 +74,6 @@
     }
 }
 
-fn forget_old(heard: &mut IndexMap<InstanceId, HeardFact>, now: Moment, span: Duration) {
+fn forget_old(heard: &mut IndexMap<InstanceId, HeardFinding>, now: Moment, span: Duration) {
     heard.retain(|_, heard| now.since(heard.at) < span);
 }
--- a/crates/magnoliapin_fleet/src/machine/desk.rs
+++ b/crates/magnoliapin_fleet/src/machine/operator_handler.rs
@@ -35,7 +35,7 @@
 
 /// What a request comes to.
 #[derive(Clone, Debug)]
-pub(super) enum DeskVerdict {
+pub(super) enum HandlerVerdict {
     /// It is answered.
     Answer(OperatorAnswer),
     /// It is one step to carry out.
@@ -44,7 +44,7 @@
 
 /// Everything that a request is judged by.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct OperatorDesk<'a> {
+pub(super) struct OperatorHandler<'a> {
     /// The fleet.
     pub(super) snapshot: &'a FleetSnapshot,
     /// The document in force.
@@ -55,35 +55,35 @@
     pub(super) wall: UnixSeconds,
 }
 
-impl OperatorDesk<'_> {
+impl OperatorHandler<'_> {
     /// Judges a request.
-    pub(super) fn judge(&self, request: &OperatorRequest) -> DeskVerdict {
+    pub(super) fn judge(&self, request: &OperatorRequest) -> HandlerVerdict {
         let judged = match request {
             OperatorRequest::ShowPools => {
-                Ok(DeskVerdict::Answer(OperatorAnswer::Pools(self.pool_views())))
+                Ok(HandlerVerdict::Answer(OperatorAnswer::Pools(self.pool_views())))
             }
             OperatorRequest::ShowInstances => {
-                Ok(DeskVerdict::Answer(OperatorAnswer::Instances(self.instance_views())))
+                Ok(HandlerVerdict::Answer(OperatorAnswer::Instances(self.instance_views())))
             }
             OperatorRequest::ShowMaintenance => {
-                Ok(DeskVerdict::Answer(OperatorAnswer::Maintenance(self.maintenance_view())))
+                Ok(HandlerVerdict::Answer(OperatorAnswer::Maintenance(self.maintenance_view())))
             }
             OperatorRequest::ShowRollouts => {
                 let rollouts = self.snapshot.rollouts.iter();
                 let rollouts = rollouts.map(|(pool, rollout)| (*pool, rollout.row.clone()));
-                Ok(DeskVerdict::Answer(OperatorAnswer::Rollouts(rollouts.collect())))
+                Ok(HandlerVerdict::Answer(OperatorAnswer::Rollouts(rollouts.collect())))
             }
             OperatorRequest::Move { instance, pool, force, dry_run } => {
                 self.judge_move(*instance, *pool, *force, *dry_run)
             }
             other => self.step_of(other).and_then(|step| self.checked(step)),
         };
-        judged.unwrap_or_else(|refusal| DeskVerdict::Answer(OperatorAnswer::Refused(refusal)))
+        judged.unwrap_or_else(|refusal| HandlerVerdict::Answer(OperatorAnswer::Refused(refusal)))
     }
 
-    fn checked(&self, step: FleetStep) -> Result<DeskVerdict, StepRefusal> {
+    fn checked(&self, step: FleetStep) -> Result<HandlerVerdict, StepRefusal> {
         let writes = StepWrites::new(self.snapshot, self.document, &step, self.wall)?;
-        Ok(DeskVerdict::Step(step, Box::new(writes)))
+        Ok(HandlerVerdict::Step(step, Box::new(writes)))
     }
 
     fn step_of(&self, request: &OperatorRequest) -> Result<FleetStep, StepRefusal> {
@@ -130,19 +130,19 @@
         pool: PoolId,
         force: bool,
         dry_run: bool,
-    ) -> Result<DeskVerdict, StepRefusal> {
+    ) -> Result<HandlerVerdict, StepRefusal> {
         let goal = StepGoal::Move { pool };
         let step = FleetStep::new(instance, InstanceChange::Drain { goal, force });
         let writes = StepWrites::new(self.snapshot, self.document, &step, self.wall)?;
         self.check_room(pool)?;
         if !dry_run {
-            return Ok(DeskVerdict::Step(step, Box::new(writes)));
+            return Ok(HandlerVerdict::Step(step, Box::new(writes)));
         }
         let from = self.snapshot.row(instance).map(|row| row.pool);
         let mut pools: Vec<PoolForecast> =
             from.iter().map(|from| self.forecast(*from, -1)).collect();
         pools.push(self.forecast(pool, 1));
-        Ok(DeskVerdict::Answer(OperatorAnswer::Forecast { step, pools }))
+        Ok(HandlerVerdict::Answer(OperatorAnswer::Forecast { step, pools }))
     }
 
     /// Checks that the receiving pool can count one more joining instance.
--- a/crates/magnoliapin_fleet/src/machine/orders.rs
+++ b/crates/magnoliapin_fleet/src/machine/orders.rs
@@ -24,7 +24,7 @@
 
 /// Remembers when orders were sent last.
 #[derive(Debug, Default)]
-pub(super) struct OrderBook {
+pub(super) struct OrderTracker {
     sent_at: IndexMap<InstanceId, SentOrder>,
     /// Orders without an answer yet.
     pending: IndexMap<FleetCall, (InstanceId, RowVersion)>,
@@ -49,7 +49,7 @@
     pub(super) stop_run: Option<TargetRun>,
 }
 
-impl OrderBook {
+impl OrderTracker {
     /// Returns what each instance needs now.
     pub(super) fn needs(
         &mut self,
--- a/crates/magnoliapin_fleet/src/machine/case_queue.rs
+++ b/crates/magnoliapin_fleet/src/machine/request_queue.rs
@@ -13,13 +13,13 @@
 
 /// Operators' requests, oldest first.
 #[derive(Debug, Default)]
-pub(super) struct CaseQueue {
-    cases: VecDeque<OperatorCase>,
+pub(super) struct RequestQueue {
+    requests: VecDeque<PendingRequest>,
 }
 
 /// A request that waits for its answer.
 #[derive(Clone, Debug)]
-pub(super) struct OperatorCase {
+pub(super) struct PendingRequest {
     /// The call.
     pub(super) call: FleetCall,
     /// The request.
@@ -30,55 +30,55 @@
     conflicts: u32,
 }
 
-impl CaseQueue {
+impl RequestQueue {
     /// Adds a request.
     pub(super) fn push(&mut self, call: FleetCall, request: OperatorRequest, now: Moment) {
         let (came_at, asked_at, conflicts) = (now, now, 0);
-        self.cases.push_back(OperatorCase { call, request, came_at, asked_at, conflicts });
+        self.requests.push_back(PendingRequest { call, request, came_at, asked_at, conflicts });
     }
 
     /// Returns whether the oldest request needs newer rows than those read from `read_at` on.
     pub(super) fn needs_read(&self, read_at: Option<Moment>) -> bool {
-        self.cases.front().is_some_and(|case| !case.is_ready(read_at))
+        self.requests.front().is_some_and(|request| !request.is_ready(read_at))
     }
 
     /// Returns the oldest request if rows read from `read_at` on are new enough for it.
-    pub(super) fn ready(&self, read_at: Option<Moment>) -> Option<&OperatorCase> {
-        self.cases.front().filter(|case| case.is_ready(read_at))
+    pub(super) fn ready(&self, read_at: Option<Moment>) -> Option<&PendingRequest> {
+        self.requests.front().filter(|request| request.is_ready(read_at))
     }
 
     /// Lets a request be judged again by rows that are read from now on.
     pub(super) fn put_off(&mut self, call: FleetCall, now: Moment) {
-        if let Some(case) = self.find(call) {
-            case.asked_at = now;
+        if let Some(request) = self.find(call) {
+            request.asked_at = now;
         }
     }
 
     /// Counts a conflict of a request's step and returns whether it is not tried again.
     pub(super) fn count_conflict(&mut self, call: FleetCall) -> bool {
-        let Some(case) = self.find(call) else { return false };
-        case.conflicts += 1;
-        case.conflicts > MAX_CONFLICTS
+        let Some(request) = self.find(call) else { return false };
+        request.conflicts += 1;
+        request.conflicts > MAX_CONFLICTS
     }
 
     /// Returns a request that has waited for `deadline`, if there is one.
     pub(super) fn late(&self, now: Moment, deadline: Duration) -> Option<FleetCall> {
-        let late = self.cases.iter().find(|case| now.since(case.came_at) >= deadline);
-        late.map(|case| case.call)
+        let late = self.requests.iter().find(|request| now.since(request.came_at) >= deadline);
+        late.map(|request| request.call)
     }
 
     /// Takes a request out and returns whether it was there.
     pub(super) fn remove(&mut self, call: FleetCall) -> bool {
-        let place = self.cases.iter().position(|case| case.call == call);
-        place.and_then(|place| self.cases.remove(place)).is_some()
+        let place = self.requests.iter().position(|request| request.call == call);
+        place.and_then(|place| self.requests.remove(place)).is_some()
     }
 
-    fn find(&mut self, call: FleetCall) -> Option<&mut OperatorCase> {
-        self.cases.iter_mut().find(|case| case.call == call)
+    fn find(&mut self, call: FleetCall) -> Option<&mut PendingRequest> {
+        self.requests.iter_mut().find(|request| request.call == call)
     }
 }
 
-impl OperatorCase {
+impl PendingRequest {
     fn is_ready(&self, read_at: Option<Moment>) -> bool {
         read_at.is_some_and(|read_at| read_at >= self.asked_at)
     }
--- a/crates/magnoliapin_fleet/src/machine/lane.rs
+++ b/crates/magnoliapin_fleet/src/machine/step_sender.rs
@@ -17,7 +17,7 @@
 
 /// A step with its transaction.
 #[derive(Clone, Debug)]
-pub(super) struct LaneStep {
+pub(super) struct SentStep {
     /// The step.
     pub(super) step: FleetStep,
     /// What it writes.
@@ -33,7 +33,7 @@
 
 /// How a step ended.
 #[derive(Clone, Debug)]
-pub(super) enum LaneOutcome {
+pub(super) enum StepOutcome {
     /// It was committed with these versions.
     Committed(Vec<RowVersion>),
     /// It was not, as these rows have changed.
@@ -44,13 +44,13 @@
 
 /// The one transaction that is under way.
 #[derive(Debug, Default)]
-pub(super) struct StepLane {
-    current: Option<LaneStep>,
+pub(super) struct StepSender {
+    current: Option<SentStep>,
     pending: Option<FleetCall>,
     next_at: Moment,
 }
 
-impl StepLane {
+impl StepSender {
     /// Returns whether no step is under way.
     pub(super) fn is_free(&self) -> bool {
         self.current.is_none()
@@ -78,7 +78,7 @@
         debug_assert!(self.is_free(), "one step at a time");
         let transaction = writes.to_transaction(token);
         let (in_doubt, resolves) = (false, false);
-        self.current = Some(LaneStep { step, writes, operator, transaction, in_doubt, resolves });
+        self.current = Some(SentStep { step, writes, operator, transaction, in_doubt, resolves });
         self.next_at = Moment::START;
     }
 
@@ -89,7 +89,7 @@
         }
     }
 
-    /// Returns whether an answer belongs to the lane.
+    /// Returns whether an answer belongs to the step.
     pub(super) fn owns(&self, call: FleetCall) -> bool {
         self.pending == Some(call)
     }
@@ -117,7 +117,7 @@
         now: Moment,
         times: &FleetTimes,
         reply: PlatformReply,
-    ) -> Option<(LaneStep, LaneOutcome)> {
+    ) -> Option<(SentStep, StepOutcome)> {
         self.pending = None;
         let current = self.current.as_mut()?;
         let result = match reply {
@@ -127,7 +127,7 @@
                 return None;
             }
             PlatformReply::Failed(CallFailure::NotSent) if !current.in_doubt => {
-                return self.finish(LaneOutcome::NotSent);
+                return self.finish(StepOutcome::NotSent);
             }
             _ => {
                 current.in_doubt = true;
@@ -137,12 +137,12 @@
             }
         };
         self.finish(match result {
-            TransactionResult::Committed(versions) => LaneOutcome::Committed(versions),
-            TransactionResult::Conflict(rows) => LaneOutcome::Conflict(rows),
+            TransactionResult::Committed(versions) => StepOutcome::Committed(versions),
+            TransactionResult::Conflict(rows) => StepOutcome::Conflict(rows),
         })
     }
 
-    fn finish(&mut self, outcome: LaneOutcome) -> Option<(LaneStep, LaneOutcome)> {
+    fn finish(&mut self, outcome: StepOutcome) -> Option<(SentStep, StepOutcome)> {
         self.current.take().map(|step| (step, outcome))
     }
 }
--- a/crates/magnoliapin_fleet/src/plan/rollouts.rs
+++ b/crates/magnoliapin_fleet/src/plan/rollouts.rs
@@ -66,21 +66,21 @@
     row: &RolloutRow,
     members: &[InstanceId],
 ) -> Option<RolloutRow> {
-    let census = ImageCensus::new(draft, row, members);
+    let counts = ImageCounts::new(draft, row, members);
     match row.stage {
-        RolloutStage::Canary if census.failed_new > 0 => {
+        RolloutStage::Canary if counts.failed_new > 0 => {
             Some(row.with_stage(RolloutStage::Halted, draft.now))
         }
-        RolloutStage::Canary if census.proved_new >= canary_count(draft, members) => {
+        RolloutStage::Canary if counts.proved_new >= canary_count(draft, members) => {
             Some(row.with_stage(RolloutStage::Waves, draft.now))
         }
-        RolloutStage::Waves if census.is_failing() => {
+        RolloutStage::Waves if counts.is_failing() => {
             Some(row.with_stage(RolloutStage::Halted, draft.now))
         }
-        RolloutStage::Waves if census.open_old == 0 => {
+        RolloutStage::Waves if counts.open_old == 0 => {
             Some(row.with_stage(RolloutStage::Done, draft.now))
         }
-        RolloutStage::RollingBack if census.open_new == 0 => Some(rolled_back(row, draft.now)),
+        RolloutStage::RollingBack if counts.open_new == 0 => Some(rolled_back(row, draft.now)),
         _ => None,
     }
 }
@@ -102,7 +102,7 @@
 
 /// Counts of a pool's members by image and health.
 #[derive(Clone, Copy, Debug, Default)]
-struct ImageCensus {
+struct ImageCounts {
     /// Members with the new image.
     new: u32,
     /// Members with the new image that failed.
@@ -119,25 +119,25 @@
     open_old: u32,
 }
 
-impl ImageCensus {
+impl ImageCounts {
     fn new(draft: &PlanDraft<'_>, rollout: &RolloutRow, members: &[InstanceId]) -> Self {
         let canary_seconds = u64::from(draft.document.maintenance.canary_seconds);
-        let mut census = Self::default();
+        let mut counts = Self::default();
         for row in members.iter().filter_map(|member| draft.snapshot.row(*member)) {
             let is_new = row.image == rollout.image;
             let is_out = matches!(row.state, InstanceState::Failed | InstanceState::Quarantined);
             let is_serving = row.state == InstanceState::Serving;
             let is_proved = is_serving && draft.now.since(row.changed_at) >= canary_seconds;
             let has_goal = row.goal.is_some();
-            census.new += u32::from(is_new);
-            census.old += u32::from(!is_new);
-            census.failed_new += u32::from(is_new && is_out);
-            census.failed_old += u32::from(!is_new && is_out);
-            census.proved_new += u32::from(is_new && is_proved);
-            census.open_new += u32::from((is_new || has_goal) && !is_out);
-            census.open_old += u32::from((!is_new || has_goal) && !is_out);
+            counts.new += u32::from(is_new);
+            counts.old += u32::from(!is_new);
+            counts.failed_new += u32::from(is_new && is_out);
+            counts.failed_old += u32::from(!is_new && is_out);
+            counts.proved_new += u32::from(is_new && is_proved);
+            counts.open_new += u32::from((is_new || has_goal) && !is_out);
+            counts.open_old += u32::from((!is_new || has_goal) && !is_out);
         }
-        census
+        counts
     }
 
     /// Returns whether the new image does worse than the old one, so that a lost rack, which
--- a/crates/magnoliapin_fleet/src/plan/waves.rs
+++ b/crates/magnoliapin_fleet/src/plan/waves.rs
@@ -35,7 +35,7 @@
 
 /// An instance that should restart.
 #[derive(Clone, Debug)]
-struct RebootWish {
+struct RebootCandidate {
     instance: InstanceId,
     pool: PoolId,
     rack: RackId,
@@ -52,20 +52,20 @@
         return;
     }
     let mut canaries_left = canaries_left(draft);
-    let mut wishes = reboot_wishes(draft);
-    sort_by_rack(draft, &mut wishes);
-    for wish in wishes {
-        if draft.budget_left(wish.pool) == 0 {
+    let mut candidates = reboot_candidates(draft);
+    sort_by_rack(draft, &mut candidates);
+    for candidate in candidates {
+        if draft.budget_left(candidate.pool) == 0 {
             continue;
         }
-        if wish.rank == RebootRank::Rollout && canaries_left.get(&wish.pool) == Some(&0) {
+        if candidate.rank == RebootRank::Rollout && canaries_left.get(&candidate.pool) == Some(&0) {
             continue;
         }
-        let goal = StepGoal::Reboot { image: wish.image };
+        let goal = StepGoal::Reboot { image: candidate.image };
         let is_planned =
-            draft.try_change(wish.instance, InstanceChange::Drain { goal, force: false });
-        if is_planned && wish.rank == RebootRank::Rollout {
-            if let Some(left) = canaries_left.get_mut(&wish.pool) {
+            draft.try_change(candidate.instance, InstanceChange::Drain { goal, force: false });
+        if is_planned && candidate.rank == RebootRank::Rollout {
+            if let Some(left) = canaries_left.get_mut(&candidate.pool) {
                 *left -= 1;
             }
         }
@@ -95,7 +95,7 @@
     gets || row.image == image
 }
 
-fn reboot_wishes(draft: &PlanDraft<'_>) -> Vec<RebootWish> {
+fn reboot_candidates(draft: &PlanDraft<'_>) -> Vec<RebootCandidate> {
     let period = u64::from(draft.document.maintenance.period_hours) * 3_600;
     let load = MaintenanceLoad::new(draft.document, &draft.snapshot);
     let lead = load.lead_seconds(period);
@@ -110,20 +110,20 @@
             let deadline = row.maintained_at.0 + period;
             let left = deadline.saturating_sub(draft.now.0);
             let (rank, image) = reboot_rank(draft, row, left, lead)?;
-            Some(reboot_wish(instance, facts, row, rank, deadline, image))
+            Some(reboot_candidate(instance, facts, row, rank, deadline, image))
         })
         .collect()
 }
 
-fn reboot_wish(
+fn reboot_candidate(
     instance: InstanceId,
     facts: &InstanceFacts,
     row: &InstanceRow,
     rank: RebootRank,
     deadline: u64,
     image: String,
-) -> RebootWish {
-    RebootWish {
+) -> RebootCandidate {
+    RebootCandidate {
         instance,
         pool: row.pool,
         rack: row.rack,
@@ -167,9 +167,9 @@
     }
 }
 
-/// Orders wishes so that racks with planned work come first, then racks of the same zones, then
+/// Orders candidates so that racks with planned work come first, then racks of the same zones, then
 /// the rack with the earliest deadline; inside a rack the least busy instance comes first.
-fn sort_by_rack(draft: &PlanDraft<'_>, wishes: &mut [RebootWish]) {
+fn sort_by_rack(draft: &PlanDraft<'_>, candidates: &mut [RebootCandidate]) {
     let racks = &draft.snapshot.racks.row;
     let mut open_zones: Vec<ZoneId> = Vec::new();
     for (_, _, row) in draft.snapshot.rows() {
@@ -178,21 +178,21 @@
         }
     }
     let mut keys: IndexMap<RackId, (u64, u32)> = IndexMap::new();
-    for wish in wishes.iter() {
-        let (deadline, count) = keys.entry(wish.rack).or_insert((u64::MAX, 0));
-        *deadline = wish.deadline.min(*deadline);
+    for candidate in candidates.iter() {
+        let (deadline, count) = keys.entry(candidate.rack).or_insert((u64::MAX, 0));
+        *deadline = candidate.deadline.min(*deadline);
         *count += 1;
     }
-    wishes.sort_by_cached_key(|wish| {
-        let (deadline, count) = keys.get(&wish.rack).copied().unwrap_or_default();
+    candidates.sort_by_cached_key(|candidate| {
+        let (deadline, count) = keys.get(&candidate.rack).copied().unwrap_or_default();
         (
-            wish.rank,
-            !racks.is_open(wish.rack),
-            !open_zones.contains(&wish.zone),
+            candidate.rank,
+            !racks.is_open(candidate.rack),
+            !open_zones.contains(&candidate.zone),
             deadline / DEADLINE_GRAIN_SECONDS,
             Reverse(count),
-            (wish.zone, wish.rack),
-            (wish.busy, wish.instance),
+            (candidate.zone, candidate.rack),
+            (candidate.busy, candidate.instance),
         )
     });
 }
