Apply a document as soon as an entry listens

Cause: an entry prints its address a moment before it has read the platform's head, so `config apply` right behind it was refused as not_ready; a session pasted from the README could fail, and so did one process test in 30 runs, as the status of a single entry lists that entry from the start.

Ruled out: printing the address late, since an entry without a platform should still be reached for its status.

Change: `config apply` and the demo call again for up to 10 s while the entry says that it is not ready or not sure of its configuration, which are proved not to have done anything. The tests wait until the configuration is known to be current, which is more than before.

--- a/crates/magnoliapin/src/command.rs
+++ b/crates/magnoliapin/src/command.rs
@@ -13,11 +13,15 @@
 use std::io;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
 
 use error_stack::Report;
+use magnoliapin_model::ErrorKind;
 use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::RefusalView;
 use serde::Serialize;
+use smol::Timer;
 
 use crate::client::CallError;
 use crate::client::EntryCall;
@@ -29,6 +33,10 @@
 const KEY_VARIABLE: &str = "MAGNOLIAPIN_KEY";
 const UNREADABLE: &str = "the entry's answer cannot be understood";
 
+/// Longest wait for an entry that has only just started.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+const READY_PAUSE: Duration = Duration::from_millis(50);
+
 /// Result of a command.
 pub(crate) type CommandResult<T = ()> = Result<T, Report<CommandError>>;
 
@@ -112,6 +120,35 @@
     }
 }
 
+/// Calls an entry again for as long as it is not ready or not sure of its configuration, both of
+/// which say that nothing was done.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if there was no answer.
+pub(crate) async fn call_when_ready(
+    client: &EntryClient,
+    call: &EntryCall,
+) -> CommandResult<EntryReply> {
+    let deadline = Instant::now() + READY_TIMEOUT;
+    loop {
+        let reply = client.call(call).await.map_err(unanswered)?;
+        if !is_not_ready(&reply) || Instant::now() >= deadline {
+            return Ok(reply);
+        }
+        Timer::after(READY_PAUSE).await;
+    }
+}
+
+fn is_not_ready(reply: &EntryReply) -> bool {
+    match serde_json::from_slice(&reply.body) {
+        Ok(CallerAnswer::Refused(refusal)) => {
+            matches!(refusal.kind, ErrorKind::NotReady | ErrorKind::StaleConfig)
+        }
+        _ => false,
+    }
+}
+
 /// Returns a variable of the environment; an empty one counts as unset.
 fn read_variable(name: &str) -> Option<String> {
     env::var(name).ok().filter(|value| !value.is_empty())
--- a/crates/magnoliapin/src/command/config.rs
+++ b/crates/magnoliapin/src/command/config.rs
@@ -19,6 +19,7 @@
 use toml::Value;
 
 use crate::client::EntryCall;
+use crate::command;
 use crate::command::refused;
 use crate::command::unexpected;
 use crate::command::usage;
@@ -136,8 +137,9 @@
     let call = EntryCall::new(Method::POST, "/v1/config")
         .with_body(body)
         .with_header("content-type", "application/json");
-    match context.ask_answer(call).await? {
-        CallerAnswer::Applied { version } => Ok(AppliedView { version }),
+    let reply = command::call_when_ready(&context.client()?, &call).await?;
+    match serde_json::from_slice(&command::accept(&reply)?) {
+        Ok(CallerAnswer::Applied { version }) => Ok(AppliedView { version }),
         _ => Err(unexpected()),
     }
 }
--- a/crates/magnoliapin/src/demo.rs
+++ b/crates/magnoliapin/src/demo.rs
@@ -20,12 +20,10 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
-use std::time::Instant;
 
 use futures_lite::future;
 use futures_lite::FutureExt;
 use hyper::Method;
-use hyper::StatusCode;
 use indexmap::IndexMap;
 use magnoliapin_entry::TaskRuntime;
 use magnoliapin_model::ConfigDocument;
@@ -68,9 +66,6 @@
 /// Longest wait for an answer to the operator.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Pause before the document is applied again to entries that have only just started.
-const APPLY_PAUSE: Duration = Duration::from_millis(50);
-
 /// Entry that is killed a third of the way in.
 const KILLED_ENTRY: usize = 1;
 
@@ -187,15 +182,8 @@
         EntryCall::new(Method::POST, "/v1/config").with_body(body).with_timeout(OPERATOR_TIMEOUT);
     let operator = operator_team()?;
     let client = EntryClient::new(site.entry_addresses()).with_key(secrets.get(&operator).cloned());
-    let deadline = Instant::now() + OPERATOR_TIMEOUT;
-    loop {
-        let reply = client.call(&call).await.map_err(command::unanswered)?;
-        let is_early = reply.status == StatusCode::SERVICE_UNAVAILABLE;
-        if !is_early || Instant::now() >= deadline {
-            return command::accept(&reply).map(drop);
-        }
-        Timer::after(APPLY_PAUSE).await;
-    }
+    let reply = command::call_when_ready(&client, &call).await?;
+    command::accept(&reply).map(drop)
 }
 
 /// Draws a key for each team of the document.
--- a/crates/magnoliapin/tests/processes.rs
+++ b/crates/magnoliapin/tests/processes.rs
@@ -150,3 +150,10 @@
     assert!(started.elapsed() < Duration::from_secs(3));
     assert!(!caller.join().unwrap());
 }
+
+#[test]
+fn a_document_can_be_applied_as_soon_as_an_entry_listens() {
+    let site = TestSite::start("at-once", 1);
+    let applied = site.run("", &["config", "apply", support::site::DOCUMENT]);
+    assert_eq!((applied.code, applied.output.as_str()), (0, "version 1 is accepted\n"));
+}
--- a/crates/magnoliapin/tests/support/site.rs
+++ b/crates/magnoliapin/tests/support/site.rs
@@ -125,7 +125,8 @@
     /// Waits until the entries have reached the platform and each other.
     pub fn wait_until_reached(&self) {
         self.wait("the entries reach the platform and each other", |status| {
-            status["entries"].as_array().is_some_and(|list| list.len() == self.entries.len())
+            let known = status["entries"].as_array().map(Vec::len);
+            known == Some(self.entries.len()) && status["fresh"].as_bool() == Some(true)
         });
     }
 
