Let unused connections of callers make room for others

A caller that opens every connection and sends nothing kept all others out for the idle timeout of 60 s. At the bound, the oldest connection without a request now makes room; only where each has a request is the newcomer refused. Ruled out: a shorter idle timeout, which breaks callers that reuse connections.

Callers get at most half of the process's file descriptors, so that targets and the platform stay reachable. A connection that is asked to close is still watched for slow headers and stalled answers.

--- a/crates/magnoliapin_entry/src/caller.rs
+++ b/crates/magnoliapin_entry/src/caller.rs
@@ -1,5 +1,6 @@
 //! Serves callers and operators over HTTP/1.1.
 
+mod board;
 mod body;
 mod connection;
 mod fault;
--- a/crates/magnoliapin_entry/src/caller/connection.rs
+++ b/crates/magnoliapin_entry/src/caller/connection.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use futures_lite::future;
 use futures_lite::FutureExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -75,7 +76,12 @@
 impl CallerConnection {
     /// Wraps a socket.
     pub(crate) fn new(shared: Arc<CallerShared>, stream: Async<StdStream>) -> Self {
-        Self { shared, stream: TcpStream::from(stream), watch: Arc::default() }
+        Self { shared, stream: TcpStream::from(stream), watch: Arc::new(StreamWatch::new()) }
+    }
+
+    /// Returns what is known of the exchange.
+    pub(crate) fn watch(&self) -> &Arc<StreamWatch> {
+        &self.watch
     }
 
     /// Serves requests until the connection ends.
@@ -100,6 +106,14 @@
         self.linger().await;
     }
 
+    /// Tells the caller that too many connections are open.
+    pub(crate) async fn refuse(self) {
+        let message = "too many connections are open";
+        let bytes = raw_refusal(RequestFault::new(ErrorKind::Overloaded, message));
+        // What the socket's buffer does not take at once is not worth waiting for.
+        let _ = future::poll_once(self.stream.clone().write_all(&bytes)).await;
+    }
+
     async fn serve(&self) -> ConnectionEnd {
         let limits = &self.shared.limits;
         let stream = CallerStream::new(self.stream.clone(), Arc::clone(&self.watch));
@@ -112,16 +126,8 @@
             .max_buf_size(READ_BUFFER_BYTES.max(limits.header_bytes))
             .serve_connection(FuturesIo::new(stream), service);
         let mut connection = pin!(connection);
-        let slow_head = async {
-            self.watch.slow_head(limits.header_timeout).await;
-            Some(ConnectionEnd::SlowHead)
-        };
-        let stalled = async {
-            self.watch.stalled_write(limits.write_timeout).await;
-            Some(ConnectionEnd::Stalled)
-        };
         let stopping = async {
-            self.shared.draining.wait().await;
+            self.shared.draining.wait().or(self.watch.evicted()).await;
             None
         };
         let serving = async {
@@ -129,12 +135,17 @@
             let _ = connection.as_mut().await;
             Some(ConnectionEnd::Closed)
         };
-        let end = match serving.or(slow_head).or(stalled).or(stopping).await {
+        let stall = async { Some(self.stall().await) };
+        let end = match serving.or(stall).or(stopping).await {
             Some(end) => end,
             None => {
+                // A request that has begun to arrive is still answered.
                 connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
-                ConnectionEnd::Closed
+                let serving = async {
+                    let _ = connection.await;
+                    ConnectionEnd::Closed
+                };
+                serving.or(self.stall()).await
             }
         };
         if self.watch.is_broken() {
@@ -143,6 +154,20 @@
         end
     }
 
+    /// Waits until the caller makes no progress.
+    async fn stall(&self) -> ConnectionEnd {
+        let limits = &self.shared.limits;
+        let slow_head = async {
+            self.watch.slow_head(limits.header_timeout).await;
+            ConnectionEnd::SlowHead
+        };
+        let stalled = async {
+            self.watch.stalled_write(limits.write_timeout).await;
+            ConnectionEnd::Stalled
+        };
+        slow_head.or(stalled).await
+    }
+
     async fn respond(
         &self,
         request: Request<Incoming>,
--- a/crates/magnoliapin_entry/src/caller/listener.rs
+++ b/crates/magnoliapin_entry/src/caller/listener.rs
@@ -3,8 +3,6 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::panic::AssertUnwindSafe;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -14,18 +12,14 @@
 
 use futures_lite::future;
 use futures_lite::FutureExt;
-use magnoliapin_model::ErrorKind;
-use smol::io::AsyncWriteExt;
 use smol::Async;
 use smol::Timer;
 
+use crate::caller::board::ConnectionBoard;
 use crate::caller::body::BodyBudget;
 use crate::caller::connection::CallerConnection;
-use crate::caller::fault::RequestFault;
-use crate::caller::response::raw_refusal;
+use crate::descriptor_limit::descriptor_limit;
 use crate::driver::CallerDesk;
-use crate::http_connection::ConnectionGauge;
-use crate::metrics::BorderName;
 use crate::metrics::ChildName;
 use crate::stop_signal::StopSignal;
 use crate::supervisor::ChildEnd;
@@ -52,20 +46,19 @@
     pub(crate) bodies: BodyBudget,
     /// Raised when connections are to close after the answer in progress.
     pub(crate) draining: StopSignal,
-    open: AtomicUsize,
+    /// Open connections.
+    pub(crate) connections: Arc<ConnectionBoard>,
 }
 
 impl CallerShared {
     /// Makes the state of a listener without connections.
     pub(crate) fn new(desk: CallerDesk, metrics: Arc<EntryMetrics>, limits: EntryLimits) -> Self {
-        Self {
-            desk,
-            metrics,
-            limits,
-            bodies: BodyBudget::default(),
-            draining: StopSignal::new(),
-            open: AtomicUsize::new(0),
-        }
+        // The other half of the descriptors is for targets, the platform and the process itself.
+        let limit = descriptor_limit().map_or(usize::MAX, |limit| limit / 2);
+        let limit = limit.min(limits.caller_connections);
+        let connections = Arc::new(ConnectionBoard::new(limit, Arc::clone(&metrics)));
+        let bodies = BodyBudget::default();
+        Self { desk, metrics, limits, bodies, draining: StopSignal::new(), connections }
     }
 }
 
@@ -133,25 +126,24 @@
 
     async fn wait_until_closed(&self) {
         let deadline = Instant::now() + CLOSE_TIME;
-        while self.shared.open.load(Ordering::SeqCst) > 0 && Instant::now() < deadline {
+        while !self.shared.connections.is_empty() && Instant::now() < deadline {
             Timer::after(CLOSE_POLL).await;
         }
     }
 
     fn take(&self, stream: Async<TcpStream>) {
         let shared = Arc::clone(&self.shared);
-        if shared.open.load(Ordering::SeqCst) >= shared.limits.caller_connections {
+        let connection = CallerConnection::new(Arc::clone(&shared), stream);
+        let Some(place) = shared.connections.take_place(connection.watch()) else {
             shared.metrics.count_refused_connection();
-            self.spawner.detach(refuse(stream));
+            self.spawner.detach(connection.refuse());
             return;
-        }
-        let slot = ConnectionSlot::new(Arc::clone(&shared));
+        };
         self.spawner.detach(async move {
-            let connection = CallerConnection::new(Arc::clone(&shared), stream);
             if AssertUnwindSafe(connection.run()).catch_unwind().await.is_err() {
                 shared.metrics.count_restart(ChildName::CallerConnection);
             }
-            drop(slot);
+            drop(place);
         });
     }
 
@@ -159,31 +151,3 @@
         self.socket.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Tells a caller that too many connections are open, without waiting for it.
-async fn refuse(mut stream: Async<TcpStream>) {
-    let message = "too many connections are open";
-    let bytes = raw_refusal(RequestFault::new(ErrorKind::Overloaded, message));
-    // What the socket's buffer does not take at once is not worth waiting for.
-    let _ = future::poll_once(stream.write_all(&bytes)).await;
-}
-
-/// Counts a connection as open while it lives.
-struct ConnectionSlot {
-    shared: Arc<CallerShared>,
-    _gauge: ConnectionGauge,
-}
-
-impl ConnectionSlot {
-    fn new(shared: Arc<CallerShared>) -> Self {
-        shared.open.fetch_add(1, Ordering::SeqCst);
-        let gauge = ConnectionGauge::new(BorderName::Caller, Arc::clone(&shared.metrics));
-        Self { shared, _gauge: gauge }
-    }
-}
-
-impl Drop for ConnectionSlot {
-    fn drop(&mut self) {
-        self.shared.open.fetch_sub(1, Ordering::SeqCst);
-    }
-}
--- a/crates/magnoliapin_entry/src/caller/stream.rs
+++ b/crates/magnoliapin_entry/src/caller/stream.rs
@@ -18,16 +18,45 @@
 use smol::net::TcpStream;
 use smol::Timer;
 
+use crate::stop_signal::StopSignal;
+
 /// What is known of the exchange on a caller's connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct StreamWatch {
     head_since: Mutex<Option<Instant>>,
     write_since: Mutex<Option<Instant>>,
     is_serving: AtomicBool,
     is_broken: AtomicBool,
+    evicted: StopSignal,
 }
 
 impl StreamWatch {
+    /// Makes the watch of a connection that has just been opened.
+    pub(crate) fn new() -> Self {
+        Self {
+            head_since: Mutex::default(),
+            write_since: Mutex::default(),
+            is_serving: AtomicBool::new(false),
+            is_broken: AtomicBool::new(false),
+            evicted: StopSignal::new(),
+        }
+    }
+
+    /// Returns whether a request is being served.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.is_serving.load(Ordering::SeqCst)
+    }
+
+    /// Tells the connection to make room for another one.
+    pub(crate) fn evict(&self) {
+        self.evicted.raise();
+    }
+
+    /// Waits until the connection has to make room for another one.
+    pub(crate) async fn evicted(&self) {
+        self.evicted.wait().await;
+    }
+
     /// Notes that the headers of a request are complete.
     pub(crate) fn begin_request(&self) {
         self.is_serving.store(true, Ordering::SeqCst);
@@ -60,7 +89,7 @@
     }
 
     fn note_read(&self) {
-        if !self.is_serving.load(Ordering::SeqCst) {
+        if !self.is_serving() {
             lock(&self.head_since).get_or_insert_with(Instant::now);
         }
     }
--- a/crates/magnoliapin_entry/src/lib.rs
+++ b/crates/magnoliapin_entry/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod caller;
 mod clock;
+mod descriptor_limit;
 mod driver;
 mod entry_error;
 mod entry_handle;
--- a/crates/magnoliapin_entry/src/metrics.rs
+++ b/crates/magnoliapin_entry/src/metrics.rs
@@ -66,6 +66,7 @@
     call_seconds: Family<BorderLabels, Histogram>,
     connections: Family<BorderLabels, Gauge>,
     refused_connections: Counter,
+    evicted_connections: Counter,
     datagrams: Family<DatagramLabels, Counter>,
     events: Family<EventLabels, Counter>,
     waiting_events: Gauge,
@@ -87,6 +88,7 @@
             call_seconds: Family::new_with_constructor(latency_histogram),
             connections: Family::default(),
             refused_connections: Counter::default(),
+            evicted_connections: Counter::default(),
             datagrams: Family::default(),
             events: Family::default(),
             waiting_events: Gauge::default(),
@@ -130,6 +132,10 @@
         self.refused_connections.inc();
     }
 
+    pub(crate) fn count_evicted_connection(&self) {
+        self.evicted_connections.inc();
+    }
+
     pub(crate) fn count_datagram(&self, fate: DatagramFate) {
         self.datagrams.get_or_create(&DatagramLabels { fate }).inc();
     }
@@ -188,6 +194,11 @@
             "Connections of callers closed because too many were open",
             self.refused_connections.clone(),
         );
+        registry.register(
+            "evicted_connections",
+            "Unused connections of callers closed to make room for others",
+            self.evicted_connections.clone(),
+        );
     }
 
     fn register_inside(&mut self) {
