--- a/crates/magnoliapin_fleet/tests/fleet/planner.rs
+++ b/crates/magnoliapin_fleet/tests/fleet/planner.rs
@@ -269,3 +269,15 @@
     let set_apart = snapshot.rows().filter(|(_, _, row)| row.state == InstanceState::Quarantined);
     assert_eq!(set_apart.count(), 6);
 }
+
+#[test]
+fn maintenance_of_the_shipped_examples_is_feasible() {
+    let texts = [
+        include_str!("../../../../examples/glowtown.toml"),
+        include_str!("../../../../examples/kyushu.toml"),
+    ];
+    for text in texts {
+        let document = ConfigDocument::parse(text).unwrap();
+        assert_eq!(check_feasible(&document, &FleetSnapshot::default()), Ok(()));
+    }
+}
