Get a changed configuration from peers

Cause: an entry that the platform does not reach heard of a newer version from its peers, could not fetch it, and refused keyed work until the platform was back. Ruled out: a stream between entries: a change is small and one datagram holds it; larger news is left to the platform. Change: an entry that hears of a newer version asks that peer for what changed since its own, and puts it in force if it starts from there.

--- a/crates/magnoliapin_policy/src/config.rs
+++ b/crates/magnoliapin_policy/src/config.rs
@@ -11,6 +11,7 @@
 use magnoliapin_wire::rows::RowKey;
 use magnoliapin_wire::rows::RowValue;
 use magnoliapin_wire::rows::SectionRow;
+use magnoliapin_wire::ConfigNews;
 use magnoliapin_wire::PlatformReply;
 use magnoliapin_wire::PlatformRequest;
 use magnoliapin_wire::TableRead;
@@ -108,6 +109,44 @@
         self.next_poll = Moment::START;
     }
 
+    /// Returns what changed since a version, if the head reaches back that far and something did.
+    pub(crate) fn news_since(&self, since: ConfigVersion) -> Option<ConfigNews> {
+        if self.version <= since || self.head.version != self.version {
+            return None;
+        }
+        let changed = self.head.changed_since(since)?;
+        let text = |name: SectionName| (name, self.sections.get(&name).cloned());
+        Some(ConfigNews {
+            since,
+            head: self.head.clone(),
+            head_row: self.head_row,
+            sections: changed.into_iter().map(text).collect(),
+        })
+    }
+
+    /// Takes news from another entry, if they start from the version in force here.
+    pub(crate) fn take_news(&mut self, news: ConfigNews, out: &mut Outbox) {
+        if !self.known || news.since != self.version || news.head.version <= self.version {
+            return;
+        }
+        let mut sections = self.sections.clone();
+        for (name, text) in news.sections {
+            match text {
+                Some(text) => sections.insert(name, text),
+                None => sections.shift_remove(&name),
+            };
+        }
+        let since = self.version;
+        if !self.put_in_force(&news.head, sections, out) {
+            return;
+        }
+        for change in news.head.recent.iter().filter(|change| change.version > since) {
+            self.changed_at.insert(change.section, change.version);
+        }
+        self.head = news.head;
+        self.head_row = news.head_row;
+    }
+
     /// Lets the head be read at once.
     pub(crate) fn poll_now(&mut self) {
         self.next_poll = Moment::START;
--- a/crates/magnoliapin_policy/src/machine/membership.rs
+++ b/crates/magnoliapin_policy/src/machine/membership.rs
@@ -85,6 +85,7 @@
 pub(crate) struct MembershipState {
     polls: IndexMap<PollKind, PollTimer>,
     next_probe: Moment,
+    next_config_ask: Moment,
     probes: u32,
     next_renewal: Moment,
     renewals: u64,
@@ -459,11 +460,29 @@
                 self.targets.note_leaving(instance);
             }
             PeerMessage::PartMoved(team) => self.check_part(team),
+            PeerMessage::AskConfig { known } => {
+                if let Some(news) = self.config.news_since(known) {
+                    self.out.send(address, Some(from), PeerMessage::TellConfig(news));
+                }
+            }
+            PeerMessage::TellConfig(news) => self.config.take_news(news, &mut self.out),
+        }
+    }
+
+    /// Asks an entry with a newer configuration for it, as the platform may not answer.
+    fn ask_config(&mut self, from: EntryId, facts: &EntryFacts) {
+        let now = self.out.now;
+        if facts.config <= self.config.version || self.membership.next_config_ask > now {
+            return;
         }
+        self.membership.next_config_ask = now + self.times.probe_interval;
+        let message = PeerMessage::AskConfig { known: self.config.version };
+        self.out.send(facts.peer_address, Some(from), message);
     }
 
     fn take_facts(&mut self, from: EntryId, facts: EntryFacts) {
         self.config.want(facts.config);
+        self.ask_config(from, &facts);
         if self.peers.take_facts(from, facts, self.out.now) {
             self.out.record(TimelineEvent::new(TimelineName::PeerJoined).with_number(from.0));
         }
--- /dev/null
+++ b/crates/magnoliapin_soak/src/config_spread_tests.rs
@@ -0,0 +1,40 @@
+//! How a configuration reaches an entry that the platform does not.
+
+use std::time::Duration;
+
+use crate::world::zone;
+use crate::world::SoakPlan;
+use crate::world::SoakWorld;
+
+fn run_for(world: &mut SoakWorld, span: Duration) {
+    let end = world.now + span;
+    while world.now < end {
+        world.step();
+    }
+}
+
+#[test]
+fn an_entry_that_is_cut_off_from_the_platform_gets_a_change_from_its_peers() {
+    let plan = SoakPlan {
+        fault_pause: None,
+        act_pause: Duration::from_secs(3_600),
+        ..SoakPlan::default()
+    };
+    let mut world = SoakWorld::new(plan);
+    run_for(&mut world, Duration::from_secs(10));
+    let before = world.watch.newest().map(|(version, _)| version).expect("a first document");
+    world.links.cut_platform(zone(2));
+    run_for(&mut world, Duration::from_secs(10));
+    for _ in 0..40 {
+        world.send_apply();
+        run_for(&mut world, Duration::from_millis(50));
+    }
+    run_for(&mut world, Duration::from_secs(6));
+    let (newest, _) = world.watch.newest().expect("a document");
+    assert!(newest > before, "no change was accepted");
+    let entry = world.entries.iter().find(|entry| entry.zone == zone(2)).expect("an entry");
+    let machine = entry.machine.as_ref().expect("it runs");
+    assert_eq!(machine.config_version(), newest);
+    assert!(machine.is_fresh(entry.clock(world.now)), "it refuses keyed work");
+    assert!(world.report.violations.is_empty(), "{}", world.report);
+}
--- a/crates/magnoliapin_soak/src/lib.rs
+++ b/crates/magnoliapin_soak/src/lib.rs
@@ -6,6 +6,8 @@
 //! settled; [`SoakReport`] counts both.
 
 mod caller_book;
+#[cfg(test)]
+mod config_spread_tests;
 mod config_watch;
 mod entry_node;
 mod fault;
--- a/crates/magnoliapin_soak/src/load.rs
+++ b/crates/magnoliapin_soak/src/load.rs
@@ -225,7 +225,7 @@
     }
 
     /// Changes a limit or a key, like one of several operators who race each other.
-    fn send_apply(&mut self) {
+    pub(crate) fn send_apply(&mut self) {
         let Some((version, document)) = self.watch.newest() else { return };
         let name = if self.random.random_bool(0.5) { "red" } else { "blue" };
         let Ok(team) = name.parse::<TeamId>() else { return };
--- a/crates/magnoliapin_wire/src/lib.rs
+++ b/crates/magnoliapin_wire/src/lib.rs
@@ -30,6 +30,7 @@
 pub use codec::PeerCodec;
 pub use codec::MAX_DATAGRAM_BYTES;
 pub use hybrid_stamp::HybridStamp;
+pub use peer::ConfigNews;
 pub use peer::EntryFacts;
 pub use peer::EntryState;
 pub use peer::PeerEnvelope;
--- a/crates/magnoliapin_wire/src/peer.rs
+++ b/crates/magnoliapin_wire/src/peer.rs
@@ -5,14 +5,18 @@
 
 use std::net::SocketAddr;
 
+use indexmap::IndexMap;
 use magnoliapin_model::plain_data;
 use magnoliapin_model::ConfigVersion;
 use magnoliapin_model::EntryId;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::Moment;
+use magnoliapin_model::RowVersion;
+use magnoliapin_model::SectionName;
 use magnoliapin_model::TeamId;
 use magnoliapin_model::ZoneId;
 
+use crate::rows::ConfigHead;
 use crate::HybridStamp;
 
 plain_data! {
@@ -50,6 +54,25 @@
         TargetLeaving(InstanceId),
         /// Tells that a part of a team's allotment was moved to the receiver.
         PartMoved(TeamId),
+        /// Asks for what changed in the configuration since the sender's version.
+        AskConfig {
+            /// Version that the sender has in force.
+            known: ConfigVersion,
+        },
+        /// Tells the configuration in force at the sender.
+        TellConfig(ConfigNews),
+    }
+
+    /// What changed in the configuration since a version.
+    pub struct ConfigNews {
+        /// Version that the news starts from.
+        pub since: ConfigVersion,
+        /// Head of the configuration.
+        pub head: ConfigHead,
+        /// Version of the head's row.
+        pub head_row: RowVersion,
+        /// Each section that changed; a section without text was removed.
+        pub sections: IndexMap<SectionName, Option<String>>,
     }
 
     /// What an entry says of itself and of what it knows.
--- a/crates/magnoliapin_wire/tests/peer_layout.rs
+++ b/crates/magnoliapin_wire/tests/peer_layout.rs
@@ -6,13 +6,19 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 
+use indexmap::IndexMap;
 use magnoliapin_model::ConfigVersion;
 use magnoliapin_model::EntryId;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::Moment;
+use magnoliapin_model::RowVersion;
+use magnoliapin_model::SectionName;
 use magnoliapin_model::TeamId;
 use magnoliapin_model::ZoneId;
+use magnoliapin_wire::rows::ConfigHead;
+use magnoliapin_wire::rows::SectionChange;
 use magnoliapin_wire::CodecError;
+use magnoliapin_wire::ConfigNews;
 use magnoliapin_wire::EntryFacts;
 use magnoliapin_wire::EntryState;
 use magnoliapin_wire::HybridStamp;
@@ -43,6 +49,17 @@
     TeamUsage { team, running: 1, waiting: 2, part: 3 }
 }
 
+fn news() -> ConfigNews {
+    let section = SectionName::Maintenance;
+    let version = ConfigVersion(8);
+    ConfigNews {
+        since: ConfigVersion(7),
+        head: ConfigHead { version, recent: vec![SectionChange { version, section }] },
+        head_row: RowVersion(5),
+        sections: IndexMap::from([(section, Some("paused = true\n".to_owned()))]),
+    }
+}
+
 fn messages() -> Vec<(&'static str, PeerMessage)> {
     let stamp = Moment(1_000);
     vec![
@@ -50,6 +67,8 @@
         ("reply", PeerMessage::Reply { stamp, facts: facts() }),
         ("target leaving", PeerMessage::TargetLeaving(InstanceId::new("i-1").expect("a name"))),
         ("part moved", PeerMessage::PartMoved(TeamId::new("guides").expect("a name"))),
+        ("ask config", PeerMessage::AskConfig { known: ConfigVersion(7) }),
+        ("tell config", PeerMessage::TellConfig(news())),
     ]
 }
 
@@ -80,7 +99,9 @@
             PeerMessage::Probe { .. }
             | PeerMessage::Reply { .. }
             | PeerMessage::TargetLeaving(_)
-            | PeerMessage::PartMoved(_) => {}
+            | PeerMessage::PartMoved(_)
+            | PeerMessage::AskConfig { .. }
+            | PeerMessage::TellConfig(_) => {}
         }
     }
 }
