Tell at apply when maintenance cannot be done in its period

Cause: check_feasible existed, but nobody was told. Change: the answer to an accepted change carries warnings with the arithmetic; config apply prints them. The change is accepted all the same: the operator may be on the way to a larger pool. Before: no warning. After: the new test over sockets sees it, and none where the period suffices.

--- a/crates/magnoliapin/src/command/config.rs
+++ b/crates/magnoliapin/src/command/config.rs
@@ -93,7 +93,11 @@
     }
     let change = ConfigChange { base: flags.base, sections, whole: flags.whole };
     let applied = send_change(context, &change).await?;
-    context.print(&applied, |applied| format!("version {} is accepted", applied.version))
+    context.print(&applied, |applied| {
+        let accepted = format!("version {} is accepted", applied.version);
+        let warnings = applied.warnings.iter().map(|warning| format!("\nwarning: {warning}"));
+        std::iter::once(accepted).chain(warnings).collect()
+    })
 }
 
 /// Shows the configuration in force.
@@ -139,7 +143,7 @@
         .with_header("content-type", "application/json");
     let reply = command::call_when_ready(&context.client()?, &call).await?;
     match serde_json::from_slice(&command::accept(&reply)?) {
-        Ok(CallerAnswer::Applied { version }) => Ok(AppliedView { version }),
+        Ok(CallerAnswer::Applied { version, warnings }) => Ok(AppliedView { version, warnings }),
         _ => Err(unexpected()),
     }
 }
@@ -149,6 +153,9 @@
     pub(crate) struct AppliedView {
         /// Version that the change made.
         pub(crate) version: ConfigVersion,
+        /// What the accepted configuration asks for but the fleet cannot do.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub(crate) warnings: Vec<String>,
     }
 }
 
--- a/crates/magnoliapin_entry/src/driver/fleet_run.rs
+++ b/crates/magnoliapin_entry/src/driver/fleet_run.rs
@@ -5,6 +5,7 @@
 
 use async_channel::Sender;
 use indexmap::IndexMap;
+use magnoliapin_fleet::check_feasible;
 use magnoliapin_fleet::FleetAction;
 use magnoliapin_fleet::FleetCall;
 use magnoliapin_fleet::FleetEvent;
@@ -69,6 +70,13 @@
         }
     }
 
+    /// Returns what the document in force asks for but the fleet cannot do.
+    pub(super) fn warnings(&self, entry: &EntryMachine) -> Vec<String> {
+        let Some(document) = entry.document() else { return Vec::new() };
+        let infeasible = check_feasible(document, self.machine.snapshot()).err();
+        infeasible.into_iter().map(|infeasible| infeasible.to_string()).collect()
+    }
+
     /// Lets time pass and tells the machine what the entry knows.
     pub(super) fn tick(&mut self, driver: &EntryDriver, entry: &EntryMachine) {
         let now = driver.clock.now();
--- a/crates/magnoliapin_entry/src/driver/machine_run.rs
+++ b/crates/magnoliapin_entry/src/driver/machine_run.rs
@@ -235,7 +235,10 @@
         }
     }
 
-    fn answer(&mut self, call: CallId, answer: CallerAnswer) {
+    fn answer(&mut self, call: CallId, mut answer: CallerAnswer) {
+        if let CallerAnswer::Applied { warnings, .. } = &mut answer {
+            warnings.extend(self.fleet.warnings(&self.machine));
+        }
         // A caller that hung up is no longer in the table.
         if let Some(answers) = self.waiting.swap_remove(&call) {
             let _ = answers.try_send(answer);
--- a/crates/magnoliapin_entry/tests/whole_path.rs
+++ b/crates/magnoliapin_entry/tests/whole_path.rs
@@ -75,6 +75,23 @@
     }
 }
 
+#[test]
+fn a_maintenance_that_cannot_be_done_in_its_period_is_told_with_the_numbers() {
+    let site = TestSite::start(&["zone-a"], &["zone-a"]);
+    let apply = |text: &str| {
+        let change = serde_json::json!({ "sections": { "maintenance": text }, "whole": false });
+        let body = change.to_string();
+        let answer = request_with(site.address(0), "POST", "/v1/config", OPERATOR, body.as_bytes());
+        assert_eq!(answer.status, 200, "{answer:?}");
+        answer.json()
+    };
+    let fits = apply("period_hours = 500\n");
+    assert!(fits["warnings"].is_null(), "{fits}");
+    let tight = apply("period_hours = 1\ndrain_seconds = 3600\n");
+    let warning = tight["warnings"][0].to_string();
+    assert!(warning.contains("3600"), "{tight}");
+}
+
 #[test]
 fn the_time_line_tells_of_the_start_and_of_jobs() {
     let site = TestSite::start(&["zone-a"], &["zone-a"]);
--- a/crates/magnoliapin_policy/src/machine/applies.rs
+++ b/crates/magnoliapin_policy/src/machine/applies.rs
@@ -92,7 +92,10 @@
                 }
                 Ok(None) => {
                     let version = self.config.version;
-                    self.finish_apply(index, CallerAnswer::Applied { version });
+                    self.finish_apply(
+                        index,
+                        CallerAnswer::Applied { version, warnings: Vec::new() },
+                    );
                 }
                 Err(refusal) => self.finish_apply(index, CallerAnswer::Refused(*refusal)),
             }
@@ -245,7 +248,7 @@
                     next.sections,
                     &mut self.out,
                 );
-                self.finish_apply(index, CallerAnswer::Applied { version });
+                self.finish_apply(index, CallerAnswer::Applied { version, warnings: Vec::new() });
             }
             (outcome, _) => {
                 if let ChangeOutcome::Conflict(rows) = outcome {
--- a/crates/magnoliapin_wire/src/caller.rs
+++ b/crates/magnoliapin_wire/src/caller.rs
@@ -98,6 +98,9 @@
         Applied {
             /// Version of the configuration.
             version: ConfigVersion,
+            /// What the accepted configuration asks for but the fleet cannot do, with the numbers.
+            #[serde(default, skip_serializing_if = "Vec::is_empty")]
+            warnings: Vec<String>,
         },
         /// The configuration in force.
         Config(ConfigView),
