Remove ended jobs when their retention is over

Cause: rows of ended jobs stayed in the table for good, so the table grew with history. Ruled out: removing at the end, as callers read jobs later and a second submission under the same idempotency key must find the first; keys by hour, as jobs are looked up by identifier. Change: rows tell when a job ended; the ready entry with the lowest identifier reads a page of 100 a second and removes what is older than 24 h. The driver tells the machine the wall clock, which nothing else uses. Before: no job was ever removed. After: the new test keeps all for 30 s and finds none 150 s on.

--- a/crates/magnoliapin_entry/src/driver.rs
+++ b/crates/magnoliapin_entry/src/driver.rs
@@ -132,7 +132,7 @@
         };
         let mut identity = self.identity.clone();
         identity.entry = EntryId(random.random());
-        EntryMachine::new(identity, random.random()).with_times(self.times.clone())
+        EntryMachine::new(identity, random.random()).with_times(self.times)
     }
 }
 
--- a/crates/magnoliapin_entry/src/driver/machine_run.rs
+++ b/crates/magnoliapin_entry/src/driver/machine_run.rs
@@ -12,6 +12,7 @@
 use magnoliapin_fleet::OperatorRequest;
 use magnoliapin_model::EntryId;
 use magnoliapin_model::KeyHash;
+use magnoliapin_model::UnixMillis;
 use magnoliapin_policy::CallId;
 use magnoliapin_policy::EntryAction;
 use magnoliapin_policy::EntryEvent;
@@ -34,6 +35,8 @@
 
 /// Longest time between two ticks of the machine.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two tellings of the wall clock.
+const WALL_INTERVAL: Duration = Duration::from_secs(1);
 /// Events handled before other tasks of the thread get their turn.
 const EVENTS_PER_TURN: usize = 128;
 
@@ -57,6 +60,7 @@
     fleet: FleetRun,
     actions: Vec<EntryAction>,
     next_tick: Instant,
+    next_wall: Instant,
     end: Option<RunEnd>,
 }
 
@@ -80,6 +84,7 @@
             fleet: FleetRun::new(entry, entry.0, number),
             actions: Vec::new(),
             next_tick: Instant::now(),
+            next_wall: Instant::now(),
             end: None,
         }
     }
@@ -107,6 +112,7 @@
         if Instant::now() >= self.next_tick {
             self.next_tick = Instant::now() + TICK_INTERVAL;
             self.handle(EntryEvent::Tick);
+            self.tell_wall_clock();
             self.driver.metrics.set_policy(&self.machine.counts());
             self.fleet.tick(self.driver, &self.machine);
         }
@@ -123,6 +129,14 @@
         self.driver.state.set_ready(is_ready);
     }
 
+    fn tell_wall_clock(&mut self) {
+        if Instant::now() >= self.next_wall {
+            self.next_wall = Instant::now() + WALL_INTERVAL;
+            let wall = UnixMillis(self.driver.clock.wall_micros() / 1_000);
+            self.handle(EntryEvent::WallClock(wall));
+        }
+    }
+
     /// Waits for an event or the next tick.
     async fn wait(&mut self) {
         let tick = async {
@@ -276,6 +290,7 @@
             EntryEvent::Platform { .. } => Self::Platform,
             EntryEvent::Target { .. } => Self::Target,
             EntryEvent::Peer { .. } => Self::Peer,
+            EntryEvent::WallClock(_) => Self::WallClock,
             EntryEvent::Stop => Self::Stop,
         }
     }
--- a/crates/magnoliapin_entry/src/metrics/label.rs
+++ b/crates/magnoliapin_entry/src/metrics/label.rs
@@ -102,6 +102,8 @@
         Target => "target",
         /// A datagram came.
         Peer => "peer",
+        /// The wall clock was told.
+        WallClock => "wall_clock",
         /// A planned stop was asked for.
         Stop => "stop",
         /// An answer came for a machine that is no longer there.
--- a/crates/magnoliapin_entry/src/service.rs
+++ b/crates/magnoliapin_entry/src/service.rs
@@ -205,7 +205,7 @@
     EntryDriver {
         identity: links.identity,
         seed: options.seed,
-        times: options.times.clone(),
+        times: options.times,
         codec: PeerCodec::new(&options.peer_key),
         platform,
         targets,
--- a/crates/magnoliapin_policy/src/commit.rs
+++ b/crates/magnoliapin_policy/src/commit.rs
@@ -37,6 +37,8 @@
     Bind(WorkId),
     /// Ends a job.
     End(WorkId),
+    /// Removes an ended job whose retention is over.
+    Remove(WorkId),
     /// Cancels a job that another entry holds, for a caller.
     Cancel(CallId, WorkId),
     /// Takes a job over from a lost entry.
--- a/crates/magnoliapin_policy/src/event.rs
+++ b/crates/magnoliapin_policy/src/event.rs
@@ -8,6 +8,7 @@
 use magnoliapin_model::ErrorKind;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::Moment;
+use magnoliapin_model::UnixMillis;
 use magnoliapin_model::WorkId;
 use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::CallerRequest;
@@ -64,6 +65,8 @@
         /// The message.
         message: PeerMessage,
     },
+    /// The wall clock's time; told every second or so, for the retention of ended jobs only.
+    WallClock(UnixMillis),
     /// The process was asked to stop: finish what runs, take nothing new.
     Stop,
 }
--- a/crates/magnoliapin_policy/src/machine.rs
+++ b/crates/magnoliapin_policy/src/machine.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod outcomes;
 mod ownership;
+mod retention;
 mod takeover;
 mod views;
 
@@ -26,6 +27,7 @@
 
 use self::applies::PendingApply;
 use self::membership::MembershipState;
+use self::retention::RetentionState;
 use self::takeover::TakeoverState;
 use crate::allotment::AllotmentBook;
 use crate::commit::CommitQueue;
@@ -70,6 +72,7 @@
     membership: MembershipState,
     takeovers: IndexMap<EntryId, TakeoverState>,
     applies: Vec<PendingApply>,
+    retention: RetentionState,
     /// Teams of callers whose jobs are being read.
     callers_team: IndexMap<CallId, TeamId>,
     /// Entries that a change in flight moves a part to.
@@ -101,6 +104,7 @@
             membership: MembershipState::default(),
             takeovers: IndexMap::new(),
             applies: Vec::new(),
+            retention: RetentionState::default(),
             callers_team: IndexMap::new(),
             part_receivers: IndexMap::new(),
             was_fresh: false,
@@ -160,6 +164,7 @@
             EntryEvent::Platform { call, reply } => self.take_platform(call, reply),
             EntryEvent::Target { call, reply } => self.take_target(call, reply),
             EntryEvent::Peer { from, address, message } => self.take_peer(from, address, message),
+            EntryEvent::WallClock(wall) => self.retention.take_wall(self.out.now, wall),
             EntryEvent::Stop => self.begin_stop(),
         }
         self.pump();
@@ -188,6 +193,7 @@
         self.plan_parts();
         self.watch_entries();
         self.advance_takeovers();
+        self.sweep_ended();
         self.note_changes();
         self.advance_stop();
     }
@@ -242,7 +248,7 @@
             results.into_iter().for_each(|result| self.take_read(&result));
             return;
         }
-        if self.take_scan(call, &reply) {
+        if self.take_scan(call, &reply) || self.take_ended_page(call, &reply) {
             return;
         }
         self.take_poll(call, reply);
--- a/crates/magnoliapin_policy/src/machine/admission.rs
+++ b/crates/magnoliapin_policy/src/machine/admission.rs
@@ -10,6 +10,7 @@
 use magnoliapin_model::QueueId;
 use magnoliapin_model::QueueSection;
 use magnoliapin_model::TeamId;
+use magnoliapin_model::UnixMillis;
 use magnoliapin_model::WorkId;
 use magnoliapin_wire::rows::JobRow;
 use magnoliapin_wire::JobState;
@@ -118,7 +119,8 @@
             payload: payload.clone(),
             output: None,
             reason: None,
-            accepted_at: Default::default(),
+            accepted_at: self.wall_time(),
+            ended_at: UnixMillis(0),
         };
         let hold = JobHold::new(row, call);
         let mut entry = new_entry(WorkKind::Job(Box::new(hold)), team, queue, &section, payload);
--- a/crates/magnoliapin_policy/src/machine/jobs.rs
+++ b/crates/magnoliapin_policy/src/machine/jobs.rs
@@ -96,11 +96,13 @@
 
     /// Ends a job: its row moves to the finished ones.
     pub(crate) fn end_job(&mut self, work: WorkId, state: JobState, reason: Option<String>) {
+        let ended_at = self.wall_time();
         let Some(entry) = self.work.get_mut(work) else { return };
         entry.stage = WorkStage::Ending;
         let Some(hold) = entry.job_mut() else { return };
         hold.row.state = state;
         hold.row.reason = reason;
+        hold.row.ended_at = ended_at;
         self.push_end(work);
     }
 
@@ -432,6 +434,7 @@
         };
         let Some(target) = row.target else {
             row.state = JobState::Cancelled;
+            row.ended_at = self.wall_time();
             let change = end_change(ChangeTag::Cancel(call, work), work, &row, version);
             self.job_commits.push(change);
             return;
--- a/crates/magnoliapin_policy/src/settings.rs
+++ b/crates/magnoliapin_policy/src/settings.rs
@@ -20,7 +20,7 @@
 }
 
 /// Time bounds of an entry's decisions.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct PolicyTimes {
     /// Time between two probes of a peer.
     pub probe_interval: Duration,
@@ -42,6 +42,8 @@
     pub platform_timeout: Duration,
     /// Least time between two transactions of one kind.
     pub commit_interval: Duration,
+    /// Ended jobs are kept for this long.
+    pub job_retention: Duration,
     /// Time after which a silent connection to a target is asked about on a new one.
     pub silence: Duration,
 }
@@ -59,6 +61,7 @@
             list_interval: Duration::from_millis(1_000),
             platform_timeout: Duration::from_millis(2_000),
             commit_interval: Duration::from_millis(20),
+            job_retention: Duration::from_secs(24 * 60 * 60),
             silence: Duration::from_millis(1_000),
         }
     }
--- a/crates/magnoliapin_soak/examples/slopes/driver.rs
+++ b/crates/magnoliapin_soak/examples/slopes/driver.rs
@@ -233,6 +233,7 @@
         EntryEvent::Platform { .. } => "platform",
         EntryEvent::Target { .. } => "target",
         EntryEvent::Peer { .. } => "peer",
+        EntryEvent::WallClock(_) => "wall clock",
         EntryEvent::Stop => "stop",
     }
 }
--- a/crates/magnoliapin_soak/src/entry_node.rs
+++ b/crates/magnoliapin_soak/src/entry_node.rs
@@ -9,6 +9,7 @@
 use magnoliapin_policy::EntryMachine;
 use magnoliapin_policy::PolicyCounts;
 use magnoliapin_policy::PolicyOptions;
+use magnoliapin_policy::PolicyTimes;
 
 /// An entry.
 #[derive(Debug)]
@@ -21,6 +22,8 @@
     pub(crate) machine: Option<EntryMachine>,
     pub(crate) paused_until: Option<Moment>,
     booted_at: Moment,
+    /// Time bounds of its machines.
+    pub(crate) times: PolicyTimes,
     /// Counters of earlier boots.
     pub(crate) past: Vec<PolicyCounts>,
 }
@@ -36,9 +39,16 @@
             paused_until: None,
             booted_at: Moment::START,
             past: Vec::new(),
+            times: PolicyTimes::default(),
         }
     }
 
+    /// Sets other time bounds.
+    pub(crate) fn with_times(mut self, times: PolicyTimes) -> Self {
+        self.times = times;
+        self
+    }
+
     /// Starts a new run of the entry.
     pub(crate) fn start(&mut self, now: Moment, id: EntryId, seed: u64, options: PolicyOptions) {
         self.kill();
@@ -50,7 +60,8 @@
             caller_address: self.address,
             peer_address: self.address,
         };
-        self.machine = Some(EntryMachine::new(identity, seed).with_options(options));
+        self.machine =
+            Some(EntryMachine::new(identity, seed).with_options(options).with_times(self.times));
     }
 
     /// Ends the current run at once.
--- a/crates/magnoliapin_soak/src/final_checks.rs
+++ b/crates/magnoliapin_soak/src/final_checks.rs
@@ -155,7 +155,7 @@
         });
     }
 
-    fn scan(&mut self, prefix: &str) -> Vec<TableRow> {
+    pub(crate) fn scan(&mut self, prefix: &str) -> Vec<TableRow> {
         let read =
             TableRead::Prefix { prefix: prefix.to_owned(), after: String::new(), limit: u32::MAX };
         self.platform.table.read(&read)
--- a/crates/magnoliapin_soak/src/lib.rs
+++ b/crates/magnoliapin_soak/src/lib.rs
@@ -17,6 +17,8 @@
 mod load;
 mod platform_node;
 mod report;
+#[cfg(test)]
+mod retention_tests;
 mod target_node;
 pub mod trial;
 mod world;
--- a/crates/magnoliapin_soak/src/world.rs
+++ b/crates/magnoliapin_soak/src/world.rs
@@ -10,12 +10,14 @@
 use magnoliapin_model::EntryId;
 use magnoliapin_model::Moment;
 use magnoliapin_model::TargetRun;
+use magnoliapin_model::UnixMillis;
 use magnoliapin_model::WorkOutcome;
 use magnoliapin_model::ZoneId;
 use magnoliapin_policy::CallId;
 use magnoliapin_policy::EntryAction;
 use magnoliapin_policy::EntryEvent;
 use magnoliapin_policy::PolicyOptions;
+use magnoliapin_policy::PolicyTimes;
 use magnoliapin_standin::CallFate;
 use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::CallerRequest;
@@ -39,6 +41,8 @@
 use crate::trial::TrialLog;
 
 pub(crate) const ZONES: usize = 3;
+/// Wall clock at the start of a run, in milliseconds since 1970.
+const WALL_START_MS: u64 = 1_700_000_000_000;
 const TICK: Duration = Duration::from_millis(20);
 const REGISTER: Duration = Duration::from_millis(500);
 pub(crate) const FIRST_PORT: u16 = 10_000;
@@ -59,6 +63,8 @@
     pub act_pause: Duration,
     /// Mean time between two faults; none injects no fault.
     pub fault_pause: Option<Duration>,
+    /// Time bounds of the entries.
+    pub times: PolicyTimes,
 }
 
 impl Default for SoakPlan {
@@ -69,6 +75,7 @@
             entries: 5,
             act_pause: Duration::from_millis(8),
             fault_pause: Some(Duration::from_millis(2_500)),
+            times: PolicyTimes::default(),
         }
     }
 }
@@ -176,7 +183,9 @@
         }
         for index in 0..self.plan.entries {
             let port = FIRST_PORT + u16::try_from(index).unwrap_or_default();
-            self.entries.push(EntryNode::new(zone(index % ZONES), address(port)));
+            self.entries.push(
+                EntryNode::new(zone(index % ZONES), address(port)).with_times(self.plan.times),
+            );
             self.after(Duration::from_millis(10), WorldEvent::StartEntry(index));
         }
         self.after(Duration::ZERO, WorldEvent::Register);
@@ -292,10 +301,15 @@
         self.after(pause, WorldEvent::StartEntry(index));
     }
 
+    fn wall_clock(&self) -> UnixMillis {
+        UnixMillis(WALL_START_MS + self.now.0 / 1_000)
+    }
+
     fn tick(&mut self, index: usize, boot: u32) {
         if self.entries[index].boot != boot {
             return;
         }
+        self.deliver(index, boot, EntryEvent::WallClock(self.wall_clock()));
         self.deliver(index, boot, EntryEvent::Tick);
         if self.entries[index].boot == boot {
             let pause = self.entries[index].paused_until.map(|until| until.since(self.now));
--- a/crates/magnoliapin_wire/src/rows/job_row.rs
+++ b/crates/magnoliapin_wire/src/rows/job_row.rs
@@ -60,6 +60,9 @@
         /// When it was accepted.
         #[serde(default)]
         pub accepted_at: UnixMillis,
+        /// When it ended; 0 before that.
+        #[serde(default)]
+        pub ended_at: UnixMillis,
     }
 
     /// Target that an attempt is bound to.
