--- a/crates/magnoliapin/src/entry.rs
+++ b/crates/magnoliapin/src/entry.rs
@@ -65,7 +65,7 @@
 fn options(settings: &EntrySettings) -> EntryOptions {
     let options = EntryOptions::new(settings.zone, settings.platform)
         .with_peer_key(settings.peer_key.as_bytes())
-        .with_times(settings.times.clone())
+        .with_times(settings.times)
         .with_limits(settings.limits.clone());
     EntryOptions {
         caller_listen: settings.caller_listen,
