Drain instances in the demo and in a test of processes

Cause: the fleet's machine runs in every entry now, and nothing showed over sockets that drains keep a pool's availability budget; the demo looked at the budgets while nothing was planned.

Ruled out: judging drains by the entries' answers; the demo reads the platform's table.

Change: two thirds of the way in, the demo's operator orders drains of two instances of each serving pool, of which the budget allows one at most. The report says how many instances planned work held back at once. A test drains, is refused a second drain of the pool, is still served, and takes it back.

A step counts as breaking a budget only where the table already named the pool's other instances unavailable: a target killed a moment ago that nobody has found out about does not count.

--- a/crates/magnoliapin/src/demo.rs
+++ b/crates/magnoliapin/src/demo.rs
@@ -126,6 +126,7 @@
         let mut report = self.judge(&site, &document, &notes);
         report.budget_broken = watch.broken.load(Ordering::Relaxed);
         report.budget_samples = watch.samples.load(Ordering::Relaxed);
+        report.planned_peak = watch.planned_peak.load(Ordering::Relaxed);
         report.transactions_per_job = spent as f64 / report.accepted.max(1) as f64;
         stopped.map(|()| report)
     }
@@ -137,6 +138,7 @@
         runtime: &TaskRuntime,
         secrets: IndexMap<TeamId, String>,
     ) -> Vec<WorkNote> {
+        let operator_key = operator_team().ok().and_then(|team| secrets.get(&team).cloned());
         let caller = DemoCaller::new(site.entry_addresses(), secrets);
         let load = DemoLoad::new(caller, runtime.spawner());
         let showing = runtime.spawner().spawn(progress::show_progress(load.progress()));
@@ -144,6 +146,8 @@
             Timer::after(Duration::from_secs(self.seconds) / 3).await;
             site.kill_entry(KILLED_ENTRY);
             site.kill_target(KILLED_TARGET).await;
+            Timer::after(Duration::from_secs(self.seconds) / 3).await;
+            drain_instances(site, operator_key.clone()).await;
             future::pending().await
         };
         let notes = load.run(draw_arrivals(self.seconds, self.seed)).or(faults).await;
@@ -186,6 +190,19 @@
     command::accept(&reply).map(drop)
 }
 
+/// Orders drains of two instances of each serving pool, of which the budget allows one at most.
+async fn drain_instances(site: &DemoSite, key: Option<String>) {
+    let client = EntryClient::new(site.entry_addresses()).with_key(key);
+    for queue in deployment::QUEUES {
+        for number in 0..2 {
+            let path = format!("/v1/instances/{}-{number}/drain", queue.full_name());
+            let call = EntryCall::new(Method::POST, path).with_timeout(OPERATOR_TIMEOUT);
+            // The budgets are judged in the platform's table, whatever the answers say.
+            drop(client.call(&call).await);
+        }
+    }
+}
+
 /// Draws a key for each team of the document.
 fn draw_secrets(seed: u64) -> CommandResult<IndexMap<TeamId, String>> {
     let mut generator = StdRng::seed_from_u64(seed);
--- a/crates/magnoliapin/src/demo/budget.rs
+++ b/crates/magnoliapin/src/demo/budget.rs
@@ -27,6 +27,8 @@
     pub(crate) samples: AtomicU64,
     /// Moments at which a planned step began although the budget was used up.
     pub(crate) broken: AtomicU64,
+    /// Most instances that planned work held back at once, over all pools.
+    pub(crate) planned_peak: AtomicU64,
 }
 
 /// Unavailable instances of one pool.
@@ -49,6 +51,8 @@
             if !counts.is_empty() {
                 self.samples.fetch_add(1, Ordering::Relaxed);
             }
+            let planned: u32 = counts.values().map(|count| count.planned).sum();
+            self.planned_peak.fetch_max(u64::from(planned), Ordering::Relaxed);
             let broken = counts.iter().filter(|(pool, count)| {
                 let earlier: PoolCounts = before.get(*pool).copied().unwrap_or_default();
                 is_broken(&document, **pool, earlier, **count)
--- a/crates/magnoliapin/src/demo/report.rs
+++ b/crates/magnoliapin/src/demo/report.rs
@@ -45,6 +45,8 @@
     pub(crate) not_run_but_ran: u64,
     /// Moments at which the budgets were looked at; 0 if the platform's table held no instance.
     pub(crate) budget_samples: u64,
+    /// Most instances that planned work held back at once, over all pools.
+    pub(crate) planned_peak: u64,
     /// Requests answered with another answer than their own.
     pub(crate) wrong_answers: u64,
     /// Median time to an answer, in milliseconds.
@@ -103,8 +105,11 @@
             self.refused.iter().map(|(kind, count)| format!("{kind} {count}")).collect();
         let others: Vec<String> =
             self.ended_otherwise.iter().map(|(state, count)| format!("{state} {count}")).collect();
-        let budget_note =
-            if self.budget_samples == 0 { "; no instance in the table to look at" } else { "" };
+        let budget_note = if self.budget_samples == 0 {
+            "no instance in the table to look at".to_owned()
+        } else {
+            format!("planned work held back up to {} instances", self.planned_peak)
+        };
         let verdict = if self.is_broken() { "BROKEN" } else { "everything that must hold held" };
         format!(
             "{} pieces of work in {} s (seed {})\n\
@@ -113,7 +118,7 @@
              refused   {refused} ({}); outcome unknown {}, not sent {}\n\
              reruns of idempotent work {}; transactions for each job {:.2}\n\
              lost {}, doubled {}, not run but ran {}, wrong answers {}\n\
-             over limit {}, budget broken {}{budget_note}\n\
+             over limit {}, budget broken {}; {budget_note}\n\
              {verdict}\n",
             self.handed_in,
             self.seconds,
--- a/crates/magnoliapin/tests/processes.rs
+++ b/crates/magnoliapin/tests/processes.rs
@@ -157,3 +157,24 @@
     let applied = site.run("", &["config", "apply", support::site::DOCUMENT]);
     assert_eq!((applied.code, applied.output.as_str()), (0, "version 1 is accepted\n"));
 }
+
+#[test]
+fn drains_keep_the_availability_budget() {
+    let site = TestSite::start_ready("drain", 2);
+    let drain = |instance| site.run(OPERATOR_KEY, &["drain", instance]);
+    wait_for("the fleet knows the instance", || drain("target-a").code == 0);
+    let second = drain("target-b");
+    assert_eq!(second.code, 1);
+    assert!(second.errors.contains("budget_exceeded"), "{}", second.errors);
+
+    wait_for("one instance is out of service", || {
+        let pools = site.run_at(1, OPERATOR_KEY, &["--json", "pools"]).output;
+        pools.contains("\"unavailable\": 1")
+    });
+    let request = site.run(GUIDE_KEY, &["request", "booking", "still served"]);
+    assert_eq!((request.code, request.output.as_str()), (0, "still served"));
+
+    let back = site.run(OPERATOR_KEY, &["undrain", "target-a"]);
+    assert_eq!(back.code, 0, "{}", back.errors);
+    wait_for("the second instance may be drained", || drain("target-b").code == 0);
+}
