Leave the teams' use out of replies between entries

Cause: at 28 entries and 390 teams an entry sends 32 KB of datagrams a second and gets as many; most of it is the use of 40 teams in each. Both sides of each pair probe the other, so each tells its use twice.

Ruled out: fewer teams in a datagram, which makes what others know of a team older; probing less often, which makes lost entries and outdated configurations show later.

Change: probes carry the teams' use, replies do not.

--- a/crates/magnoliapin_policy/src/machine/membership.rs
+++ b/crates/magnoliapin_policy/src/machine/membership.rs
@@ -375,7 +375,7 @@
         self.membership.next_probe = now + self.times.probe_interval;
         self.membership.probes += 1;
         let probe_far = self.membership.probes.is_multiple_of(FAR_PROBE_RATIO);
-        let facts = self.facts();
+        let facts = self.facts(true);
         for (id, record) in &self.peers.records {
             if record.zone == self.identity.zone || probe_far || record.replied_as_of.is_none() {
                 let message = PeerMessage::Probe { stamp: now, facts: facts.clone() };
@@ -406,7 +406,9 @@
         }
     }
 
-    fn facts(&mut self) -> EntryFacts {
+    /// Returns what this entry says of itself. The teams' use goes out with the probes alone, as
+    /// both sides of each pair probe the other.
+    fn facts(&mut self, with_usage: bool) -> EntryFacts {
         let state = match (self.membership.is_stopping(), self.has_started()) {
             (true, _) => EntryState::Stopping,
             (false, true) => EntryState::Ready,
@@ -421,7 +423,7 @@
             head_age_us: self.config.head_age_us(self.out.now),
             apply_in_flight: self.has_apply_in_flight(),
             member_count: u32::try_from(self.peers.records.len()).unwrap_or(u32::MAX),
-            usage: self.told_usage(),
+            usage: if with_usage { self.told_usage() } else { Vec::new() },
         }
     }
 
@@ -444,7 +446,7 @@
     pub(crate) fn take_peer(&mut self, from: EntryId, address: SocketAddr, message: PeerMessage) {
         match message {
             PeerMessage::Probe { stamp, facts } => {
-                let reply = PeerMessage::Reply { stamp, facts: self.facts() };
+                let reply = PeerMessage::Reply { stamp, facts: self.facts(false) };
                 self.take_facts(from, facts);
                 self.out.send(address, Some(from), reply);
             }
