--- a/crates/magnoliapin_policy/src/machine.rs
+++ b/crates/magnoliapin_policy/src/machine.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod outcomes;
 mod ownership;
+mod polls;
 mod retention;
 mod takeover;
 mod views;
--- a/crates/magnoliapin_policy/src/machine/membership.rs
+++ b/crates/magnoliapin_policy/src/machine/membership.rs
@@ -1,4 +1,4 @@
-//! Membership, polls of the platform, the entry's own lease, and planned stops.
+//! Membership, the entry's own lease, and planned stops.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,12 +14,9 @@
 use magnoliapin_wire::CallFailure;
 use magnoliapin_wire::EntryFacts;
 use magnoliapin_wire::EntryState;
-use magnoliapin_wire::InstanceRecord;
 use magnoliapin_wire::ListedState;
 use magnoliapin_wire::PeerMessage;
 use magnoliapin_wire::PlatformReply;
-use magnoliapin_wire::PlatformRequest;
-use magnoliapin_wire::TableRead;
 use magnoliapin_wire::TableRow;
 use magnoliapin_wire::TeamUsage;
 
@@ -27,6 +24,9 @@
 use crate::commit::ChangeTag;
 use crate::commit::RowChange;
 use crate::machine::jobs::first;
+use crate::machine::polls::PendingList;
+use crate::machine::polls::PollKind;
+use crate::machine::polls::PollTimer;
 use crate::outbox::Outbox;
 use crate::reads::ReadResult;
 use crate::reads::ReadTag;
@@ -40,38 +40,11 @@
 const FAR_PROBE_RATIO: u32 = 4;
 /// Most teams whose use goes into one datagram.
 const MAX_TEAMS_TOLD: usize = 40;
-const ENTRY_INTERVAL: Duration = Duration::from_secs(2);
-const ALLOTMENT_INTERVAL: Duration = Duration::from_secs(5);
-const MAX_SCAN_ROWS: u32 = 10_000;
 /// Calls in a row that fail before the platform counts as down.
 const DOWN_FAILURES: u32 = 3;
 /// A planned stop ends at the latest after this long; running jobs are then taken over.
 const STOP_LIMIT: Duration = Duration::from_secs(30);
 
-/// What is read from time to time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum PollKind {
-    Entries,
-    Allotments,
-    Places,
-    Instances,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct PollTimer {
-    next: Moment,
-    asked_at: Moment,
-    call: Option<CallId>,
-}
-
-/// A list of instances and the call that brought it.
-#[derive(Debug)]
-struct PendingList {
-    call: CallId,
-    asked_at: Moment,
-    records: Vec<InstanceRecord>,
-}
-
 /// Where a planned stop stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StopStage {
@@ -83,7 +56,7 @@
 /// What the entry does to be a member.
 #[derive(Debug, Default)]
 pub(crate) struct MembershipState {
-    polls: IndexMap<PollKind, PollTimer>,
+    pub(crate) polls: IndexMap<PollKind, PollTimer>,
     next_probe: Moment,
     next_config_ask: Moment,
     probes: u32,
@@ -158,55 +131,11 @@
 }
 
 impl EntryMachine {
-    /// Reads what is due from the platform.
-    pub(crate) fn poll(&mut self) {
-        self.poll_one(PollKind::Places, self.times.list_interval);
-        self.poll_one(PollKind::Allotments, ALLOTMENT_INTERVAL);
-        if self.membership.is_registered() {
-            self.poll_one(PollKind::Instances, self.times.list_interval);
-            self.poll_one(PollKind::Entries, ENTRY_INTERVAL);
-        }
-    }
-
-    fn poll_one(&mut self, kind: PollKind, interval: Duration) {
-        let now = self.out.now;
-        let timer = self.membership.polls.entry(kind).or_default();
-        if timer.call.is_some() || timer.next > now {
-            return;
-        }
-        let request = match kind {
-            PollKind::Instances => PlatformRequest::Instances,
-            PollKind::Places => scan("instance/"),
-            PollKind::Allotments => scan(RowKey::ALLOTMENT_PREFIX),
-            PollKind::Entries => scan(RowKey::ENTRY_PREFIX),
-        };
-        timer.next = now + self.out.jitter(interval);
-        timer.asked_at = now;
-        timer.call = Some(self.out.call_platform(request, self.times.platform_timeout));
-    }
-
-    /// Takes the answer to a poll.
-    pub(crate) fn take_poll(&mut self, call: CallId, reply: PlatformReply) {
-        let mut polls = self.membership.polls.iter_mut();
-        let Some((kind, timer)) = polls.find(|(_, timer)| timer.call == Some(call)) else { return };
-        let (kind, asked_at) = (*kind, timer.asked_at);
-        timer.call = None;
-        match (kind, reply) {
-            (PollKind::Instances, PlatformReply::Instances(records)) => {
-                self.take_list(PendingList { call, asked_at, records });
-            }
-            (PollKind::Places, PlatformReply::Rows(rows)) => self.take_places(&rows),
-            (PollKind::Allotments, PlatformReply::Rows(rows)) => self.take_allotments(&rows),
-            (PollKind::Entries, PlatformReply::Rows(rows)) => self.take_entries(&rows),
-            _ => {}
-        }
-    }
-
     /// Takes a list of instances, which is used once this entry is known to be a member still.
     ///
     /// Whoever takes this entry over fences it at every run of a target that was listed when this
     /// entry ceased to be a member. A later run must not be learnt of without learning of that.
-    fn take_list(&mut self, list: PendingList) {
+    pub(crate) fn take_list(&mut self, list: PendingList) {
         for record in &list.records {
             let known = self.targets.entries.get(&record.instance);
             let was_live = known.is_some_and(|entry| entry.record.state == ListedState::Live);
@@ -237,7 +166,7 @@
         self.targets.take_list(list.records);
     }
 
-    fn take_places(&mut self, rows: &[TableRow]) {
+    pub(crate) fn take_places(&mut self, rows: &[TableRow]) {
         for row in rows {
             let Some(name) = row.key.strip_prefix("instance/") else { continue };
             let (Ok(instance), Ok(place)) =
@@ -250,7 +179,7 @@
         }
     }
 
-    fn take_entries(&mut self, rows: &[TableRow]) {
+    pub(crate) fn take_entries(&mut self, rows: &[TableRow]) {
         let mut entries = IndexMap::new();
         for row in rows {
             let Ok(RowKey::Entry(id)) = row.key.parse() else { continue };
@@ -589,11 +518,3 @@
         Other,
     }
 }
-
-fn scan(prefix: &str) -> PlatformRequest {
-    PlatformRequest::Read(TableRead::Prefix {
-        prefix: prefix.to_owned(),
-        after: String::new(),
-        limit: MAX_SCAN_ROWS,
-    })
-}
