Command the fleet: move, drain by force, maintenance and rollout

Cause: entries take operators' requests to the fleet, but the program could only drain and take a drain back. A refusal of any kind was named budget_exceeded, also for an unknown instance or pool.

Ruled out: subcommands below maintenance and rollout, because the parser names their structures by the last word alone and pause, resume and status would clash; an action is an argument instead. A pool by default for the acting commands of rollout: only status does without it.

The entry answers with the refusal's own kind (not_found, conflict, ...).

That cut and a roll-out under way are in no process test.

--- a/crates/magnoliapin/src/command.rs
+++ b/crates/magnoliapin/src/command.rs
@@ -1,6 +1,7 @@
 //! Commands that ask an entry, and what they share.
 
 pub(crate) mod config;
+pub(crate) mod fleet;
 pub(crate) mod key;
 pub(crate) mod status;
 #[cfg(test)]
--- a/crates/magnoliapin/src/command/view.rs
+++ b/crates/magnoliapin/src/command/view.rs
@@ -1,13 +1,11 @@
-//! Views of the system: `pools`, `instances`, `drain`, `undrain`.
+//! Views of the system: `pools`, `instances`.
 
 use hyper::Method;
-use magnoliapin_model::InstanceId;
 use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::InstanceView;
 use magnoliapin_wire::PoolView;
 
 use crate::client::EntryCall;
-use crate::command::print_text;
 use crate::command::unexpected;
 use crate::command::CommandContext;
 use crate::command::CommandResult;
@@ -39,25 +37,6 @@
     context.print(&instances, |instances| instances_text(instances))
 }
 
-/// Drains an instance or takes a drain back.
-///
-/// # Errors
-///
-/// Returns a [`CommandError`](crate::command_error::CommandError) if the step is refused.
-pub(crate) async fn drain(
-    context: &CommandContext,
-    instance: InstanceId,
-    drain: bool,
-) -> CommandResult {
-    let verb = if drain { "drain" } else { "undrain" };
-    let call = EntryCall::new(Method::POST, format!("/v1/instances/{instance}/{verb}"));
-    context.ask(call).await?;
-    if context.json() {
-        return print_text("{}");
-    }
-    print_text(&format!("{verb} of instance {instance} is ordered"))
-}
-
 /// Returns the pools as lines of columns.
 pub(crate) fn pools_text(pools: &[PoolView]) -> String {
     let mut text = format!(
--- a/crates/magnoliapin/src/flags.rs
+++ b/crates/magnoliapin/src/flags.rs
@@ -21,6 +21,9 @@
 use magnoliapin_model::WorkId;
 use magnoliapin_model::ZoneId;
 
+use crate::command::fleet::MaintenanceAction;
+use crate::command::fleet::RolloutAction;
+
 xflags::xflags! {
     src "./src/flags.rs"
 
@@ -188,6 +191,8 @@
         cmd drain {
             /// The instance.
             required instance: InstanceId
+            /// Marks work that outlives the drain's bound to be cut; entries only log it so far.
+            optional --force
         }
 
         /// Takes back a drain.
@@ -196,6 +201,34 @@
             required instance: InstanceId
         }
 
+        /// Moves an instance to another pool: it drains, changes the pool and joins.
+        cmd move {
+            /// The instance.
+            required instance: InstanceId
+            /// The other pool.
+            required pool: PoolId
+            /// Moves it after the drain's bound although work still runs, which is cut.
+            optional --force
+            /// Only tells what would happen.
+            optional --dry-run
+        }
+
+        /// Shows, pauses and resumes planned work: moves, restarts and roll-outs.
+        cmd maintenance {
+            /// plan shows what comes next and whether the period can be met, pause holds planned
+            /// work back, resume lets it go on.
+            required action: MaintenanceAction
+        }
+
+        /// Starts, shows and steers the roll-out of the document's image to a pool.
+        cmd rollout {
+            /// start, status, pause, resume or rollback, which takes the pool back to the image
+            /// before.
+            required action: RolloutAction
+            /// The pool; only status does without it and shows all.
+            optional pool: PoolId
+        }
+
         /// Shows the state of the system on one screen.
         cmd status {}
 
@@ -238,6 +271,9 @@
     Instances(Instances),
     Drain(Drain),
     Undrain(Undrain),
+    Move(Move),
+    Maintenance(Maintenance),
+    Rollout(Rollout),
     Status(Status),
     Timeline(Timeline),
 }
@@ -389,6 +425,8 @@
 #[derive(Debug)]
 pub struct Drain {
     pub instance: InstanceId,
+
+    pub force: bool,
 }
 
 #[derive(Debug)]
@@ -396,6 +434,26 @@
     pub instance: InstanceId,
 }
 
+#[derive(Debug)]
+pub struct Move {
+    pub instance: InstanceId,
+    pub pool: PoolId,
+
+    pub force: bool,
+    pub dry_run: bool,
+}
+
+#[derive(Debug)]
+pub struct Maintenance {
+    pub action: MaintenanceAction,
+}
+
+#[derive(Debug)]
+pub struct Rollout {
+    pub action: RolloutAction,
+    pub pool: Option<PoolId>,
+}
+
 #[derive(Debug)]
 pub struct Status;
 
--- a/crates/magnoliapin/src/main.rs
+++ b/crates/magnoliapin/src/main.rs
@@ -65,10 +65,11 @@
         MagnoliapinCmd::Key(flags) => run_key(context, flags.subcommand).await,
         MagnoliapinCmd::Pools(_) => command::view::pools(context).await,
         MagnoliapinCmd::Instances(_) => command::view::instances(context).await,
-        MagnoliapinCmd::Drain(flags) => command::view::drain(context, flags.instance, true).await,
-        MagnoliapinCmd::Undrain(flags) => {
-            command::view::drain(context, flags.instance, false).await
-        }
+        MagnoliapinCmd::Drain(flags) => command::fleet::drain(context, &flags).await,
+        MagnoliapinCmd::Undrain(flags) => command::fleet::undrain(context, &flags).await,
+        MagnoliapinCmd::Move(flags) => command::fleet::move_instance(context, &flags).await,
+        MagnoliapinCmd::Maintenance(flags) => command::fleet::maintenance(context, &flags).await,
+        MagnoliapinCmd::Rollout(flags) => command::fleet::rollout(context, &flags).await,
         MagnoliapinCmd::Status(_) => command::status::status(context).await,
         MagnoliapinCmd::Timeline(flags) => command::timeline::timeline(context, flags).await,
         MagnoliapinCmd::Entry(_) | MagnoliapinCmd::StandIn(_) | MagnoliapinCmd::Demo(_) => {
--- a/crates/magnoliapin/tests/support/site.rs
+++ b/crates/magnoliapin/tests/support/site.rs
@@ -73,7 +73,14 @@
     }
 }
 
-/// A platform, three targets and some entries.
+/// Targets of one pool, one in each availability zone.
+pub struct TargetGroup {
+    /// Start of their names, such as `night` for `night-a`.
+    pub name: &'static str,
+    pub pool: &'static str,
+}
+
+/// A platform, some targets and some entries.
 pub struct TestSite {
     pub entries: Vec<SiteProcess>,
     _targets: Vec<SiteProcess>,
@@ -83,6 +90,11 @@
 impl TestSite {
     /// Starts every process; no document is applied yet.
     pub fn start(name: &str, entry_count: usize) -> Self {
+        Self::start_groups(name, entry_count, &[TargetGroup { name: "target", pool: "evening" }])
+    }
+
+    /// Starts every process with targets of several pools; no document is applied yet.
+    pub fn start_groups(name: &str, entry_count: usize, groups: &[TargetGroup]) -> Self {
         let platform = SiteProcess::start(&[
             "stand-in",
             "platform",
@@ -92,24 +104,31 @@
             "200",
         ]);
         let platform_address = platform.address.to_string();
-        let targets = ZONES.map(|zone| start_target(zone, &platform_address));
+        let targets = groups.iter().flat_map(|group| ZONES.map(|zone| (group, zone)));
+        let targets = targets.map(|(group, zone)| start_target(group, zone, &platform_address));
+        let targets = targets.collect();
         let entries = (0..entry_count).map(|number| {
             let zone = ZONES[number % ZONES.len()];
             start_entry(&format!("{name}-{number}.toml"), zone, &platform_address)
         });
-        Self { entries: entries.collect(), _targets: targets.into(), _platform: platform }
+        Self { entries: entries.collect(), _targets: targets, _platform: platform }
     }
 
     /// Starts every process, applies the document and waits until it is in force everywhere.
     pub fn start_ready(name: &str, entry_count: usize) -> Self {
         let site = Self::start(name, entry_count);
-        site.wait_until_reached();
-        let applied = site.run(OPERATOR_KEY, &["config", "apply", DOCUMENT]);
-        assert_eq!(applied.code, 0, "{}", applied.errors);
-        site.wait_until_in_force(1);
+        site.apply_first(DOCUMENT);
         site
     }
 
+    /// Applies the first document and waits until it is in force everywhere.
+    pub fn apply_first(&self, document: &str) {
+        self.wait_until_reached();
+        let applied = self.run(OPERATOR_KEY, &["config", "apply", document]);
+        assert_eq!(applied.code, 0, "{}", applied.errors);
+        self.wait_until_in_force(1);
+    }
+
     /// Runs a command with a key against the first entry.
     pub fn run(&self, key: &str, arguments: &[&str]) -> RunOutcome {
         self.run_at(0, key, arguments)
@@ -165,9 +184,9 @@
     }
 }
 
-fn start_target(zone: &str, platform: &str) -> SiteProcess {
+fn start_target(group: &TargetGroup, zone: &str, platform: &str) -> SiteProcess {
     let letter = zone.trim_start_matches("zone-");
-    let (rack, instance) = (format!("rack-{letter}"), format!("target-{letter}"));
+    let (rack, instance) = (format!("rack-{letter}"), format!("{}-{letter}", group.name));
     SiteProcess::start(&[
         "stand-in",
         "target",
@@ -180,7 +199,7 @@
         "--instance",
         &instance,
         "--pool",
-        "evening",
+        group.pool,
         "--platform",
         platform,
     ])
--- a/crates/magnoliapin_entry/src/caller/connection.rs
+++ b/crates/magnoliapin_entry/src/caller/connection.rs
@@ -248,11 +248,8 @@
     async fn operate(&self, key: Option<KeyHash>, request: OperatorRequest) -> CallerReply {
         match self.shared.desk.operate(key, request).await {
             Ok(OperatorAnswer::Refused(refusal)) => {
-                let kind = ErrorKind::BudgetExceeded;
-                CallerReply::from(CallerAnswer::Refused(RefusalView::new(
-                    kind,
-                    refusal.to_string(),
-                )))
+                let view = RefusalView::new(refusal.kind(), refusal.to_string());
+                CallerReply::from(CallerAnswer::Refused(view))
             }
             Ok(answer) => CallerReply::ok(json_response(StatusCode::OK, &answer)),
             Err(refusal) => CallerReply::from(CallerAnswer::Refused(*refusal)),
