Serve callers and operators over TLS

Cause: callers' keys and payloads went in plain text on every address.

Ruled out: a proxy in front of each entry, which would be one more process to watch; a restart for a new certificate; a TLS answer to callers beyond the bound on connections, which would cost a handshake each, so these are closed.

Change: `tls_certificate` and `tls_key` in an entry's settings. Without them an entry starts only on a loopback address or with `allow_plain_text = true`. Each fault names file, key, value and what is allowed. The files are looked at every second; new sessions use what changed, and files that cannot be used change nothing, are counted and logged once. A handshake has the time of headers, holds a place like any unused connection and makes room like one. Stalled writes are now noted at the TCP socket, below TLS and its buffers; plain text takes the same path. Commands take `--ca FILE` or MAGNOLIAPIN_CA, check the entry's IP address, and end with exit code 3 if no session can be made: nothing was sent. Between entries nothing changes.

New dependencies: futures-rustls with ring, for TLS over the sockets of smol; rcgen in tests only, for certificates.

Not measured: what TLS costs a request.

Conclusion: callers and operators can be served beyond loopback.

--- a/crates/magnoliapin/src/client.rs
+++ b/crates/magnoliapin/src/client.rs
@@ -1,8 +1,14 @@
 //! Calls an entry over HTTP.
 
+mod trust;
+
+pub(crate) use trust::EntryTrust;
+
 use std::fmt;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
 
 use error_stack::Report;
@@ -17,6 +23,8 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use smol::io::AsyncRead;
+use smol::io::AsyncWrite;
 use smol::net::TcpStream;
 use smol::Timer;
 use smol_hyper::rt::FuturesIo;
@@ -27,6 +35,14 @@
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// A connection to an entry, with or without TLS.
+type EntryStream = Pin<Box<dyn EntrySocket>>;
+
+/// What a connection to an entry can do.
+trait EntrySocket: AsyncRead + AsyncWrite + Send {}
+
+impl<T: AsyncRead + AsyncWrite + Send> EntrySocket for T {}
+
 /// One call of an entry.
 #[derive(Clone, Debug)]
 pub(crate) struct EntryCall {
@@ -89,12 +105,13 @@
 pub(crate) struct EntryClient {
     entries: Vec<SocketAddr>,
     key: Option<String>,
+    trust: Option<EntryTrust>,
 }
 
 impl EntryClient {
     /// Makes a client of the entries, which are tried in order.
     pub(crate) fn new(entries: Vec<SocketAddr>) -> Self {
-        Self { entries, key: None }
+        Self { entries, key: None, trust: None }
     }
 
     /// Sets the key that goes with each call.
@@ -104,32 +121,53 @@
         self
     }
 
-    /// Makes a client of another entry with the same key.
+    /// Sets the certificate to trust; without one calls go in plain text.
+    #[must_use]
+    pub(crate) fn with_trust(mut self, trust: Option<EntryTrust>) -> Self {
+        self.trust = trust;
+        self
+    }
+
+    /// Makes a client of another entry with the same key and trust.
     pub(crate) fn at(&self, entry: SocketAddr) -> Self {
-        Self { entries: vec![entry], key: self.key.clone() }
+        Self { entries: vec![entry], key: self.key.clone(), trust: self.trust.clone() }
     }
 
     /// Calls the first entry that takes a connection. Nothing is sent twice.
     ///
     /// # Errors
     ///
-    /// Returns [`CallError::NotReached`] if no entry takes a connection, else what went wrong
-    /// after the call had been sent.
+    /// Returns [`CallError::NotReached`] or [`CallError::NotSecure`] if no entry takes a
+    /// connection, else what went wrong after the call had been sent.
     pub(crate) async fn call(&self, call: &EntryCall) -> Result<EntryReply, Report<CallError>> {
         let mut failure = Report::new(CallError::NotReached);
         for entry in &self.entries {
-            match connect(*entry).await {
+            match self.open(*entry).await {
                 Ok(stream) => return self.exchange(*entry, stream, call).await,
-                Err(error) => failure = failure.attach(format!("{entry}: {error}")),
+                // An entry that cannot be trusted says more than one that is gone.
+                Err(_) if *failure.current_context() == CallError::NotSecure => {}
+                Err(error) => failure = error.attach(entry.to_string()),
             }
         }
         Err(failure)
     }
 
+    /// Connects to an entry, over TLS if there is a certificate to trust.
+    async fn open(&self, entry: SocketAddr) -> Result<EntryStream, Report<CallError>> {
+        let unreached = |error| Report::new(error).change_context(CallError::NotReached);
+        let stream = within(CONNECT_TIMEOUT, connect(entry)).await.map_err(unreached)?;
+        let Some(trust) = &self.trust else {
+            return Ok(Box::pin(stream));
+        };
+        let session = within(CONNECT_TIMEOUT, trust.open(entry, stream)).await;
+        let insecure = |error| Report::new(error).change_context(CallError::NotSecure);
+        Ok(Box::pin(session.map_err(insecure)?))
+    }
+
     async fn exchange(
         &self,
         entry: SocketAddr,
-        stream: TcpStream,
+        stream: EntryStream,
         call: &EntryCall,
     ) -> Result<EntryReply, Report<CallError>> {
         let deadline = async {
@@ -142,7 +180,7 @@
     async fn converse(
         &self,
         entry: SocketAddr,
-        stream: TcpStream,
+        stream: EntryStream,
         call: &EntryCall,
     ) -> Result<EntryReply, Report<CallError>> {
         let request = self.request(entry, call)?;
@@ -185,12 +223,19 @@
     }
 }
 
-async fn connect(entry: SocketAddr) -> io::Result<TcpStream> {
+async fn within<T>(
+    timeout: Duration,
+    attempt: impl Future<Output = io::Result<T>>,
+) -> io::Result<T> {
     let deadline = async {
-        Timer::after(CONNECT_TIMEOUT).await;
+        Timer::after(timeout).await;
         Err(io::ErrorKind::TimedOut.into())
     };
-    let stream = TcpStream::connect(entry).or(deadline).await?;
+    attempt.or(deadline).await
+}
+
+async fn connect(entry: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(entry).await?;
     stream.set_nodelay(true)?;
     Ok(stream)
 }
@@ -200,6 +245,8 @@
 pub(crate) enum CallError {
     /// No entry took a connection; nothing was sent.
     NotReached,
+    /// An entry took a connection, but no TLS session could be made; nothing was sent.
+    NotSecure,
     /// The key or a header cannot be sent over HTTP; nothing was sent.
     Malformed,
     /// The connection broke after the call had been sent.
@@ -212,6 +259,9 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
             Self::NotReached => "no entry can be reached",
+            Self::NotSecure => {
+                "no TLS session with the entry: it shows no trusted certificate or speaks no TLS"
+            }
             Self::Malformed => "the key or a header holds characters that HTTP does not allow",
             Self::Broken => "the connection broke after the call had been sent",
             Self::TimedOut => "the answer did not come in time",
--- a/crates/magnoliapin/src/command.rs
+++ b/crates/magnoliapin/src/command.rs
@@ -14,6 +14,7 @@
 use std::io;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -28,10 +29,12 @@
 use crate::client::EntryCall;
 use crate::client::EntryClient;
 use crate::client::EntryReply;
+use crate::client::EntryTrust;
 use crate::command_error::CommandError;
 
 const ENTRY_VARIABLE: &str = "MAGNOLIAPIN_ENTRY";
 const KEY_VARIABLE: &str = "MAGNOLIAPIN_KEY";
+const CA_VARIABLE: &str = "MAGNOLIAPIN_CA";
 const UNREADABLE: &str = "the entry's answer cannot be understood";
 
 /// Longest wait for an entry that has only just started.
@@ -45,6 +48,7 @@
 pub(crate) struct CommandContext {
     entries: Option<String>,
     key: Option<String>,
+    ca: Option<PathBuf>,
     json: bool,
 }
 
@@ -53,7 +57,15 @@
     pub(crate) fn new(entries: Option<String>, key: Option<String>, json: bool) -> Self {
         let entries = entries.or_else(|| read_variable(ENTRY_VARIABLE));
         let key = key.or_else(|| read_variable(KEY_VARIABLE));
-        Self { entries, key, json }
+        let ca = read_variable(CA_VARIABLE).map(PathBuf::from);
+        Self { entries, key, ca, json }
+    }
+
+    /// Sets the file with the certificate to trust, unless it is to come from the environment.
+    #[must_use]
+    pub(crate) fn with_ca(mut self, file: Option<PathBuf>) -> Self {
+        self.ca = file.or(self.ca);
+        self
     }
 
     /// Returns whether the answer is to be JSON.
@@ -65,7 +77,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`CommandError::Usage`] if none was named or one is no address.
+    /// Returns [`CommandError::Usage`] if none was named one is no address, or the file with
+    /// the certificate to trust cannot be used.
     pub(crate) fn client(&self) -> CommandResult<EntryClient> {
         let Some(entries) = &self.entries else {
             let message = format!("no entry is named: give --entry IP:PORT or {ENTRY_VARIABLE}");
@@ -79,7 +92,20 @@
             })?;
             addresses.push(address);
         }
-        Ok(EntryClient::new(addresses).with_key(self.key.clone()))
+        let trust = self.trust()?;
+        Ok(EntryClient::new(addresses).with_key(self.key.clone()).with_trust(trust))
+    }
+
+    fn trust(&self) -> CommandResult<Option<EntryTrust>> {
+        let Some(file) = &self.ca else {
+            return Ok(None);
+        };
+        let trust = EntryTrust::load(file).map_err(|cause| {
+            usage(format!(
+                "--ca {file:?}: {cause}; allowed: a readable PEM file with a certificate"
+            ))
+        })?;
+        Ok(Some(trust))
     }
 
     /// Calls an entry and gives back the body of a good answer.
@@ -195,7 +221,7 @@
 pub(crate) fn unanswered(report: Report<CallError>) -> Report<CommandError> {
     let message = report.current_context().to_string();
     let error = match report.current_context() {
-        CallError::NotReached => CommandError::Unreachable(message),
+        CallError::NotReached | CallError::NotSecure => CommandError::Unreachable(message),
         CallError::Malformed => CommandError::Usage(message),
         CallError::Broken | CallError::TimedOut => {
             CommandError::Refused(format!("{message}; outcome: unknown"))
--- a/crates/magnoliapin/src/entry.rs
+++ b/crates/magnoliapin/src/entry.rs
@@ -64,6 +64,7 @@
 
 fn options(settings: &EntrySettings) -> EntryOptions {
     let options = EntryOptions::new(settings.zone, settings.platform)
+        .with_tls(settings.tls.clone())
         .with_peer_key(settings.peer_key.as_bytes())
         .with_times(settings.times)
         .with_limits(settings.limits.clone());
--- a/crates/magnoliapin/src/flags.rs
+++ b/crates/magnoliapin/src/flags.rs
@@ -36,6 +36,9 @@
         optional --entry addresses: String
         /// Key of a team. Prefer MAGNOLIAPIN_KEY: arguments are visible to other users.
         optional --key secret: String
+        /// PEM file with the certificate to trust; calls then go over TLS. Also from
+        /// MAGNOLIAPIN_CA.
+        optional --ca file: PathBuf
         /// Prints the answer as JSON.
         optional --json
 
@@ -252,6 +255,7 @@
 pub struct Magnoliapin {
     pub entry: Option<String>,
     pub key: Option<String>,
+    pub ca: Option<PathBuf>,
     pub json: bool,
     pub subcommand: MagnoliapinCmd,
 }
--- a/crates/magnoliapin/src/main.rs
+++ b/crates/magnoliapin/src/main.rs
@@ -46,7 +46,7 @@
 }
 
 fn run(flags: Magnoliapin) -> CommandResult {
-    let context = CommandContext::new(flags.entry, flags.key, flags.json);
+    let context = CommandContext::new(flags.entry, flags.key, flags.json).with_ca(flags.ca);
     match flags.subcommand {
         MagnoliapinCmd::Entry(flags) => entry::run(&flags),
         MagnoliapinCmd::StandIn(flags) => stand_in::run(flags),
--- a/crates/magnoliapin/src/settings.rs
+++ b/crates/magnoliapin/src/settings.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod reader;
 mod times;
+mod tls;
 
 pub(crate) use fault::SettingsFault;
 pub(crate) use reader::SettingsReader;
@@ -13,6 +14,7 @@
 use std::path::Path;
 
 use magnoliapin_entry::EntryLimits;
+use magnoliapin_entry::TlsFiles;
 use magnoliapin_model::ZoneId;
 use magnoliapin_policy::PolicyTimes;
 
@@ -32,6 +34,8 @@
     pub(crate) zone: ZoneId,
     /// Address for callers and operators.
     pub(crate) caller_listen: SocketAddr,
+    /// Certificate and key for callers; none serves plain text.
+    pub(crate) tls: Option<TlsFiles>,
     /// Address for the datagrams of other entries.
     pub(crate) peer_listen: SocketAddr,
     /// Address of the platform's service.
@@ -93,6 +97,7 @@
         let peer_listen = reader.required("peer_listen", ADDRESS);
         let platform = reader.required("platform", ADDRESS);
         let peer_key = read_peer_key(&mut reader);
+        let tls = tls::read_tls(&mut reader, caller_listen);
         let seed = reader.whole_number("seed", 0..=i64::MAX as u64);
         let log_level = reader.optional("log.level", LogLevel::ALLOWED).unwrap_or_default();
         let log_format = reader.optional("log.format", LogFormat::ALLOWED).unwrap_or_default();
@@ -103,6 +108,7 @@
             Some(Self {
                 zone: zone?,
                 caller_listen: caller_listen?,
+                tls,
                 peer_listen: peer_listen?,
                 platform: platform?,
                 peer_key: peer_key?,
--- a/crates/magnoliapin/src/settings/reader.rs
+++ b/crates/magnoliapin/src/settings/reader.rs
@@ -73,6 +73,16 @@
         }
     }
 
+    /// Takes a yes or no that may be absent.
+    pub(crate) fn flag(&mut self, key: &'static str) -> Option<bool> {
+        let value = self.take(key)?;
+        let flag = value.as_bool();
+        if flag.is_none() {
+            self.fault(key, value, "true or false");
+        }
+        flag
+    }
+
     /// Takes a whole number that may be absent.
     pub(crate) fn whole_number(
         &mut self,
--- a/crates/magnoliapin/tests/support/mod.rs
+++ b/crates/magnoliapin/tests/support/mod.rs
@@ -34,6 +34,7 @@
 pub fn program() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_magnoliapin"));
     command.env_remove("MAGNOLIAPIN_ENTRY").env_remove("MAGNOLIAPIN_KEY");
+    command.env_remove("MAGNOLIAPIN_CA");
     command
 }
 
--- a/crates/magnoliapin_entry/src/caller/connection.rs
+++ b/crates/magnoliapin_entry/src/caller/connection.rs
@@ -44,6 +44,7 @@
 use crate::caller::response::raw_refusal;
 use crate::caller::response::CallerReply;
 use crate::caller::route::CallerRoute;
+use crate::caller::socket::CallerSocket;
 use crate::caller::stream::CallerStream;
 use crate::caller::stream::StreamWatch;
 use crate::caller::CallerShared;
@@ -88,7 +89,10 @@
     pub(crate) async fn run(self) {
         // Without it small answers would wait for the caller's acknowledgement.
         let _ = self.stream.set_nodelay(true);
-        let refusal = match self.serve().await {
+        let Some(socket) = self.open().await else {
+            return;
+        };
+        let refusal = match self.serve(&socket).await {
             ConnectionEnd::Closed => None,
             ConnectionEnd::Stalled => return,
             ConnectionEnd::Broken => Some(RequestFault::new(
@@ -101,22 +105,51 @@
         };
         if let Some(refusal) = refusal {
             self.shared.metrics.count_answer(Some(refusal.kind), Duration::ZERO);
-            self.write_refusal(refusal).await;
+            self.write_refusal(&socket, refusal).await;
         }
-        self.linger().await;
+        self.linger(&socket).await;
     }
 
     /// Tells the caller that too many connections are open.
     pub(crate) async fn refuse(self) {
+        if self.shared.certificates.is_some() {
+            // The answer would cost a handshake; nothing was asked yet.
+            return;
+        }
         let message = "too many connections are open";
         let bytes = raw_refusal(RequestFault::new(ErrorKind::Overloaded, message));
         // What the socket's buffer does not take at once is not worth waiting for.
         let _ = future::poll_once(self.stream.clone().write_all(&bytes)).await;
     }
 
-    async fn serve(&self) -> ConnectionEnd {
+    /// Makes the TLS session, if there is to be one, within the time for headers. Neither a
+    /// planned stop nor a newer connection waits for it: nothing was asked yet.
+    async fn open(&self) -> Option<CallerSocket> {
+        let watch = Arc::clone(&self.watch);
+        let Some(certificates) = &self.shared.certificates else {
+            return Some(CallerSocket::plain(self.stream.clone(), watch));
+        };
+        let acceptor = certificates.acceptor();
+        let handshake =
+            async { CallerSocket::secure(self.stream.clone(), watch, acceptor).await.ok() };
+        let timeout = async {
+            Timer::after(self.shared.limits.header_timeout).await;
+            None
+        };
+        let stopping = async {
+            self.shared.draining.wait().or(self.watch.evicted()).await;
+            None
+        };
+        let socket = handshake.or(timeout).or(stopping).await;
+        if socket.is_none() {
+            self.shared.metrics.count_failed_handshake();
+        }
+        socket
+    }
+
+    async fn serve(&self, socket: &CallerSocket) -> ConnectionEnd {
         let limits = &self.shared.limits;
-        let stream = CallerStream::new(self.stream.clone(), Arc::clone(&self.watch));
+        let stream = CallerStream::new(socket.clone(), Arc::clone(&self.watch));
         let service = service_fn(|request| self.respond(request));
         let connection = http1::Builder::new()
             .timer(SmolTimer::new())
@@ -261,12 +294,13 @@
         CallerReply::from(answer)
     }
 
-    async fn write_refusal(&self, refusal: RequestFault) {
-        let mut stream = self.stream.clone();
+    async fn write_refusal(&self, socket: &CallerSocket, refusal: RequestFault) {
+        let mut stream = socket.clone();
         let bytes = raw_refusal(refusal);
         let write = async {
             // A caller that is gone needs no answer.
             let _ = stream.write_all(&bytes).await;
+            let _ = stream.flush().await;
         };
         let timeout = async {
             Timer::after(REFUSAL_TIME).await;
@@ -276,12 +310,13 @@
 
     /// Closes the connection so that the caller can still read its answer: bytes that are left
     /// unread would make the operating system reset the connection.
-    async fn linger(&self) {
+    async fn linger(&self, socket: &CallerSocket) {
+        let mut socket = socket.clone();
         let mut stream = self.stream.clone();
-        if stream.shutdown(std::net::Shutdown::Write).is_err() {
-            return;
-        }
         let discard = async {
+            if socket.close().await.is_err() {
+                return;
+            }
             let mut buffer = vec![0; 16 * 1024];
             let mut discarded = 0;
             while discarded < LINGER_BYTES {
--- a/crates/magnoliapin_entry/src/caller/listener.rs
+++ b/crates/magnoliapin_entry/src/caller/listener.rs
@@ -17,6 +17,7 @@
 
 use crate::caller::board::ConnectionBoard;
 use crate::caller::body::BodyBudget;
+use crate::caller::certificates::CertificateStore;
 use crate::caller::connection::CallerConnection;
 use crate::descriptor_limit::descriptor_limit;
 use crate::driver::CallerDesk;
@@ -44,6 +45,8 @@
     pub(crate) limits: EntryLimits,
     /// Bytes of bodies in memory.
     pub(crate) bodies: BodyBudget,
+    /// Certificate for TLS; none serves plain text.
+    pub(crate) certificates: Option<Arc<CertificateStore>>,
     /// Raised when connections are to close after the answer in progress.
     pub(crate) draining: StopSignal,
     /// Open connections.
@@ -58,7 +61,15 @@
         let limit = limit.min(limits.caller_connections);
         let connections = Arc::new(ConnectionBoard::new(limit, Arc::clone(&metrics)));
         let bodies = BodyBudget::default();
-        Self { desk, metrics, limits, bodies, draining: StopSignal::new(), connections }
+        let draining = StopSignal::new();
+        Self { desk, metrics, limits, bodies, certificates: None, draining, connections }
+    }
+
+    /// Sets the certificate for TLS; none serves plain text.
+    #[must_use]
+    pub(crate) fn with_certificates(mut self, store: Option<Arc<CertificateStore>>) -> Self {
+        self.certificates = store;
+        self
     }
 }
 
--- a/crates/magnoliapin_entry/src/caller/stream.rs
+++ b/crates/magnoliapin_entry/src/caller/stream.rs
@@ -15,9 +15,9 @@
 
 use smol::io::AsyncRead;
 use smol::io::AsyncWrite;
-use smol::net::TcpStream;
 use smol::Timer;
 
+use crate::caller::socket::CallerSocket;
 use crate::stop_signal::StopSignal;
 
 /// What is known of the exchange on a caller's connection.
@@ -83,7 +83,8 @@
         wait_for_age(&self.write_since, timeout).await;
     }
 
-    fn note_write(&self, is_pending: bool) {
+    /// Notes whether the caller took something of an answer.
+    pub(crate) fn note_write(&self, is_pending: bool) {
         let mut write_since = lock(&self.write_since);
         *write_since = is_pending.then(|| write_since.unwrap_or_else(Instant::now));
     }
@@ -115,13 +116,13 @@
 /// no body, so that the entry can give its own.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
-    stream: TcpStream,
+    stream: CallerSocket,
     watch: Arc<StreamWatch>,
 }
 
 impl CallerStream {
     /// Wraps a socket.
-    pub(crate) fn new(stream: TcpStream, watch: Arc<StreamWatch>) -> Self {
+    pub(crate) fn new(stream: CallerSocket, watch: Arc<StreamWatch>) -> Self {
         Self { stream, watch }
     }
 }
@@ -150,9 +151,7 @@
             self.watch.is_broken.store(true, Ordering::SeqCst);
             return Poll::Ready(Ok(buffer.len()));
         }
-        let result = Pin::new(&mut self.stream).poll_write(context, buffer);
-        self.watch.note_write(result.is_pending());
-        result
+        Pin::new(&mut self.stream).poll_write(context, buffer)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/magnoliapin_entry/src/entry_error.rs
+++ b/crates/magnoliapin_entry/src/entry_error.rs
@@ -10,6 +10,8 @@
     CallerListen(SocketAddr),
     /// The address for peers' datagrams could not be bound.
     PeerListen(SocketAddr),
+    /// The certificate or the key for callers cannot be used.
+    Certificate,
     /// A thread could not be started.
     Thread,
 }
@@ -19,6 +21,7 @@
         match self {
             Self::CallerListen(address) => write!(formatter, "cannot listen on {address}"),
             Self::PeerListen(address) => write!(formatter, "cannot bind {address} for datagrams"),
+            Self::Certificate => formatter.write_str("cannot use the certificate and its key"),
             Self::Thread => formatter.write_str("cannot start a thread"),
         }
     }
--- a/crates/magnoliapin_entry/src/lib.rs
+++ b/crates/magnoliapin_entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod supervisor;
 mod target_client;
 mod timeline;
+mod tls_files;
 
 use std::future::Future;
 use std::pin::Pin;
@@ -52,6 +53,8 @@
 pub use target_client::TargetClient;
 pub use timeline::TimelineRecord;
 pub use timeline::TimelineView;
+pub use tls_files::TlsFault;
+pub use tls_files::TlsFiles;
 
 /// Outcome of an asynchronous call through a trait object.
 pub type CallFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
--- a/crates/magnoliapin_entry/src/metrics.rs
+++ b/crates/magnoliapin_entry/src/metrics.rs
@@ -67,6 +67,8 @@
     connections: Family<BorderLabels, Gauge>,
     refused_connections: Counter,
     evicted_connections: Counter,
+    failed_handshakes: Counter,
+    refused_certificates: Counter,
     datagrams: Family<DatagramLabels, Counter>,
     events: Family<EventLabels, Counter>,
     waiting_events: Gauge,
@@ -89,6 +91,8 @@
             connections: Family::default(),
             refused_connections: Counter::default(),
             evicted_connections: Counter::default(),
+            failed_handshakes: Counter::default(),
+            refused_certificates: Counter::default(),
             datagrams: Family::default(),
             events: Family::default(),
             waiting_events: Gauge::default(),
@@ -136,6 +140,14 @@
         self.evicted_connections.inc();
     }
 
+    pub(crate) fn count_failed_handshake(&self) {
+        self.failed_handshakes.inc();
+    }
+
+    pub(crate) fn count_refused_certificate(&self) {
+        self.refused_certificates.inc();
+    }
+
     pub(crate) fn count_datagram(&self, fate: DatagramFate) {
         self.datagrams.get_or_create(&DatagramLabels { fate }).inc();
     }
@@ -199,6 +211,16 @@
             "Unused connections of callers closed to make room for others",
             self.evicted_connections.clone(),
         );
+        registry.register(
+            "failed_handshakes",
+            "Connections of callers closed because their TLS handshake failed or took too long",
+            self.failed_handshakes.clone(),
+        );
+        registry.register(
+            "refused_certificates",
+            "Changed certificates or keys that cannot be used",
+            self.refused_certificates.clone(),
+        );
     }
 
     fn register_inside(&mut self) {
--- a/crates/magnoliapin_entry/src/metrics/label.rs
+++ b/crates/magnoliapin_entry/src/metrics/label.rs
@@ -34,6 +34,8 @@
     ChildName {
         /// Accepts callers' connections.
         Listener => "listener",
+        /// Reads changed certificates.
+        Certificates => "certificates",
         /// Receives datagrams.
         Peers => "peers",
         /// Owns the machine.
--- a/crates/magnoliapin_entry/src/options.rs
+++ b/crates/magnoliapin_entry/src/options.rs
@@ -11,12 +11,15 @@
 use crate::PeerTransport;
 use crate::PlatformClient;
 use crate::TargetClient;
+use crate::TlsFiles;
 
 /// What an entry is started with.
 #[derive(Clone, Debug)]
 pub struct EntryOptions {
     /// Address for callers and operators; port 0 takes any free port.
     pub caller_listen: SocketAddr,
+    /// Certificate and key for callers; none serves plain text.
+    pub tls: Option<TlsFiles>,
     /// Address for peers' datagrams; port 0 takes any free port.
     pub peer_listen: SocketAddr,
     /// Address of the platform's service.
@@ -39,6 +42,7 @@
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         Self {
             caller_listen: any_port,
+            tls: None,
             peer_listen: any_port,
             platform,
             zone,
@@ -56,6 +60,13 @@
         self
     }
 
+    /// Sets the certificate and the key for callers; none serves plain text.
+    #[must_use]
+    pub fn with_tls(mut self, tls: Option<TlsFiles>) -> Self {
+        self.tls = tls;
+        self
+    }
+
     /// Sets the seed of the random numbers.
     #[must_use]
     pub fn with_seed(mut self, seed: u64) -> Self {
--- a/crates/magnoliapin_entry/src/service.rs
+++ b/crates/magnoliapin_entry/src/service.rs
@@ -18,6 +18,7 @@
 
 use crate::caller::CallerListener;
 use crate::caller::CallerShared;
+use crate::caller::CertificateStore;
 use crate::driver::CallerDesk;
 use crate::driver::DriverEvent;
 use crate::driver::DriverState;
@@ -69,9 +70,11 @@
             Some(peers) => Arc::clone(peers),
             None => bind_peers(options.peer_listen)?,
         };
+        let metrics = Arc::new(EntryMetrics::new());
+        let certificates = open_certificates(&options, &metrics)?;
         let runtime = TaskRuntime::start(options.limits.threads)?;
-        let plan = EntryPlan::new(options, borders, peers, caller_address, &runtime);
-        plan.start_children(listener);
+        let plan = EntryPlan::new(options, borders, peers, caller_address, metrics, &runtime);
+        plan.start_children(listener, certificates);
         Ok(plan.into_handle(runtime))
     }
 }
@@ -91,9 +94,9 @@
         borders: EntryBorders,
         peers: Arc<dyn PeerTransport>,
         caller_address: SocketAddr,
+        metrics: Arc<EntryMetrics>,
         runtime: &TaskRuntime,
     ) -> Self {
-        let metrics = Arc::new(EntryMetrics::new());
         let (sender, receiver) = async_channel::unbounded();
         let clock = borders.clock.clone().unwrap_or_else(|| Arc::new(SystemClock::new()));
         let identity = EntryIdentity {
@@ -109,12 +112,20 @@
         Self { options, driver, events, supervisor, finished: StopSignal::new() }
     }
 
-    fn start_children(&self, listener: Async<TcpListener>) {
+    fn start_children(
+        &self,
+        listener: Async<TcpListener>,
+        certificates: Option<Arc<CertificateStore>>,
+    ) {
         self.start_peers();
         self.start_sweep();
         let driver = self.driver.clone();
         self.supervisor.start_child(ChildName::Driver, move || Box::pin(driver.clone().run()));
-        self.start_listener(listener);
+        if let Some(store) = certificates.clone() {
+            self.supervisor
+                .start_child(ChildName::Certificates, move || Box::pin(Arc::clone(&store).run()));
+        }
+        self.start_listener(listener, certificates);
     }
 
     fn start_peers(&self) {
@@ -130,10 +141,15 @@
         self.supervisor.start_child(ChildName::Peers, move || Box::pin(link.clone().run()));
     }
 
-    fn start_listener(&self, socket: Async<TcpListener>) {
+    fn start_listener(
+        &self,
+        socket: Async<TcpListener>,
+        certificates: Option<Arc<CertificateStore>>,
+    ) {
         let desk = CallerDesk::new(self.events.clone(), Arc::clone(&self.driver.state));
         let metrics = Arc::clone(&self.driver.metrics);
-        let shared = Arc::new(CallerShared::new(desk, metrics, self.options.limits.clone()));
+        let shared = CallerShared::new(desk, metrics, self.options.limits.clone());
+        let shared = Arc::new(shared.with_certificates(certificates));
         let spawner = self.driver.spawner.clone();
         let listener = CallerListener::new(socket, shared, spawner, self.finished.clone());
         self.supervisor.start_child(ChildName::Listener, move || Box::pin(listener.clone().run()));
@@ -226,6 +242,18 @@
     Ok((listener, address))
 }
 
+fn open_certificates(
+    options: &EntryOptions,
+    metrics: &Arc<EntryMetrics>,
+) -> Result<Option<Arc<CertificateStore>>, Report<EntryError>> {
+    let Some(files) = &options.tls else {
+        return Ok(None);
+    };
+    let store = CertificateStore::open(files.clone(), Arc::clone(metrics))
+        .change_context(EntryError::Certificate)?;
+    Ok(Some(Arc::new(store)))
+}
+
 fn bind_peers(address: SocketAddr) -> Result<Arc<dyn PeerTransport>, Report<EntryError>> {
     let transport = UdpTransport::bind(address).change_context(EntryError::PeerListen(address))?;
     Ok(Arc::new(transport))
--- /dev/null
+++ b/crates/magnoliapin_entry/src/tls_files.rs
@@ -0,0 +1,104 @@
+//! The certificate and the key that an entry shows to callers.
+
+use std::fmt;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use futures_rustls::pki_types::pem::PemObject;
+use futures_rustls::pki_types::CertificateDer;
+use futures_rustls::pki_types::PrivateKeyDer;
+use futures_rustls::rustls::crypto::ring;
+use futures_rustls::rustls::ServerConfig;
+
+/// The files with the certificate and the key that an entry shows to callers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TlsFiles {
+    /// PEM file with the certificate, followed by those between it and the authority.
+    pub certificate: PathBuf,
+    /// PEM file with the private key.
+    pub key: PathBuf,
+}
+
+impl TlsFiles {
+    /// Reads and checks both files.
+    ///
+    /// # Errors
+    ///
+    /// Returns which file cannot be used, and why.
+    pub fn check(&self) -> Result<(), TlsFault> {
+        self.load().map(drop)
+    }
+
+    /// Makes the settings of new TLS sessions.
+    pub(crate) fn load(&self) -> Result<Arc<ServerConfig>, TlsFault> {
+        let chain = read_chain(&self.certificate)?;
+        let key = PrivateKeyDer::from_pem_file(&self.key)
+            .map_err(|error| TlsFault::Key(error.to_string()))?;
+        let mut config = ServerConfig::builder_with_provider(Arc::new(ring::default_provider()))
+            .with_safe_default_protocol_versions()
+            .map_err(|error| TlsFault::Pair(error.to_string()))?
+            .with_no_client_auth()
+            .with_single_cert(chain, key)
+            .map_err(|error| TlsFault::Pair(error.to_string()))?;
+        config.alpn_protocols = vec![b"http/1.1".to_vec()];
+        Ok(Arc::new(config))
+    }
+
+    /// Returns what tells one version of the files from another.
+    pub(crate) fn stamp(&self) -> TlsStamp {
+        TlsStamp { certificate: file_stamp(&self.certificate), key: file_stamp(&self.key) }
+    }
+}
+
+/// Tells one version of the files from another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct TlsStamp {
+    certificate: Option<FileStamp>,
+    key: Option<FileStamp>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct FileStamp {
+    modified: SystemTime,
+    bytes: u64,
+}
+
+/// Why certificate and key cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TlsFault {
+    /// The file of the certificate.
+    Certificate(String),
+    /// The file of the key.
+    Key(String),
+    /// Both can be read, but cannot be used together.
+    Pair(String),
+}
+
+impl fmt::Display for TlsFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Certificate(cause) => write!(formatter, "certificate: {cause}"),
+            Self::Key(cause) => write!(formatter, "key: {cause}"),
+            Self::Pair(cause) => write!(formatter, "certificate and key: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for TlsFault {}
+
+fn read_chain(file: &Path) -> Result<Vec<CertificateDer<'static>>, TlsFault> {
+    let chain = CertificateDer::pem_file_iter(file).and_then(Iterator::collect);
+    let chain: Vec<_> = chain.map_err(|error| TlsFault::Certificate(error.to_string()))?;
+    if chain.is_empty() {
+        return Err(TlsFault::Certificate("no certificate in the file".to_owned()));
+    }
+    Ok(chain)
+}
+
+fn file_stamp(file: &Path) -> Option<FileStamp> {
+    let metadata = fs::metadata(file).ok()?;
+    Some(FileStamp { modified: metadata.modified().ok()?, bytes: metadata.len() })
+}
--- a/crates/magnoliapin_entry/tests/support/mod.rs
+++ b/crates/magnoliapin_entry/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod fake_server;
 pub(crate) mod site;
+pub(crate) mod tls;
 
 use std::io::Read;
 use std::io::Write;
--- /dev/null
+++ b/crates/magnoliapin_entry/tests/tls.rs
@@ -0,0 +1,176 @@
+//! Callers over TLS: handshakes, their bounds and certificates that change on disk.
+
+mod support;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
+
+use magnoliapin_entry::EntryHandle;
+use magnoliapin_entry::EntryService;
+use magnoliapin_entry::TlsFiles;
+use support::connect;
+use support::metric;
+use support::options_without_platform;
+use support::read_until_closed;
+use support::tls::exchange;
+use support::tls::replace_file;
+use support::tls::TestCertificate;
+use support::wait_for;
+use support::TEST_TIMEOUT;
+
+const HEALTH: &[u8] = b"GET /healthz HTTP/1.1\r\nhost: entry\r\n\r\n";
+const FAILED: &str = "magnoliapin_failed_handshakes_total";
+const REFUSED: &str = "magnoliapin_refused_certificates_total";
+
+/// Starts an entry with a new certificate; handshakes have a second.
+fn start(test: &str) -> (EntryHandle, TestCertificate, TlsFiles) {
+    start_with(test, 64, Duration::from_secs(1))
+}
+
+fn start_with(
+    test: &str,
+    connections: usize,
+    timeout: Duration,
+) -> (EntryHandle, TestCertificate, TlsFiles) {
+    let certificate = TestCertificate::new();
+    let files = TestCertificate::files(test);
+    certificate.write(&files);
+    let mut options = options_without_platform().with_tls(Some(files.clone()));
+    options.limits.caller_connections = connections;
+    options.limits.header_timeout = timeout;
+    let handle = EntryService::start(options).expect("the test can set this up");
+    (handle, certificate, files)
+}
+
+fn is_served(handle: &EntryHandle, certificate: &TestCertificate) -> bool {
+    certificate
+        .open(handle.caller_address())
+        .and_then(|mut session| exchange(&mut session, HEALTH))
+        .is_some_and(|response| response.status == 200 && response.body == b"ok\n")
+}
+
+fn count(handle: &EntryHandle, name: &str) -> f64 {
+    metric(&handle.metrics_text(), name)
+}
+
+/// Waits until the entry has closed a connection to which it had nothing to say.
+fn assert_closed(stream: &mut TcpStream, since: Instant) {
+    read_until_closed(stream);
+    assert!(since.elapsed() < TEST_TIMEOUT / 2, "still open after {:?}", since.elapsed());
+}
+
+#[test]
+fn requests_are_answered_on_one_session() {
+    let (handle, certificate, _) = start("requests");
+    let mut session = certificate.open(handle.caller_address()).expect("a session is made");
+    for _ in 0..3 {
+        let response = exchange(&mut session, HEALTH).expect("the request is answered");
+        assert_eq!((response.status, response.body.as_slice()), (200, b"ok\n".as_slice()));
+    }
+    assert!(TestCertificate::new().open(handle.caller_address()).is_none());
+}
+
+#[test]
+fn broken_and_slow_headers_are_refused_within_the_session() {
+    let (handle, certificate, _) = start("headers");
+    for (bytes, kind) in [
+        (b"GET / HTTP/1.1\r\nno colon here\r\n\r\n".as_slice(), "bad_request"),
+        (b"GET / HTTP/1.1\r\nhost".as_slice(), "slow_sender"),
+    ] {
+        let mut session = certificate.open(handle.caller_address()).expect("a session is made");
+        let response = exchange(&mut session, bytes).expect("the refusal comes");
+        assert_eq!(response.kind(), kind);
+        // A session that is closed in order ends without an error.
+        assert_eq!(session.read(&mut [0; 16]).expect("the session is closed in order"), 0);
+    }
+}
+
+#[test]
+fn plain_text_is_closed_without_an_answer() {
+    let (handle, certificate, _) = start("plain");
+    let began = Instant::now();
+    let mut stream = connect(handle.caller_address());
+    stream.write_all(HEALTH).expect("the entry listens");
+    let answer = read_until_closed(&mut stream);
+    assert!(began.elapsed() < TEST_TIMEOUT / 2);
+    assert!(!answer.starts_with(b"HTTP"), "{}", String::from_utf8_lossy(&answer));
+    wait_for("the count", || count(&handle, FAILED) == 1.0);
+    assert!(is_served(&handle, &certificate));
+}
+
+#[test]
+fn stalled_handshakes_are_closed_and_hold_up_nobody() {
+    let (handle, certificate, _) = start("stalled");
+    let began = Instant::now();
+    let mut stalled: Vec<TcpStream> = (0..32).map(|_| connect(handle.caller_address())).collect();
+    for stream in stalled.iter_mut().skip(16) {
+        // The start of a record with a client's first message.
+        stream.write_all(&[0x16, 0x03, 0x01, 0x01, 0x00, 0x01]).expect("the entry listens");
+    }
+    for _ in 0..8 {
+        assert!(is_served(&handle, &certificate));
+    }
+    for stream in &mut stalled {
+        assert_closed(stream, began);
+    }
+    wait_for("the count", || count(&handle, FAILED) == 32.0);
+}
+
+#[test]
+fn a_trickled_handshake_has_the_same_bound() {
+    let (handle, _, _) = start("trickled");
+    let began = Instant::now();
+    let mut stream = connect(handle.caller_address());
+    stream.write_all(&[0x16, 0x03, 0x01, 0x10, 0x00]).expect("the entry listens");
+    while stream.write_all(&[0x01]).is_ok() {
+        assert!(began.elapsed() < TEST_TIMEOUT / 2, "bytes without end are taken");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(count(&handle, FAILED), 1.0);
+}
+
+#[test]
+fn stalled_handshakes_make_room_for_others() {
+    let (handle, certificate, _) = start_with("room", 4, Duration::from_secs(60));
+    let stalled: Vec<TcpStream> = (0..4).map(|_| connect(handle.caller_address())).collect();
+    wait_for("the place", || is_served(&handle, &certificate));
+    drop(stalled);
+}
+
+#[test]
+fn a_replaced_certificate_is_used_while_old_connections_live() {
+    let (handle, old, files) = start("replaced");
+    let address = handle.caller_address();
+    let mut session = old.open(address).expect("a session is made");
+    assert!(exchange(&mut session, HEALTH).is_some());
+    let new = TestCertificate::new();
+    new.write(&files);
+    wait_for("the new certificate", || is_served(&handle, &new));
+    assert!(old.open(address).is_none());
+    let response = exchange(&mut session, HEALTH).expect("the old connection lives");
+    assert_eq!(response.status, 200);
+}
+
+#[test]
+fn a_bad_new_file_keeps_the_old_one_and_is_counted_once() {
+    let (handle, certificate, files) = start("bad");
+    replace_file(&files.certificate, "no certificate");
+    wait_for("the count", || count(&handle, REFUSED) == 1.0);
+    // Long enough for two more looks at the files.
+    std::thread::sleep(Duration::from_millis(2_500));
+    assert_eq!(count(&handle, REFUSED), 1.0);
+    assert!(is_served(&handle, &certificate));
+    let next = TestCertificate::new();
+    next.write(&files);
+    wait_for("the next certificate", || is_served(&handle, &next));
+}
+
+#[test]
+fn an_entry_does_not_start_without_its_certificate() {
+    let files = TestCertificate::files("missing");
+    let options = options_without_platform().with_tls(Some(files));
+    assert!(EntryService::start(options).is_err());
+}
