Probe a full target with one start, and only where nothing else tells

Cause: an entry that had not heard of a target for a second took it for empty and sent it as many starts as it has slots. Each refusal counted as news, and the first free slot forgot that the target had been full, so that refused starts were three for each first start at 10x and bound jobs were written again with each.

Change: starts refused together are one refusal. A target that was full is tried with one start, and only if this entry holds nothing there, as its own tasks and their renewals tell of free slots. The pause grows to at most 7.7 s and shrinks one step with each free slot.

--- a/crates/magnoliapin_policy/src/targets.rs
+++ b/crates/magnoliapin_policy/src/targets.rs
@@ -16,8 +16,9 @@
 
 use crate::outbox::Outbox;
 
-const FIRST_PROBE: Duration = Duration::from_millis(10);
-const MAX_PROBE: Duration = Duration::from_millis(320);
+const FIRST_PROBE: Duration = Duration::from_millis(60);
+/// Longest pause, in doublings of the first one.
+const MAX_FULL_STREAK: u32 = 7;
 const FIRST_SUSPICION: Duration = Duration::from_millis(100);
 const MAX_SUSPICION: Duration = Duration::from_millis(5_000);
 /// What a target said of its free slots is used for this long.
@@ -91,6 +92,8 @@
         let own = self.record.slots.0.saturating_sub(self.held);
         match self.free {
             Some((said_at, free)) if now.since(said_at) < FREE_AGE => free.min(own),
+            // The tasks there and their renewals tell when a slot comes free; else one start does.
+            _ if self.full_streak > 0 => u32::from(self.held == 0),
             _ => own,
         }
     }
@@ -234,7 +237,7 @@
         entry.free = Some((now, free.0));
         entry.call_failures = 0;
         if free.0 > 0 {
-            entry.full_streak = 0;
+            entry.full_streak = entry.full_streak.saturating_sub(1);
             entry.blocked_until = Moment::START;
         }
     }
@@ -242,10 +245,14 @@
     /// Notes that a target refused work because it is full.
     pub(crate) fn note_full(&mut self, instance: InstanceId, out: &mut Outbox) {
         let Some(entry) = self.entries.get_mut(&instance) else { return };
-        let doubled = FIRST_PROBE * 2_u32.saturating_pow(entry.full_streak.min(8));
-        entry.full_streak += 1;
+        // Starts that were refused together are one piece of news.
+        if entry.blocked_until > out.now {
+            return;
+        }
+        let doubled = FIRST_PROBE * 2_u32.saturating_pow(entry.full_streak);
+        entry.full_streak = (entry.full_streak + 1).min(MAX_FULL_STREAK);
         entry.free = None;
-        entry.blocked_until = out.now + out.jitter(doubled.min(MAX_PROBE));
+        entry.blocked_until = out.now + out.jitter(doubled);
     }
 
     /// Notes that a call of a target got no answer.
