Move half of a spare part at a time

Cause: an entry gave all that it did not need in this instant to an entry that lacked some, and lacked it itself moments later, so that parts of a limit that was far from used up moved to and fro and requests waited for half a second.

Change: at most half of the spare slots go to the neediest entry at a time.

--- a/crates/magnoliapin_policy/src/allotment.rs
+++ b/crates/magnoliapin_policy/src/allotment.rs
@@ -227,7 +227,7 @@
         let spare = part.saturating_sub(keep);
         if spare > 0 {
             if let Some((receiver, lack)) = neediest(demand) {
-                let given = spare.min(lack);
+                let given = spare.div_ceil(2).min(lack);
                 let mut row = self.with_part(own, part - given, limit);
                 *row.parts.entry(receiver).or_default() += given;
                 return Some((row, Some(receiver)));
