Refuse requests that cannot end before their deadline

Cause: requests were admitted until their wait alone reached the deadline and were served by the earliest deadline, so that under overload most of what was started was stopped at its deadline.

Change: observed run times of each queue say what can still end. A request is refused on arrival if its wait and its run do not fit, and in line if its run does not fit any more while others wait. The expected wait counts the team's requests for the same pool only, as the pace does.

--- a/crates/magnoliapin_policy/src/lib.rs
+++ b/crates/magnoliapin_policy/src/lib.rs
@@ -23,6 +23,7 @@
 mod reads;
 #[cfg(test)]
 mod renewal_tests;
+mod run_times;
 mod settings;
 mod targets;
 mod tasks;
--- a/crates/magnoliapin_policy/src/line.rs
+++ b/crates/magnoliapin_policy/src/line.rs
@@ -65,6 +65,12 @@
         u32::try_from(lines.map(BTreeSet::len).sum::<usize>()).unwrap_or(u32::MAX)
     }
 
+    /// Returns how much work of a team waits for a pool.
+    pub(crate) fn waiting_at(&self, pool: PoolId, team: TeamId) -> u32 {
+        let line = self.pools.get(&pool).and_then(|teams| teams.get(&team));
+        line.map_or(0, |line| u32::try_from(line.len()).unwrap_or(u32::MAX))
+    }
+
     /// Returns how much work waits for a pool.
     pub(crate) fn waiting_for(&self, pool: PoolId) -> usize {
         self.pools.get(&pool).map_or(0, |teams| teams.values().map(BTreeSet::len).sum())
--- a/crates/magnoliapin_policy/src/machine.rs
+++ b/crates/magnoliapin_policy/src/machine.rs
@@ -38,6 +38,7 @@
 use crate::pace::PaceMeter;
 use crate::peers::PeerBook;
 use crate::reads::ReadQueue;
+use crate::run_times::RunTimes;
 use crate::targets::TargetBook;
 use crate::tasks::TaskBook;
 use crate::work::WorkBook;
@@ -67,6 +68,7 @@
     request_lines: WaitingLines,
     job_lines: WaitingLines,
     pace: PaceMeter,
+    run_times: RunTimes,
     job_commits: CommitQueue,
     control_commits: CommitQueue,
     reads: ReadQueue,
@@ -99,6 +101,7 @@
             request_lines: WaitingLines::default(),
             job_lines: WaitingLines::default(),
             pace: PaceMeter::default(),
+            run_times: RunTimes::default(),
             job_commits: CommitQueue::default(),
             control_commits: CommitQueue::default(),
             reads: ReadQueue::default(),
--- a/crates/magnoliapin_policy/src/machine/admission.rs
+++ b/crates/magnoliapin_policy/src/machine/admission.rs
@@ -65,9 +65,10 @@
         payload: Vec<u8>,
         timeout: Duration,
     ) {
-        let ahead = self.request_lines.waiting(team);
+        let ahead = self.request_lines.waiting_at(section.pool, team);
         let wait = self.pace.expected_wait(section.pool, team, ahead);
-        if ahead > 0 && wait.is_some_and(|wait| wait > timeout) {
+        let run = self.run_times.expected(queue).unwrap_or_default();
+        if ahead > 0 && wait.is_some_and(|wait| wait + run > timeout) {
             let message = format!("{ahead} requests wait and the deadline cannot be met");
             self.reject(call, AdmissionError::new(ErrorKind::Overloaded, message));
             return;
--- a/crates/magnoliapin_policy/src/machine/dispatch.rs
+++ b/crates/magnoliapin_policy/src/machine/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::invariant::invariant;
 use crate::line::LinePlace;
 use crate::line::TeamLoad;
+use crate::work::WorkEntry;
 use crate::work::WorkStage;
 use crate::DispatchOrder;
 use crate::EntryMachine;
@@ -90,6 +91,11 @@
     fn dispatch_one(&mut self, pool: PoolId) -> bool {
         let Some((team, place)) = self.pick_work(pool) else { return false };
         let Some(entry) = self.work.get(place.work) else { return false };
+        if self.is_too_late(entry) {
+            self.leave_line(place.work);
+            self.refuse_late(place.work);
+            return true;
+        }
         let avoid = entry.failed_at.union(&entry.unfit_at).copied().collect::<IndexSet<_>>();
         let Some(target) = self.targets.pick(pool, self.identity.zone, &avoid, &mut self.out)
         else {
@@ -103,12 +109,20 @@
             self.bind_job(place.work, target);
         }
         self.pace.note_start(pool, team, self.out.now);
-        if self.request_lines.waiting(team) == 0 {
+        if self.request_lines.waiting_at(pool, team) == 0 {
             self.pace.reset(pool, team);
         }
         true
     }
 
+    /// Returns whether a request would most likely be stopped at its deadline, while others wait
+    /// that its slot is better used for.
+    fn is_too_late(&self, entry: &WorkEntry) -> bool {
+        let has_others = self.request_lines.waiting_for(entry.pool) > 1;
+        let run = self.run_times.expected(entry.queue).unwrap_or_default();
+        entry.is_request() && has_others && self.out.now + run > entry.deadline
+    }
+
     fn pick_work(&self, pool: PoolId) -> Option<(TeamId, LinePlace)> {
         let request = self.request_lines.pick(pool, |team| self.load(team));
         let job = if self.jobs_may_start() {
@@ -199,6 +213,7 @@
             self.out.counts.first_starts += 1;
         }
         entry.stage = WorkStage::Running(task);
+        entry.staged_at = self.out.now;
         let request = StartTask {
             task,
             entry: self.identity.entry,
--- a/crates/magnoliapin_policy/src/machine/outcomes.rs
+++ b/crates/magnoliapin_policy/src/machine/outcomes.rs
@@ -68,6 +68,7 @@
             self.out.counts.late_answers += 1;
             return;
         }
+        self.note_run_time(work, &end.verdict);
         self.note_health(work, instance, &end.verdict);
         if entry_is_request(&self.work.get(work).map(|entry| &entry.kind)) {
             self.settle_request(work, instance, end.verdict);
@@ -109,6 +110,16 @@
         }
     }
 
+    fn note_run_time(&mut self, work: WorkId, verdict: &TaskVerdict) {
+        let Some(entry) = self.work.get(work) else { return };
+        let span = self.out.now.since(entry.staged_at);
+        match verdict {
+            TaskVerdict::Finished(_) => self.run_times.note_run(entry.queue, span),
+            TaskVerdict::Stopped => self.run_times.note_stopped(entry.queue, span),
+            TaskVerdict::NotStarted(_) | TaskVerdict::Failed | TaskVerdict::Lost => {}
+        }
+    }
+
     /// Tells targets that fail everything apart from work that fails everywhere.
     fn note_health(&mut self, work: WorkId, instance: InstanceId, verdict: &TaskVerdict) {
         let Some(entry) = self.work.get_mut(work) else { return };
--- a/crates/magnoliapin_policy/src/work.rs
+++ b/crates/magnoliapin_policy/src/work.rs
@@ -95,7 +95,7 @@
     /// Number of the current or last attempt.
     pub(crate) attempt: Attempt,
     pub(crate) stage: WorkStage,
-    /// When the stage began, for stages that wait for the platform.
+    /// When the stage began, for stages that wait for the platform and for tasks that run.
     pub(crate) staged_at: Moment,
     /// Targets at which it failed.
     pub(crate) failed_at: IndexSet<InstanceId>,
