--- a/crates/magnoliapin_soak/tests/trials.rs
+++ b/crates/magnoliapin_soak/tests/trials.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use magnoliapin_policy::PolicyOptions;
 use magnoliapin_soak::trial::cancel_wave;
+use magnoliapin_soak::trial::overload;
 use magnoliapin_soak::trial::spread;
 use magnoliapin_soak::trial::takeover;
 use magnoliapin_soak::trial::target_faults;
@@ -12,6 +14,19 @@
 /// A leaving target gets no new work after this long.
 const LEAVING_BOUND: Duration = Duration::from_secs(3);
 
+/// Least goodput under overload, of that at a demand of what the slots can give.
+const LEAST_GOODPUT: f64 = 0.9;
+/// The site is back to normal this long after an overload.
+const RECOVERY_BOUND: Duration = Duration::from_secs(5);
+
+#[test]
+fn overload_keeps_the_goodput_and_passes() {
+    let figures = overload::measure(1, Duration::from_secs(10), PolicyOptions::default());
+    assert_eq!(figures.violations, 0, "{figures:?}");
+    assert!(figures.goodput_at_10 >= LEAST_GOODPUT * figures.goodput_at_1, "{figures:?}");
+    assert!(figures.recovered_after <= RECOVERY_BOUND, "{figures:?}");
+}
+
 #[test]
 fn jobs_and_parts_of_a_killed_entry_come_back() {
     let figures = takeover::measure(1, takeover::EntryLoss::Kill);
