Damp the shares' view of other entries

Cause: every entry saw the same team behind its share, from reports that are a quarter of a second old and more, and all of them served it, so that the teams came less near to their shares than without any view of other entries.

Ruled out: leaving the view out, which is blind to teams whose work comes to few entries.

Change: an entry's own tasks of a team count once for each entry at which the team is active.

Shares of teams whose work comes to one zone stay far off.

--- a/crates/magnoliapin_policy/src/line.rs
+++ b/crates/magnoliapin_policy/src/line.rs
@@ -18,7 +18,7 @@
 /// What a team has running, and its weight.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TeamLoad {
-    /// Tasks that run over all entries known.
+    /// Hundredths of tasks that run over all entries known.
     pub(crate) running: u32,
     /// Weight of the team's share.
     pub(crate) weight: u32,
--- a/crates/magnoliapin_policy/src/machine/dispatch.rs
+++ b/crates/magnoliapin_policy/src/machine/dispatch.rs
@@ -150,15 +150,26 @@
             return None;
         }
         let running = match self.options.dispatch {
-            DispatchOrder::MaxMin => {
-                part.running + self.peers.usage_elsewhere(team, self.out.now).running
-            }
+            DispatchOrder::MaxMin => self.running_everywhere(team, part.running),
             DispatchOrder::PerEntry => part.running,
             DispatchOrder::Fifo => 0,
         };
         Some(TeamLoad { running, weight: section.weight })
     }
 
+    /// Returns what a team runs over all entries known, in hundredths of tasks.
+    ///
+    /// The other entries see the same shortage and serve it too, which their reports tell only
+    /// later. So this entry's own tasks count once for each entry at which the team is active, and
+    /// the sum is scaled to what it is when they are spread evenly.
+    fn running_everywhere(&self, team: TeamId, own: u32) -> u32 {
+        let elsewhere = self.peers.usage_elsewhere(team, self.out.now).running;
+        let entries = self.peers.entries_using(team, self.out.now) + 1;
+        let counted = u64::from(elsewhere) + u64::from(own) * u64::from(entries);
+        let scaled = counted * 100 * u64::from(entries) / (2 * u64::from(entries) - 1);
+        u32::try_from(scaled).unwrap_or(u32::MAX)
+    }
+
     /// Takes a slot of the team's part and of the target.
     pub(crate) fn reserve(&mut self, team: TeamId, target: BoundTarget) {
         let own = self.identity.entry;
--- a/crates/magnoliapin_policy/src/peers.rs
+++ b/crates/magnoliapin_policy/src/peers.rs
@@ -177,6 +177,14 @@
         ready.map(|(id, _)| *id).collect()
     }
 
+    /// Counts the other entries at which a team runs something or has something waiting.
+    pub(crate) fn entries_using(&self, team: TeamId, now: Moment) -> u32 {
+        let usage = self.records.values().filter_map(|record| record.usage.get(&team));
+        let recent = usage.filter(|(said_at, _)| now.since(*said_at) < USAGE_AGE);
+        let used = recent.filter(|(_, usage)| usage.running + usage.waiting > 0);
+        u32::try_from(used.count()).unwrap_or(u32::MAX)
+    }
+
     /// Sums what a team runs and has waiting at the other entries.
     pub(crate) fn usage_elsewhere(&self, team: TeamId, now: Moment) -> TeamUsage {
         let mut sum = TeamUsage { team, running: 0, waiting: 0, part: 0 };
