--- a/crates/magnoliapin_soak/examples/measure/load.rs
+++ b/crates/magnoliapin_soak/examples/measure/load.rs
@@ -18,6 +18,15 @@
 
 /// Prints the nearness of the teams to their shares.
 pub(crate) fn shares(output: &mut dyn Write) -> io::Result<()> {
+    print_shares(output, share::CallerSpread::Even)
+}
+
+/// Prints the same where each team calls the entries of one zone.
+pub(crate) fn shares_by_zone(output: &mut dyn Write) -> io::Result<()> {
+    print_shares(output, share::CallerSpread::OneZone)
+}
+
+fn print_shares(output: &mut dyn Write, spread: share::CallerSpread) -> io::Result<()> {
     writeln!(
         output,
         "| order | seed | full s | distance | worst shortfall | starved s | slots used | broken |"
@@ -26,7 +35,7 @@
     for dispatch in [DispatchOrder::MaxMin, DispatchOrder::PerEntry, DispatchOrder::Fifo] {
         for seed in SEEDS {
             let options = PolicyOptions { dispatch, ..PolicyOptions::default() };
-            let figures = share::measure(seed, SHARE_SECONDS, options);
+            let figures = share::measure(seed, SHARE_SECONDS, spread, options);
             writeln!(
                 output,
                 "| {dispatch:?} | {seed} | {} | {:.3} | {:.3} | {} | {:.3} | {} |",
--- a/crates/magnoliapin_soak/examples/measure/main.rs
+++ b/crates/magnoliapin_soak/examples/measure/main.rs
@@ -11,7 +11,7 @@
     xflags::xflags! {
         /// Measures the policy in virtual time and prints the rows of `docs/MEASUREMENTS.md`.
         cmd measure {
-            /// Scenario: shares, placement, overload, budget, outage, takeover, spread, targets,
+            /// Scenario: shares, shares_by_zone, placement, overload, budget, outage, takeover, spread, targets,
             /// cut_off or cancel_wave; all of them if absent.
             optional scenario: String
         }
@@ -21,8 +21,9 @@
 /// A scenario: its name and what prints its rows.
 type Scenario = (&'static str, fn(&mut dyn Write) -> io::Result<()>);
 
-const SCENARIOS: [Scenario; 10] = [
+const SCENARIOS: [Scenario; 11] = [
     ("shares", load::shares),
+    ("shares_by_zone", load::shares_by_zone),
     ("placement", load::placement),
     ("overload", load::overload),
     ("budget", load::budget),
--- a/crates/magnoliapin_soak/src/trial/shares.rs
+++ b/crates/magnoliapin_soak/src/trial/shares.rs
@@ -11,6 +11,7 @@
 use crate::trial::TeamDemand;
 use crate::trial::TrialPlan;
 use crate::trial::TrialWorld;
+use crate::world::ZONES;
 
 const RUN_TIME: Duration = Duration::from_millis(400);
 const SAMPLES: u32 = 10;
@@ -54,8 +55,22 @@
     }
 }
 
+/// Which entries a team calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallerSpread {
+    /// All of them.
+    Even,
+    /// Those of one zone, the same for every other third team.
+    OneZone,
+}
+
 /// Measures the shares with the given ways to decide.
-pub fn measure(seed: u64, seconds: u32, options: PolicyOptions) -> ShareFigures {
+pub fn measure(
+    seed: u64,
+    seconds: u32,
+    spread: CallerSpread,
+    options: PolicyOptions,
+) -> ShareFigures {
     let mut trial = TrialWorld::new(TrialPlan::new(seed).with_options(options));
     let turns = [(); TEAMS.len()].map(|()| TeamTurn {
         period: trial.world.random.random_range(17.0..24.0),
@@ -68,6 +83,10 @@
             demand[team] = turn.demand(second, MEAN_SLOTS[team]);
             let per_second = demand[team] / RUN_TIME.as_secs_f64();
             let load = TeamDemand::new(team, per_second, RUN_TIME);
+            let load = match spread {
+                CallerSpread::Even => load,
+                CallerSpread::OneZone => load.with_zone(team % ZONES),
+            };
             trial.offer(&load, Duration::from_secs(1));
         }
         let got = sample_second(&mut trial);
