Test a roll-out's pause, resumption and rollback over processes

Cause: the commands of a roll-out under way were in no process test.

Change: a document with another image starts a roll-out; start is refused as it runs, pause and resume show in status, a rollback begins.

Conclusion: steering is proved; that a rollback ends is not.

--- a/crates/magnoliapin/tests/operators.rs
+++ b/crates/magnoliapin/tests/operators.rs
@@ -70,6 +70,16 @@
         serde_json::from_str(&shown.output).unwrap_or_default()
     }
 
+    fn stage(&self, pool: &str) -> Value {
+        self.json(&["rollout", "status", pool])[pool]["stage"].clone()
+    }
+
+    /// Orders a step of a pool's roll-out and waits until its stage shows.
+    fn steer(&self, action: &str, pool: &str, stage: &str) {
+        self.done(&["rollout", action, pool]);
+        wait_for(stage, || self.stage(pool) == stage);
+    }
+
     fn count_serving(&self, entry: usize) -> usize {
         self.instances(entry).iter().filter(|instance| instance["state"] == "serving").count()
     }
@@ -151,3 +161,29 @@
     assert_eq!(foreign.code, 1);
     assert!(foreign.errors.contains("not_allowed"), "{}", foreign.errors);
 }
+
+#[test]
+fn a_rollout_is_paused_resumed_and_rolled_back() {
+    let site = FleetSite::start("rollout");
+    let text = std::fs::read_to_string(DOCUMENT).expect("the document") + NIGHT;
+    let changed = text.replacen("image = \"base\"", "image = \"next\"", 1);
+    let changed = scratch_file("rollout-changed.toml", &changed);
+    site.done(&["config", "apply", &changed]);
+    wait_for("the roll-out begins", || site.stage("evening") == "canary");
+    let refused = site.refused(0, &["rollout", "start", "evening"]);
+    assert!(refused.contains("conflict: the roll-out of pool evening is canary"), "{refused}");
+
+    site.steer("pause", "evening", "paused");
+    let shown = site.done(&["rollout", "status"]);
+    assert!(
+        shown.contains("evening                  paused       next             base"),
+        "{shown}"
+    );
+    assert!(!shown.contains("night"), "{shown}");
+    site.steer("resume", "evening", "canary");
+    site.done(&["rollout", "rollback", "evening"]);
+    wait_for("the rollback shows", || {
+        let row = site.json(&["rollout", "status"])["evening"].clone();
+        row["stage"] == "rolling_back" || row["abandoned_image"] == "next"
+    });
+}
