Let a rollback begin without a rest of the canary

Cause: in three trials over processes a canary still ran the new image 35 s after the order to roll back: an instance rests for drain_seconds (60) after any change, rollbacks included. Ruled out: the planner's lease and the budget; the plan had no step to start. Change: the rest does not hold for rollbacks. Before: the new test saw no step. After: the canary drains at once.

--- a/crates/magnoliapin_fleet/src/plan/waves.rs
+++ b/crates/magnoliapin_fleet/src/plan/waves.rs
@@ -100,16 +100,21 @@
     let load = MaintenanceLoad::new(draft.document, &draft.snapshot);
     let lead = load.lead_seconds(period);
     let rest = u64::from(draft.document.maintenance.drain_seconds);
-    let serving = draft.snapshot.rows().filter(|(_, facts, row)| {
-        let is_rested = draft.now.since(row.changed_at) >= rest;
-        let is_up = row.state == InstanceState::Serving && facts.is_listed_live();
-        is_up && (is_rested || row.changed_at == row.maintained_at)
-    });
+    let serving = draft
+        .snapshot
+        .rows()
+        .filter(|(_, facts, row)| row.state == InstanceState::Serving && facts.is_listed_live());
     serving
         .filter_map(|(instance, facts, row)| {
             let deadline = row.maintained_at.0 + period;
             let left = deadline.saturating_sub(draft.now.0);
             let (rank, image) = reboot_rank(draft, row, left, lead)?;
+            let is_rested = draft.now.since(row.changed_at) >= rest
+                || row.changed_at == row.maintained_at
+                || rank == RebootRank::Rollback;
+            if !is_rested {
+                return None;
+            }
             Some(reboot_candidate(instance, facts, row, rank, deadline, image))
         })
         .collect()
--- a/crates/magnoliapin_fleet/tests/fleet/planner.rs
+++ b/crates/magnoliapin_fleet/tests/fleet/planner.rs
@@ -154,6 +154,28 @@
     assert_eq!(drains(&steps), Vec::new());
 }
 
+#[test]
+fn a_rollback_does_not_wait_for_a_canary_to_rest() {
+    let mut document = runs::document();
+    let mut snapshot = fleet();
+    document.pools[&pool("east")].image = "two".to_owned();
+    let steps = plan_at(&snapshot, &document, 60);
+    let rollout = steps.iter().find_map(|step| match step {
+        FleetStep::Rollout { pool, row } => Some((*pool, row.clone())),
+        _ => None,
+    });
+    let (pool, mut row) = rollout.expect("the roll-out begins");
+    row.stage = RolloutStage::RollingBack;
+    apply(&mut snapshot, &document, &FleetStep::Rollout { pool, row }, 61);
+    let canary = instance("i-00");
+    let facts = snapshot.instances.get_mut(&canary).unwrap();
+    let canary_row = &mut facts.row.as_mut().unwrap().row;
+    canary_row.image = "two".to_owned();
+    canary_row.changed_at = START.after(62);
+    canary_row.maintained_at = START.after(61);
+    assert_eq!(drains(&plan_at(&snapshot, &document, 63)), [canary]);
+}
+
 #[test]
 fn infeasible_maintenance_is_told_with_the_arithmetic() {
     let told =
