--- a/.ci/style.py
+++ b/.ci/style.py
@@ -7,6 +7,7 @@
 
 STD = ("std", "core", "alloc")
 OWN = ("crate", "self", "super")
+KNOWN_RED = pathlib.Path("KNOWN-RED.txt").read_text()
 USE = re.compile(r"^(?:pub(?:\([a-z]+\))? )?use ([a-z_A-Z0-9]+)")
 
 
@@ -35,6 +36,10 @@
             if last is not None and here != last and not blank:
                 yield number, "a blank line parts the groups of imports"
             last = here
+        if line.strip().startswith("#[ignore"):
+            name = re.search(r"fn (\w+)", "\n".join(lines[number : number + 3]))
+            if name is None or name.group(1) not in KNOWN_RED:
+                yield number, "an ignored test is listed in KNOWN-RED.txt"
         is_test_file = "/tests/" in path or path.endswith("_tests.rs")
         if not is_test_file and re.search(r"#\[(cfg\()?test\b", line):
             declares = lines[number] if number < len(lines) else ""
--- a/crates/magnoliapin_soak/tests/trials.rs
+++ b/crates/magnoliapin_soak/tests/trials.rs
@@ -16,6 +16,8 @@
 
 /// Least goodput under overload, of that at a demand of what the slots can give.
 const LEAST_GOODPUT: f64 = 0.9;
+/// After an overload every second is as before within this time.
+const RECOVERY_BOUND: Duration = Duration::from_secs(5);
 /// Repeated starts under overload, for each first start.
 const MOST_REPEATED_STARTS: f64 = 0.1;
 
@@ -27,6 +29,15 @@
     assert!(figures.repeated_starts < MOST_REPEATED_STARTS, "{figures:?}");
 }
 
+#[test]
+#[ignore = "known red, see KNOWN-RED.txt"]
+fn overload_is_over_in_time() {
+    for seed in 1..=3 {
+        let figures = overload::measure(seed, Duration::from_secs(10), PolicyOptions::default());
+        assert!(figures.recovered_after <= RECOVERY_BOUND, "seed {seed}: {figures:?}");
+    }
+}
+
 #[test]
 fn jobs_and_parts_of_a_killed_entry_come_back() {
     let figures = takeover::measure(1, takeover::EntryLoss::Kill);
