Name the unit of teams' use; record questions about outcomes

Cause: a field called running held hundredths of tasks, take_over had nothing to do with takeovers, and the time line's outcome_asked was never recorded. Change: names, imports, and one record.

--- a/crates/magnoliapin_policy/src/line.rs
+++ b/crates/magnoliapin_policy/src/line.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TeamLoad {
     /// Hundredths of tasks that run over all entries known.
-    pub(crate) running: u32,
+    pub(crate) task_hundredths: u32,
     /// Weight of the team's share.
     pub(crate) weight: u32,
 }
@@ -27,8 +27,8 @@
 impl TeamLoad {
     /// Returns whether this team is further below its share than `other`.
     fn is_behind(self, other: Self) -> bool {
-        let own = u64::from(self.running) * u64::from(other.weight.max(1));
-        let others = u64::from(other.running) * u64::from(self.weight.max(1));
+        let own = u64::from(self.task_hundredths) * u64::from(other.weight.max(1));
+        let others = u64::from(other.task_hundredths) * u64::from(self.weight.max(1));
         own < others
     }
 }
--- a/crates/magnoliapin_policy/src/machine/dispatch.rs
+++ b/crates/magnoliapin_policy/src/machine/dispatch.rs
@@ -23,6 +23,8 @@
 use crate::DispatchOrder;
 use crate::EntryMachine;
 
+/// Hundredths of a task, the unit in which the use of teams is compared.
+const HUNDREDTHS: u32 = 100;
 /// After its deadline a request is answered at the latest when its target was asked for this long.
 pub(crate) const ASK_GRACE: Duration = Duration::from_millis(600);
 
@@ -137,8 +139,8 @@
 
     /// Returns what a team runs for each thousandth of weight.
     fn per_weight(&self, team: TeamId) -> u64 {
-        let load = self.load(team).unwrap_or(TeamLoad { running: u32::MAX, weight: 1 });
-        u64::from(load.running) * 1_000 / u64::from(load.weight.max(1))
+        let load = self.load(team).unwrap_or(TeamLoad { task_hundredths: u32::MAX, weight: 1 });
+        u64::from(load.task_hundredths) * 1_000 / u64::from(load.weight.max(1))
     }
 
     /// Returns a team's load over all entries known, or none if it may not start anything now.
@@ -149,12 +151,12 @@
         if !part.may_start(self.identity.entry, section.limit, is_fresh) {
             return None;
         }
-        let running = match self.options.dispatch {
-            DispatchOrder::MaxMin => self.running_everywhere(team, part.running),
-            DispatchOrder::PerEntry => part.running,
+        let task_hundredths = match self.options.dispatch {
+            DispatchOrder::MaxMin => self.hundredths_everywhere(team, part.running),
+            DispatchOrder::PerEntry => part.running.saturating_mul(HUNDREDTHS),
             DispatchOrder::Fifo => 0,
         };
-        Some(TeamLoad { running, weight: section.weight })
+        Some(TeamLoad { task_hundredths, weight: section.weight })
     }
 
     /// Returns what a team runs over all entries known, in hundredths of tasks.
@@ -162,11 +164,12 @@
     /// The other entries see the same shortage and serve it too, which their reports tell only
     /// later. So this entry's own tasks count once for each entry at which the team is active, and
     /// the sum is scaled to what it is when they are spread evenly.
-    fn running_everywhere(&self, team: TeamId, own: u32) -> u32 {
+    fn hundredths_everywhere(&self, team: TeamId, own: u32) -> u32 {
         let elsewhere = self.peers.usage_elsewhere(team, self.out.now).running;
         let entries = self.peers.entries_using(team, self.out.now) + 1;
         let counted = u64::from(elsewhere) + u64::from(own) * u64::from(entries);
-        let scaled = counted * 100 * u64::from(entries) / (2 * u64::from(entries) - 1);
+        let scaled =
+            counted * u64::from(HUNDREDTHS) * u64::from(entries) / (2 * u64::from(entries) - 1);
         u32::try_from(scaled).unwrap_or(u32::MAX)
     }
 
--- a/crates/magnoliapin_policy/src/machine/outcomes.rs
+++ b/crates/magnoliapin_policy/src/machine/outcomes.rs
@@ -47,7 +47,7 @@
     /// Settles the attempts whose targets are gone or were restarted.
     pub(crate) fn settle_lost_tasks(&mut self) {
         let targets = &self.targets;
-        let lost = self.tasks.take_over(|instance, run| targets.is_over(instance, run));
+        let lost = self.tasks.take_lost(|instance, run| targets.is_over(instance, run));
         for end in lost {
             self.settle_task(end);
         }
--- a/crates/magnoliapin_policy/src/tasks.rs
+++ b/crates/magnoliapin_policy/src/tasks.rs
@@ -10,11 +10,14 @@
 use indexmap::IndexSet;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::Moment;
+use magnoliapin_model::TargetRun;
 use magnoliapin_model::TaskId;
 use magnoliapin_model::TeamId;
 use magnoliapin_wire::rows::BoundTarget;
+use magnoliapin_wire::CallFailure;
 use magnoliapin_wire::EntryTasks;
 use magnoliapin_wire::RefusalReason;
+use magnoliapin_wire::StartTask;
 use magnoliapin_wire::TargetReply;
 use magnoliapin_wire::TargetRequest;
 use magnoliapin_wire::TaskReply;
@@ -25,6 +28,8 @@
 use crate::CallId;
 use crate::EntryAction;
 use crate::PolicyTimes;
+use crate::TimelineEvent;
+use crate::TimelineName;
 
 /// Time after which a question to a target has failed.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
@@ -87,7 +92,7 @@
     /// Sends an attempt to its target.
     pub(crate) fn start(
         &mut self,
-        request: magnoliapin_wire::StartTask,
+        request: StartTask,
         target: BoundTarget,
         out: &mut Outbox,
         times: &PolicyTimes,
@@ -208,9 +213,9 @@
     }
 
     /// Returns the attempts whose targets are over according to `is_over`, and forgets them.
-    pub(crate) fn take_over(
+    pub(crate) fn take_lost(
         &mut self,
-        is_over: impl Fn(InstanceId, magnoliapin_model::TargetRun) -> bool,
+        is_over: impl Fn(InstanceId, TargetRun) -> bool,
     ) -> Vec<TaskEnd> {
         let over = |entry: &TaskEntry| is_over(entry.target.instance, entry.target.run);
         let lost = self.entries.extract_if(.., |_, entry| over(entry));
@@ -245,10 +250,15 @@
         }
         let verdict = match reply {
             TargetReply::Task(reply) => entry.judge(reply, is_start, out, times),
-            TargetReply::Failed(magnoliapin_wire::CallFailure::NotSent) if is_start => {
+            TargetReply::Failed(CallFailure::NotSent) if is_start => {
                 Some(TaskVerdict::NotStarted(None))
             }
             TargetReply::Failed(_) | TargetReply::Entry(_) => {
+                if is_start {
+                    let event = TimelineEvent::new(TimelineName::OutcomeAsked);
+                    let event = event.with_work(task.work).with_instance(entry.target.instance);
+                    out.record(event);
+                }
                 entry.note_failure(is_start, out);
                 None
             }
