--- a/crates/magnoliapin/src/demo/site.rs
+++ b/crates/magnoliapin/src/demo/site.rs
@@ -10,6 +10,7 @@
 use magnoliapin_entry::EntryOptions;
 use magnoliapin_entry::EntryService;
 use magnoliapin_model::InstanceId;
+use magnoliapin_model::NameError;
 use magnoliapin_model::PoolId;
 use magnoliapin_model::RackId;
 use magnoliapin_model::ZoneId;
@@ -174,7 +175,7 @@
     }
 }
 
-fn name<T>(checked: Result<T, magnoliapin_model::NameError>) -> Result<T, Report<CommandError>> {
+fn name<T>(checked: Result<T, NameError>) -> Result<T, Report<CommandError>> {
     checked.map_err(|error| refused(format!("a name of the demo: {error}")))
 }
 
--- a/crates/magnoliapin_fleet/src/transition.rs
+++ b/crates/magnoliapin_fleet/src/transition.rs
@@ -2,6 +2,7 @@
 
 use magnoliapin_model::ConfigDocument;
 use magnoliapin_model::InstanceId;
+use magnoliapin_model::PoolId;
 use magnoliapin_wire::InstanceRecord;
 use magnoliapin_wire::ListedState;
 
@@ -141,7 +142,7 @@
         }
     }
 
-    fn adopted_row(&self, pool: magnoliapin_model::PoolId) -> Result<InstanceRow, StepRefusal> {
+    fn adopted_row(&self, pool: PoolId) -> Result<InstanceRow, StepRefusal> {
         let record = self.record()?;
         if record.state != ListedState::Live || self.facts.row.is_some() {
             return Err(StepRefusal::NotListed(self.instance));
--- a/crates/magnoliapin_policy/src/machine.rs
+++ b/crates/magnoliapin_policy/src/machine.rs
@@ -9,9 +9,12 @@
 mod membership;
 mod outcomes;
 mod ownership;
+mod peer_talk;
+mod planned_stop;
 mod polls;
 mod retention;
 mod takeover;
+mod task_leases;
 mod views;
 
 pub use fleet_view::KnownTarget;
--- a/crates/magnoliapin_policy/src/machine/limits.rs
+++ b/crates/magnoliapin_policy/src/machine/limits.rs
@@ -1,6 +1,7 @@
 //! Parts of the teams' allotments: when they are changed, and what follows.
 
 use magnoliapin_model::EntryId;
+use magnoliapin_model::RowVersion;
 use magnoliapin_model::SlotCount;
 use magnoliapin_model::TeamId;
 use magnoliapin_wire::rows::AllotmentRow;
@@ -134,7 +135,7 @@
 pub(crate) fn find_allotment(
     team: TeamId,
     rows: &[TableRow],
-) -> Option<(magnoliapin_model::RowVersion, AllotmentRow)> {
+) -> Option<(RowVersion, AllotmentRow)> {
     let key = RowKey::Allotment(team).to_string();
     let row = rows.iter().find(|row| row.key == key && row.version.0 > 0)?;
     Some((row.version, AllotmentRow::from_json(&row.value).ok()?))
--- a/crates/magnoliapin_policy/src/machine/outcomes.rs
+++ b/crates/magnoliapin_policy/src/machine/outcomes.rs
@@ -4,6 +4,7 @@
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::TaskId;
 use magnoliapin_model::WorkId;
+use magnoliapin_wire::rows::RowKey;
 use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::JobState;
 use magnoliapin_wire::PeerMessage;
@@ -289,7 +290,7 @@
 
     /// Finds out whether others took this entry for lost, which would explain a fence.
     fn check_self(&mut self) {
-        let key = magnoliapin_wire::rows::RowKey::Entry(self.identity.entry).to_string();
+        let key = RowKey::Entry(self.identity.entry).to_string();
         let give_up_at = self.out.now + self.times.entry_lease;
         self.reads.push(ReadTag::CheckSelf, vec![key], give_up_at);
     }
--- a/crates/magnoliapin_policy/src/machine/takeover.rs
+++ b/crates/magnoliapin_policy/src/machine/takeover.rs
@@ -14,6 +14,7 @@
 use magnoliapin_model::EntryId;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::Moment;
+use magnoliapin_model::RowVersion;
 use magnoliapin_model::TaskId;
 use magnoliapin_model::WorkId;
 use magnoliapin_wire::rows::JobRow;
@@ -269,7 +270,7 @@
         self.job_commits.push(change);
     }
 
-    fn adopted_entry(&self, job: JobRow, version: magnoliapin_model::RowVersion) -> WorkEntry {
+    fn adopted_entry(&self, job: JobRow, version: RowVersion) -> WorkEntry {
         WorkEntry {
             team: job.team,
             queue: job.queue,
--- a/crates/magnoliapin_policy/src/machine/views.rs
+++ b/crates/magnoliapin_policy/src/machine/views.rs
@@ -2,7 +2,11 @@
 
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::KeyHash;
+use magnoliapin_model::Moment;
 use magnoliapin_model::PoolId;
+use magnoliapin_model::PoolSection;
+use magnoliapin_model::TeamId;
+use magnoliapin_model::TeamSection;
 use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::ConfigView;
 use magnoliapin_wire::EntryState;
@@ -80,19 +84,18 @@
     }
 
     fn team_views(&self) -> Vec<TeamView> {
-        let view =
-            |(team, section): (&magnoliapin_model::TeamId, &magnoliapin_model::TeamSection)| {
-                let elsewhere = self.peers.usage_elsewhere(*team, self.out.now);
-                let running = self.allotments.parts.get(team).map_or(0, |part| part.running);
-                let waiting = self.request_lines.waiting(*team) + self.job_lines.waiting(*team);
-                TeamView {
-                    team: *team,
-                    weight: section.weight,
-                    limit: section.limit,
-                    running: running + elsewhere.running,
-                    waiting: waiting + elsewhere.waiting,
-                }
-            };
+        let view = |(team, section): (&TeamId, &TeamSection)| {
+            let elsewhere = self.peers.usage_elsewhere(*team, self.out.now);
+            let running = self.allotments.parts.get(team).map_or(0, |part| part.running);
+            let waiting = self.request_lines.waiting(*team) + self.job_lines.waiting(*team);
+            TeamView {
+                team: *team,
+                weight: section.weight,
+                limit: section.limit,
+                running: running + elsewhere.running,
+                waiting: waiting + elsewhere.waiting,
+            }
+        };
         self.config.document.teams.iter().map(view).collect()
     }
 
@@ -102,7 +105,7 @@
     }
 
     fn pool_views(&self) -> Vec<PoolView> {
-        let view = |(pool, section): (&PoolId, &magnoliapin_model::PoolSection)| {
+        let view = |(pool, section): (&PoolId, &PoolSection)| {
             let (instances, unavailable) = self.targets.pool_counts(*pool, self.out.now);
             PoolView {
                 pool: *pool,
@@ -130,7 +133,7 @@
     }
 }
 
-fn state_name(entry: &TargetEntry, now: magnoliapin_model::Moment) -> &'static str {
+fn state_name(entry: &TargetEntry, now: Moment) -> &'static str {
     if entry.record.state == ListedState::Gone {
         "gone"
     } else if entry.leaving || entry.record.state == ListedState::Leaving {
@@ -144,6 +147,6 @@
     }
 }
 
-fn silent_ms(now: magnoliapin_model::Moment, heard_at: magnoliapin_model::Moment) -> u64 {
+fn silent_ms(now: Moment, heard_at: Moment) -> u64 {
     u64::try_from(now.since(heard_at).as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/magnoliapin_soak/src/load.rs
+++ b/crates/magnoliapin_soak/src/load.rs
@@ -6,6 +6,7 @@
 use magnoliapin_model::QueueId;
 use magnoliapin_model::SectionName;
 use magnoliapin_model::TeamId;
+use magnoliapin_model::WorkId;
 use magnoliapin_wire::CallerBody;
 use magnoliapin_wire::CallerRequest;
 use magnoliapin_wire::ConfigChange;
@@ -201,7 +202,7 @@
         }
     }
 
-    fn draw_job(&mut self) -> Option<(u64, Option<KeyHash>, magnoliapin_model::WorkId)> {
+    fn draw_job(&mut self) -> Option<(u64, Option<KeyHash>, WorkId)> {
         let recent = self.callers.works.len().min(300);
         if recent == 0 {
             return None;
--- a/crates/magnoliapin_soak/src/world.rs
+++ b/crates/magnoliapin_soak/src/world.rs
@@ -7,10 +7,12 @@
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
+use magnoliapin_model::ConfigVersion;
 use magnoliapin_model::EntryId;
 use magnoliapin_model::Moment;
 use magnoliapin_model::TargetRun;
 use magnoliapin_model::UnixMillis;
+use magnoliapin_model::WorkId;
 use magnoliapin_model::WorkOutcome;
 use magnoliapin_model::ZoneId;
 use magnoliapin_policy::CallId;
@@ -365,13 +367,7 @@
         }
     }
 
-    fn check_machine(
-        &mut self,
-        index: usize,
-        broken: u64,
-        is_fresh: bool,
-        version: magnoliapin_model::ConfigVersion,
-    ) {
+    fn check_machine(&mut self, index: usize, broken: u64, is_fresh: bool, version: ConfigVersion) {
         let now = self.now;
         self.report.check(CheckKind::MachineInvariant, broken == 0, || {
             format!("{now:?} entry {index} broke {broken} invariants")
@@ -479,7 +475,7 @@
         }
     }
 
-    fn note_accepted(&mut self, marker: u64, id: magnoliapin_model::WorkId) {
+    fn note_accepted(&mut self, marker: u64, id: WorkId) {
         let now = self.now;
         let Some(work) = self.callers.work_mut(marker) else { return };
         let before = work.job.replace(id);
