Judge a member's quiet by its replies, not by its latest datagram

Whether a member has a change in flight was taken from whatever datagram came last, the time from its latest reply; a datagram that was overtaken put the two together wrongly. The real link drops overtaken datagrams, the soak's does not, and the policy must not rely on it. Change: the reply itself tells both, and the version in force at the replier.

--- a/crates/magnoliapin_policy/src/lib.rs
+++ b/crates/magnoliapin_policy/src/lib.rs
@@ -20,6 +20,8 @@
 mod outbox;
 mod pace;
 mod peers;
+#[cfg(test)]
+mod peers_tests;
 mod reads;
 #[cfg(test)]
 mod renewal_tests;
--- a/crates/magnoliapin_policy/src/machine/peer_talk.rs
+++ b/crates/magnoliapin_policy/src/machine/peer_talk.rs
@@ -46,14 +46,9 @@
             return;
         }
         let version = self.config.version;
-        let facts = self.peers.records.values().filter_map(|record| record.facts.as_ref());
-        let newest = facts.map(|facts| facts.config).max().unwrap_or_default();
-        if newest > version {
-            return;
-        }
         let quiet = match self.peers.records.is_empty() {
             true => self.peers.listed_at.map(|_| self.out.now),
-            false => self.peers.quiet_as_of(),
+            false => self.peers.quiet_as_of(version),
         };
         if let Some(as_of) = quiet {
             self.config.note_evidence(version, as_of);
@@ -109,8 +104,8 @@
                     let as_of = stamp.before(Duration::from_micros(age));
                     self.config.note_evidence(facts.config, as_of);
                 }
-                self.take_facts(from, facts);
-                self.peers.note_reply(from, stamp);
+                self.take_facts(from, facts.clone());
+                self.peers.note_reply(from, stamp, &facts);
             }
             PeerMessage::TargetLeaving(instance) => {
                 self.targets.note_leaving(instance);
--- a/crates/magnoliapin_policy/src/peers.rs
+++ b/crates/magnoliapin_policy/src/peers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use magnoliapin_model::ConfigVersion;
 use magnoliapin_model::EntryId;
 use magnoliapin_model::Moment;
 use magnoliapin_model::RowVersion;
@@ -21,6 +22,15 @@
 /// What an entry said of a team is used for this long; busy entries name their teams by turns.
 const USAGE_AGE: Duration = Duration::from_secs(4);
 
+/// A reply of an entry that had no change of the configuration in flight.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct QuietReply {
+    /// Moment on this entry's clock at which the reply was surely not yet made.
+    pub(crate) as_of: Moment,
+    /// Configuration in force at the replier.
+    pub(crate) config: ConfigVersion,
+}
+
 /// One other entry.
 #[derive(Clone, Debug)]
 pub(crate) struct PeerRecord {
@@ -36,6 +46,8 @@
     pub(crate) heard_at: Option<Moment>,
     /// Latest moment on this entry's clock at which its last reply was surely not yet made.
     pub(crate) replied_as_of: Option<Moment>,
+    /// Its latest reply that told of no change of the configuration in flight.
+    pub(crate) quiet: Option<QuietReply>,
     /// What each team uses and wants there, with the time at which it was said.
     pub(crate) usage: IndexMap<TeamId, (Moment, TeamUsage)>,
     /// Its row as it was last read.
@@ -136,25 +148,31 @@
     }
 
     /// Notes that an entry answered a probe that was sent at `stamp`.
-    pub(crate) fn note_reply(&mut self, id: EntryId, stamp: Moment) {
-        if let Some(record) = self.records.get_mut(&id) {
-            record.replied_as_of = record.replied_as_of.max(Some(stamp));
+    ///
+    /// Whether it has a change in flight is taken from the reply itself: a later datagram may have
+    /// been sent before it.
+    pub(crate) fn note_reply(&mut self, id: EntryId, stamp: Moment, facts: &EntryFacts) {
+        let Some(record) = self.records.get_mut(&id) else { return };
+        record.replied_as_of = record.replied_as_of.max(Some(stamp));
+        let is_newer = record.quiet.is_none_or(|quiet| quiet.as_of < stamp);
+        if !facts.apply_in_flight && is_newer {
+            record.quiet = Some(QuietReply { as_of: stamp, config: facts.config });
         }
     }
 
-    /// Returns the oldest of the latest replies, if every known entry has replied and says that
-    /// no change of the configuration may still be accepted through it.
+    /// Returns the oldest of the latest replies that tell that no change of the configuration may
+    /// still be accepted through their senders, if every known entry has sent one and none has a
+    /// newer configuration than `version`.
     ///
     /// Before this entry has read the list of all entries it may know too few of them.
-    pub(crate) fn quiet_as_of(&self) -> Option<Moment> {
-        let quiet =
-            |record: &PeerRecord| record.facts.as_ref().is_some_and(|facts| !facts.apply_in_flight);
+    pub(crate) fn quiet_as_of(&self, version: ConfigVersion) -> Option<Moment> {
         self.listed_at?;
-        if self.records.is_empty() || !self.records.values().all(quiet) {
+        let replies = self.records.values().map(|record| record.quiet);
+        let replies = replies.collect::<Option<Vec<_>>>()?;
+        if replies.iter().any(|reply| reply.config > version) {
             return None;
         }
-        let replies = self.records.values().map(|record| record.replied_as_of);
-        replies.collect::<Option<Vec<_>>>()?.into_iter().min()
+        replies.into_iter().map(|reply| reply.as_of).min()
     }
 
     /// Returns whether every listed entry that is not lost has answered this one.
@@ -209,6 +227,7 @@
             facts: None,
             heard_at: None,
             replied_as_of: None,
+            quiet: None,
             usage: IndexMap::new(),
             row: None,
             renewed_at: now,
--- /dev/null
+++ b/crates/magnoliapin_policy/src/peers_tests.rs
@@ -0,0 +1,44 @@
+//! When the silence of the members proves that nothing newer was accepted.
+
+use std::net::Ipv4Addr;
+
+use indexmap::IndexMap;
+use magnoliapin_model::ConfigVersion;
+use magnoliapin_model::EntryId;
+use magnoliapin_model::Moment;
+use magnoliapin_model::ZoneId;
+use magnoliapin_wire::EntryFacts;
+use magnoliapin_wire::EntryState;
+
+use crate::peers::PeerBook;
+
+const PEER: EntryId = EntryId(2);
+
+fn facts(apply_in_flight: bool) -> EntryFacts {
+    let address = (Ipv4Addr::LOCALHOST, 1).into();
+    EntryFacts {
+        zone: ZoneId::default(),
+        peer_address: address,
+        caller_address: address,
+        state: EntryState::Ready,
+        config: ConfigVersion(7),
+        head_age_us: None,
+        apply_in_flight,
+        member_count: 1,
+        usage: Vec::new(),
+    }
+}
+
+#[test]
+fn an_older_datagram_that_comes_later_does_not_hide_a_change_in_flight() {
+    let mut book = PeerBook::default();
+    book.take_rows(IndexMap::new(), EntryId(1), Moment::START);
+    for (stamp, in_flight) in [(10, false), (20, true)] {
+        let stamp = Moment::from_millis(stamp);
+        book.take_facts(PEER, facts(in_flight), stamp);
+        book.note_reply(PEER, stamp, &facts(in_flight));
+    }
+    book.take_facts(PEER, facts(false), Moment::from_millis(21));
+    assert_eq!(book.quiet_as_of(ConfigVersion(7)), Some(Moment::from_millis(10)));
+    assert_eq!(book.quiet_as_of(ConfigVersion(6)), None, "the peer has a newer configuration");
+}
--- a/crates/magnoliapin_soak/tests/soak.rs
+++ b/crates/magnoliapin_soak/tests/soak.rs
@@ -48,3 +48,9 @@
 fn seed_468_starts_nothing_on_a_run_behind_a_fence() {
     run_for(468, 60_000);
 }
+
+/// A datagram that overtook another hid a change of the configuration in flight.
+#[test]
+fn seed_7225_takes_no_overtaken_datagram_for_proof_that_the_configuration_is_current() {
+    run_for(7225, 200_000);
+}
