Look keys up in the index; settle row changes where replies are taken

Cause: a read of the whole change. Each keyed request walked every key of the document although KeyRing stands for that; PeerBook::take_rows built a list that nobody took; the settling of row changes stood among the operators' views. Ruled out: sharing the delegation of the two socket wrappers, as their writes differ; the options' builders, which only look alike. Change: the configuration keeps a KeyRing of the document in force; the list is gone; take_change stands in machine.rs. Behaviour is the same.

--- a/crates/magnoliapin_policy/src/config.rs
+++ b/crates/magnoliapin_policy/src/config.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 use magnoliapin_model::ConfigDocument;
 use magnoliapin_model::ConfigVersion;
+use magnoliapin_model::KeyRing;
 use magnoliapin_model::Moment;
 use magnoliapin_model::RowVersion;
 use magnoliapin_model::SectionName;
@@ -49,6 +50,8 @@
 pub(crate) struct ConfigKeeper {
     /// The document in force.
     pub(crate) document: ConfigDocument,
+    /// Keys of the document, for the lookup that each keyed request makes.
+    pub(crate) keys: KeyRing,
     /// Its version; 0 before the first.
     pub(crate) version: ConfigVersion,
     /// Text of each section.
@@ -294,6 +297,7 @@
             out.counts.unreadable_rows += 1;
             return false;
         };
+        self.keys = KeyRing::new(&document);
         self.document = document;
         self.sections = sections;
         if head.version > self.version {
--- a/crates/magnoliapin_policy/src/machine.rs
+++ b/crates/magnoliapin_policy/src/machine.rs
@@ -34,6 +34,8 @@
 use self::retention::RetentionState;
 use self::takeover::TakeoverState;
 use crate::allotment::AllotmentBook;
+use crate::commit::ChangeResult;
+use crate::commit::ChangeTag;
 use crate::commit::CommitQueue;
 use crate::config::ConfigKeeper;
 use crate::line::WaitingLines;
@@ -261,6 +263,20 @@
         self.take_poll(call, reply);
     }
 
+    /// Hands word of a row change to whom it is for.
+    fn take_change(&mut self, result: ChangeResult) {
+        let ChangeResult { change, outcome } = result;
+        match change.tag {
+            ChangeTag::Allot(team) => self.take_part_change(team, outcome),
+            ChangeTag::Renew => self.take_renewal(&outcome),
+            ChangeTag::Claim(lost) => self.take_claim(lost, &outcome),
+            ChangeTag::Forget(lost) => self.take_forgotten(lost),
+            ChangeTag::Adopt(work) => self.take_adopted(work, &outcome),
+            ChangeTag::Apply => self.take_applied(&outcome),
+            tag => self.take_job_change(tag, outcome),
+        }
+    }
+
     fn take_target(&mut self, call: CallId, reply: TargetReply) {
         if self.take_entry_tasks(call, &reply) {
             return;
--- a/crates/magnoliapin_policy/src/machine/admission.rs
+++ b/crates/magnoliapin_policy/src/machine/admission.rs
@@ -185,7 +185,7 @@
             let message = "this entry cannot know whether the key still holds";
             return Err(AdmissionError::new(ErrorKind::StaleConfig, message));
         }
-        match self.config.document.team_of_key(&key) {
+        match self.config.keys.find(&key) {
             Some((team, _)) => Ok(team),
             None => Err(AdmissionError::new(ErrorKind::BadKey, "no team has this key")),
         }
--- a/crates/magnoliapin_policy/src/machine/views.rs
+++ b/crates/magnoliapin_policy/src/machine/views.rs
@@ -1,4 +1,4 @@
-//! What operators are shown, and the settling of row changes.
+//! What operators are shown.
 
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::KeyHash;
@@ -17,27 +17,11 @@
 use magnoliapin_wire::StatusView;
 use magnoliapin_wire::TeamView;
 
-use crate::commit::ChangeResult;
-use crate::commit::ChangeTag;
 use crate::targets::TargetEntry;
 use crate::CallId;
 use crate::EntryMachine;
 
 impl EntryMachine {
-    /// Hands word of a row change to whom it is for.
-    pub(crate) fn take_change(&mut self, result: ChangeResult) {
-        let ChangeResult { change, outcome } = result;
-        match change.tag {
-            ChangeTag::Allot(team) => self.take_part_change(team, outcome),
-            ChangeTag::Renew => self.take_renewal(&outcome),
-            ChangeTag::Claim(lost) => self.take_claim(lost, &outcome),
-            ChangeTag::Forget(lost) => self.take_forgotten(lost),
-            ChangeTag::Adopt(work) => self.take_adopted(work, &outcome),
-            ChangeTag::Apply => self.take_applied(&outcome),
-            tag => self.take_job_change(tag, outcome),
-        }
-    }
-
     pub(crate) fn show_config(&mut self, call: CallId, key: Option<KeyHash>) {
         if self.config.version.0 > 0 {
             if let Err(error) = self.operator_of(key) {
--- a/crates/magnoliapin_policy/src/peers.rs
+++ b/crates/magnoliapin_policy/src/peers.rs
@@ -91,35 +91,25 @@
 }
 
 impl PeerBook {
-    /// Takes the rows of all entries as they were read at `read_at`.
-    ///
-    /// Returns the entries whose rows are gone: they were taken over or never lasted.
+    /// Takes the rows of all entries, and forgets those whose rows are gone: they were taken over or
+    /// never lasted.
     pub(crate) fn take_rows(
         &mut self,
         rows: IndexMap<EntryId, (RowVersion, EntryRow)>,
         own: EntryId,
         now: Moment,
-    ) -> Vec<EntryId> {
+    ) {
         self.listed_at = Some(now);
         let missing = |id: &EntryId, record: &PeerRecord| {
             let silent = record.heard_at.is_none_or(|heard| now.since(heard) > UNLISTED_SILENCE);
             !rows.contains_key(id) && (record.row.is_some() || silent)
         };
-        let removed = self
-            .records
-            .iter()
-            .filter(|(id, record)| missing(id, record))
-            .map(|(id, _)| *id)
-            .collect::<Vec<_>>();
-        for id in &removed {
-            self.records.shift_remove(id);
-        }
+        self.records.retain(|id, record| !missing(id, record));
         for (id, (version, row)) in rows {
             if id != own {
                 self.take_row(id, version, row, now);
             }
         }
-        removed
     }
 
     fn take_row(&mut self, id: EntryId, version: RowVersion, row: EntryRow, now: Moment) {
