--- a/crates/magnoliapin/src/entry.rs
+++ b/crates/magnoliapin/src/entry.rs
@@ -1,5 +1,6 @@
 //! Runs one entry until it is asked to stop: `entry`.
 
+use std::io;
 use std::path::Path;
 
 use futures_lite::FutureExt;
@@ -28,7 +29,7 @@
     if flags.check {
         return command::print_text(&format!("ok: an entry of zone {}", settings.zone));
     }
-    logs::start_log(settings.log_level, settings.log_format)
+    logs::start_log(settings.log_level, settings.log_format, Box::new(io::stderr()))
         .map_err(|error| refused(error.to_string()))?;
     let mut signals = StopSignals::new().map_err(|error| refused(error.to_string()))?;
     let handle = EntryService::start(options(&settings))
--- a/crates/magnoliapin/src/flags.rs
+++ b/crates/magnoliapin/src/flags.rs
@@ -50,6 +50,14 @@
             optional --check
         }
 
+        /// Runs a node on the users' platform until SIGTERM or SIGINT.
+        cmd node {
+            /// Settings file in the platform's format. Also from MAGNOLIAPIN_SETTINGS.
+            optional --settings file: PathBuf
+            /// Checks the settings and exits.
+            optional --check
+        }
+
         /// Runs a small stand-in for a part of the platform, for tests and trials.
         cmd stand-in {
             /// Stands in for the platform: table, object store and instance list.
@@ -263,6 +271,7 @@
 #[derive(Debug)]
 pub enum MagnoliapinCmd {
     Entry(Entry),
+    Node(Node),
     StandIn(StandIn),
     Demo(Demo),
     Submit(Submit),
@@ -288,6 +297,12 @@
     pub check: bool,
 }
 
+#[derive(Debug)]
+pub struct Node {
+    pub settings: Option<PathBuf>,
+    pub check: bool,
+}
+
 #[derive(Debug)]
 pub struct StandIn {
     pub subcommand: StandInCmd,
--- a/crates/magnoliapin/src/logs.rs
+++ b/crates/magnoliapin/src/logs.rs
@@ -7,7 +7,7 @@
 pub(crate) use event_log::EventLog;
 
 use std::fmt;
-use std::io;
+use std::io::Write;
 use std::str::FromStr;
 
 use log::LevelFilter;
@@ -74,12 +74,16 @@
     }
 }
 
-/// Sends the log of this process to the standard error.
+/// Sends the log of this process to `output`.
 ///
 /// # Errors
 ///
 /// Returns an error if the process has a log already.
-pub(crate) fn start_log(level: LogLevel, format: LogFormat) -> Result<(), SetLoggerError> {
-    let event_log: Box<dyn Log> = Box::new(EventLog::new(format, Box::new(io::stderr())));
+pub(crate) fn start_log(
+    level: LogLevel,
+    format: LogFormat,
+    output: Box<dyn Write + Send>,
+) -> Result<(), SetLoggerError> {
+    let event_log: Box<dyn Log> = Box::new(EventLog::new(format, output));
     fern::Dispatch::new().level(level.0).chain(event_log).apply()
 }
--- a/crates/magnoliapin/src/main.rs
+++ b/crates/magnoliapin/src/main.rs
@@ -11,6 +11,7 @@
 mod flags;
 mod help;
 mod logs;
+mod node;
 mod settings;
 mod signals;
 mod stand_in;
@@ -49,6 +50,7 @@
     let context = CommandContext::new(flags.entry, flags.key, flags.json).with_ca(flags.ca);
     match flags.subcommand {
         MagnoliapinCmd::Entry(flags) => entry::run(&flags),
+        MagnoliapinCmd::Node(flags) => node::run(&flags),
         MagnoliapinCmd::StandIn(flags) => stand_in::run(flags),
         MagnoliapinCmd::Demo(flags) => demo::run(&context, &flags),
         subcommand => smol::block_on(run_client(&context, subcommand)),
@@ -72,9 +74,10 @@
         MagnoliapinCmd::Rollout(flags) => command::fleet::rollout(context, &flags).await,
         MagnoliapinCmd::Status(_) => command::status::status(context).await,
         MagnoliapinCmd::Timeline(flags) => command::timeline::timeline(context, flags).await,
-        MagnoliapinCmd::Entry(_) | MagnoliapinCmd::StandIn(_) | MagnoliapinCmd::Demo(_) => {
-            Err(command::usage("this command asks no entry"))
-        }
+        MagnoliapinCmd::Entry(_)
+        | MagnoliapinCmd::Node(_)
+        | MagnoliapinCmd::StandIn(_)
+        | MagnoliapinCmd::Demo(_) => Err(command::usage("this command asks no entry")),
     }
 }
 
--- /dev/null
+++ b/crates/magnoliapin_node/src/node_service.rs
@@ -0,0 +1,107 @@
+//! Starts a node and stops it on a signal.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::rc::Rc;
+
+use async_channel::Sender;
+use async_signal::Signal;
+use async_signal::Signals;
+use error_stack::Report;
+use error_stack::ResultExt;
+use futures_lite::StreamExt;
+use magnoliapin_scheduler::NodeEvent;
+use magnoliapin_scheduler::NodeMachine;
+use magnoliapin_site::NodeSettings;
+use magnoliapin_site::SiteProtocol;
+use rand::rngs::StdRng;
+use rand::Rng;
+use rand::SeedableRng;
+use smol::Async;
+use smol::LocalExecutor;
+
+use crate::call_deadlines::CallDeadlines;
+use crate::call_pool::CallPool;
+use crate::client_server::ServerState;
+use crate::clock::NodeClock;
+use crate::node_loop::NodeLoop;
+use crate::NodeError;
+
+/// Runs a node with the settings of a file until a signal stops it.
+///
+/// # Errors
+///
+/// Returns why the node cannot run.
+pub fn run_node(path: &Path, protocol: Rc<dyn SiteProtocol>) -> Result<(), Report<NodeError>> {
+    let settings = read_settings(path, protocol.as_ref())?;
+    let executor = Rc::new(LocalExecutor::new());
+    let clock = NodeClock::new();
+    let (sender, receiver) = async_channel::unbounded();
+    let server =
+        Rc::new(ServerState::new(Rc::clone(&executor), Rc::clone(&protocol), sender.clone()));
+    for address in [settings.client_listen, settings.ready_listen] {
+        let listener = listen(address)?;
+        executor.spawn(Rc::clone(&server).accept(listener)).detach();
+    }
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+        .change_context(NodeError::Signals)?;
+    executor.spawn(watch_signals(signals, Rc::clone(&server), sender.clone())).detach();
+    log::info!(
+        "event=node_started node={} zone={} clients={} store={} parts={}",
+        settings.name,
+        settings.zone,
+        settings.client_listen,
+        settings.store,
+        settings.store_limits.parts()
+    );
+    let deadlines = CallDeadlines::default();
+    let node = NodeLoop {
+        machine: NodeMachine::new(&settings, StdRng::from_os_rng().random()),
+        pool: CallPool::new(Rc::clone(&executor), deadlines.clone()),
+        settings,
+        clock,
+        deadlines,
+        server,
+        protocol,
+        executor: Rc::clone(&executor),
+        receiver,
+        sender,
+    };
+    smol::block_on(executor.run(node.run()));
+    log::info!("event=node_stopped");
+    Ok(())
+}
+
+/// Reads the settings of a file.
+///
+/// # Errors
+///
+/// Returns that the file cannot be read, or every fault in it.
+pub fn read_settings(
+    path: &Path,
+    protocol: &dyn SiteProtocol,
+) -> Result<NodeSettings, Report<NodeError>> {
+    let unreadable = || NodeError::SettingsUnreadable(path.display().to_string());
+    let text = fs::read_to_string(path).change_context_lazy(unreadable)?;
+    protocol.read_settings(&text).map_err(|faults| Report::new(NodeError::SettingsInvalid(faults)))
+}
+
+fn listen(address: SocketAddr) -> Result<Async<TcpListener>, Report<NodeError>> {
+    Async::<TcpListener>::bind(address).change_context(NodeError::Listen(address))
+}
+
+/// Turns signals into events.
+async fn watch_signals(mut signals: Signals, server: Rc<ServerState>, events: Sender<NodeEvent>) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => log::info!("event=settings_signal"),
+            _ => {
+                server.is_closing.set(true);
+                server.is_ready.set(false);
+                let _ = events.try_send(NodeEvent::Stop);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/election.rs
@@ -0,0 +1,224 @@
+//! Decides when this node takes the scheduler's lease.
+//!
+//! Taking it too early is safe: the one before is fenced at the store and at every target, so a
+//! wrong guess costs a short pause and nothing else.
+
+use std::time::Duration;
+
+use magnoliapin_model::Moment;
+use magnoliapin_model::RowVersion;
+use magnoliapin_site::NodeName;
+use magnoliapin_site::QueueName;
+use magnoliapin_site::StoreReply;
+use magnoliapin_site::StoreRequest;
+use magnoliapin_site::StoreRow;
+use magnoliapin_site::StoreTransaction;
+use rand::Rng;
+
+use crate::outbox::Outbox;
+use crate::rows;
+use crate::rows::FenceRow;
+use crate::rows::LeaseRow;
+use crate::watch::Watch;
+use crate::watch::WatchKind;
+use crate::watch::WatchNews;
+use crate::CallId;
+use crate::NodeTimes;
+
+/// Span over which the nodes spread their attempts, so that mostly one makes it.
+const ATTEMPT_SPREAD: Duration = Duration::from_millis(150);
+
+/// A lease that was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct TakenLease {
+    /// Generation of the new scheduler.
+    pub(crate) generation: u64,
+    /// Version of the first partition's fence.
+    pub(crate) fence_version: RowVersion,
+    /// When the call that took it was sent.
+    pub(crate) taken_at: Moment,
+}
+
+/// Follows the lease and takes it when its holder is silent.
+#[derive(Debug)]
+pub(crate) struct Election {
+    node: NodeName,
+    incarnation: u64,
+    watch: Watch,
+    /// The lease as it was seen last, with its version.
+    seen: Option<(LeaseRow, RowVersion)>,
+    /// When it changed last, as seen from here; none before the first read.
+    changed_at: Option<Moment>,
+    attempt: Option<Attempt>,
+    /// No attempt before this.
+    attempt_at: Moment,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    call: CallId,
+    generation: u64,
+    sent_at: Moment,
+}
+
+impl Election {
+    /// Makes the election of a node that has just started.
+    pub(crate) fn new(node: NodeName, incarnation: u64) -> Self {
+        Self {
+            node,
+            incarnation,
+            watch: Watch::new(WatchKind::Lease),
+            seen: None,
+            changed_at: None,
+            attempt: None,
+            attempt_at: Moment::START,
+        }
+    }
+
+    /// Returns the waiting jobs that the scheduler told last.
+    pub(crate) fn waiting(&self) -> &[(QueueName, u64)] {
+        self.seen.as_ref().map_or(&[], |(lease, _)| &lease.waiting)
+    }
+
+    /// Returns the generation of the lease as it was seen last.
+    pub(crate) fn generation(&self) -> u64 {
+        self.seen.as_ref().map_or(0, |(lease, _)| lease.generation)
+    }
+
+    /// Returns when the store last answered a call about the lease, by when the call was sent.
+    pub(crate) fn heard_at(&self) -> Option<Moment> {
+        self.watch.heard_at()
+    }
+
+    /// Watches the lease, and takes it if its holder is silent or has given it up.
+    pub(crate) fn poll(&mut self, may_lead: bool, times: &NodeTimes, out: &mut Outbox) {
+        self.watch.poll(times, out);
+        if may_lead && self.attempt.is_none() && self.is_free(times, out) {
+            self.try_take(times, out);
+        }
+    }
+
+    /// Takes the answer of a call. Returns whether the call was the election's, and the lease if
+    /// it was taken.
+    pub(crate) fn take_reply(
+        &mut self,
+        call: CallId,
+        reply: &StoreReply,
+        out: &mut Outbox,
+    ) -> (bool, Option<TakenLease>) {
+        if let Some(attempt) = self.attempt.filter(|attempt| attempt.call == call) {
+            self.attempt = None;
+            return (true, self.end_attempt(attempt, reply, out));
+        }
+        match self.watch.take_reply(call, reply, out) {
+            Some(WatchNews::Read(StoreReply::Rows { rows, .. })) => {
+                if rows.is_empty() && self.changed_at.is_none() {
+                    self.changed_at = Some(out.now);
+                }
+                (true, self.take_rows(&rows, out))
+            }
+            Some(WatchNews::Changed(StoreReply::Rows { rows, .. })) => {
+                (true, self.take_rows(&rows, out))
+            }
+            Some(_) => (true, None),
+            None => (false, None),
+        }
+    }
+
+    /// Notes that this node has renewed or given up its lease.
+    pub(crate) fn note_renewed(&mut self, now: Moment) {
+        self.changed_at = Some(now);
+    }
+
+    fn take_rows(&mut self, rows: &[StoreRow], out: &mut Outbox) -> Option<TakenLease> {
+        let row = rows.iter().rfind(|row| row.key == rows::LEASE_KEY)?;
+        let known = self.seen.as_ref().map_or(RowVersion(0), |(_, version)| *version);
+        if row.version <= known {
+            return None;
+        }
+        let lease: Option<LeaseRow> = row.value.as_deref().and_then(rows::decode);
+        let Some(lease) = lease else {
+            log::error!("event=row_unreadable table={} version={}", rows::LEASE, row.version);
+            return None;
+        };
+        if lease.generation != self.generation() {
+            log::info!(
+                "event=scheduler_seen generation={} node={} version={}",
+                lease.generation,
+                lease.node,
+                row.version
+            );
+        }
+        self.changed_at = Some(out.now);
+        self.attempt_at = out.now;
+        self.seen = Some((lease, row.version));
+        None
+    }
+
+    /// Returns whether the lease is there for the taking.
+    fn is_free(&self, times: &NodeTimes, out: &Outbox) -> bool {
+        let (Some(changed_at), Some(heard_at)) = (self.changed_at, self.watch.heard_at()) else {
+            return false;
+        };
+        if out.now < self.attempt_at {
+            return false;
+        }
+        let Some((lease, _)) = &self.seen else {
+            return true;
+        };
+        // A process that was started again has nothing left of what it did before.
+        let is_own_past = lease.node == self.node && lease.incarnation != self.incarnation;
+        let is_own = lease.node == self.node && lease.incarnation == self.incarnation;
+        if lease.is_released || is_own_past {
+            return true;
+        }
+        // The store must have answered all the while, or its silence is taken for the holder's.
+        let silence = if is_own { times.silence * 2 } else { times.silence };
+        out.now.since(changed_at) > silence && heard_at.since(changed_at) > silence / 2
+    }
+
+    fn try_take(&mut self, times: &NodeTimes, out: &mut Outbox) {
+        let (generation, version) = self
+            .seen
+            .as_ref()
+            .map_or((1, RowVersion(0)), |(lease, version)| (lease.generation + 1, *version));
+        let lease = LeaseRow {
+            generation,
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            is_released: false,
+            waiting: self.waiting().to_vec(),
+        };
+        let transaction = StoreTransaction::default()
+            .with_expected(rows::lease_row(), version)
+            .with_write(rows::lease_row(), rows::encode(&lease))
+            .with_write(rows::fence_row(0), rows::encode(&FenceRow { generation }));
+        let call = out.call_store(StoreRequest::Commit(transaction), times.store_timeout);
+        self.attempt = Some(Attempt { call, generation, sent_at: out.now });
+    }
+
+    fn end_attempt(
+        &mut self,
+        attempt: Attempt,
+        reply: &StoreReply,
+        out: &mut Outbox,
+    ) -> Option<TakenLease> {
+        let spread = out.random.random_range(0..ATTEMPT_SPREAD.as_millis() as u64);
+        self.attempt_at = out.now + Duration::from_millis(spread);
+        match reply {
+            StoreReply::Committed(version) => {
+                self.changed_at = Some(out.now);
+                Some(TakenLease {
+                    generation: attempt.generation,
+                    fence_version: *version,
+                    taken_at: attempt.sent_at,
+                })
+            }
+            StoreReply::Conflict(rows) => {
+                self.take_rows(&rows.clone(), out);
+                None
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/leader/intake.rs
@@ -0,0 +1,253 @@
+//! Learns of jobs and of wishes to cancel them.
+
+use magnoliapin_model::RowVersion;
+use magnoliapin_site::JobId;
+use magnoliapin_site::JobState;
+use magnoliapin_site::RowRange;
+use magnoliapin_site::StoreReply;
+use magnoliapin_site::StoreRequest;
+use magnoliapin_site::StoreRow;
+
+use crate::leader::job::Job;
+use crate::leader::job::JobKey;
+use crate::leader::job::Occurrence;
+use crate::leader::recovery::next_page;
+use crate::leader::Leader;
+use crate::leader::LeaderCall;
+use crate::outbox::Outbox;
+use crate::rows;
+use crate::rows::FenceRow;
+use crate::rows::IntakeKey;
+use crate::rows::JobRow;
+use crate::rows::ProgressRow;
+use crate::watch::Watch;
+use crate::watch::WatchKind;
+use crate::watch::WatchNews;
+use crate::CallId;
+
+/// Where a second reading of all jobs stands.
+#[derive(Debug, Default)]
+pub(crate) struct Reload {
+    /// Partitions that are not read yet.
+    waiting: u32,
+    /// Version from which changes are watched afterwards.
+    from: Option<RowVersion>,
+}
+
+impl Leader {
+    /// Makes the next calls of the watches.
+    pub(super) fn poll_watches(&mut self, out: &mut Outbox) {
+        if let Some(watch) = &mut self.intake {
+            watch.poll(&self.identity.times, out);
+        }
+        self.registrations.poll(&self.identity.times, out);
+    }
+
+    /// Takes the answer of a watch; returns whether the call was one.
+    pub(super) fn take_watch_reply(
+        &mut self,
+        call: CallId,
+        reply: &StoreReply,
+        out: &mut Outbox,
+    ) -> bool {
+        if let Some(news) = self.registrations.take_reply(call, reply, out) {
+            self.take_registrations(news, out);
+            return true;
+        }
+        let news = self.intake.as_mut().and_then(|watch| watch.take_reply(call, reply, out));
+        match news {
+            Some(WatchNews::Changed(StoreReply::Rows { rows, .. })) => {
+                for row in &rows {
+                    self.take_intake_row(row, false, out);
+                }
+                // The next call leaves at once, so that no job waits for a tick.
+                self.poll_watches(out);
+                true
+            }
+            Some(WatchNews::Lost) => {
+                log::warn!("event=intake_history_lost generation={}", self.generation);
+                // Whatever came meanwhile is read with everything else.
+                self.reload_jobs(out);
+                true
+            }
+            Some(_) => true,
+            None => false,
+        }
+    }
+
+    /// Takes a row of the table of jobs.
+    pub(super) fn take_intake_row(&mut self, row: &StoreRow, is_inherited: bool, out: &mut Outbox) {
+        let Some(key) = IntakeKey::read(&row.key) else {
+            log::error!("event=row_unknown table={} key={:?}", rows::INTAKE, row.key);
+            return;
+        };
+        let Some(value) = row.value.as_deref() else {
+            return;
+        };
+        match key {
+            IntakeKey::Fence => {
+                let fence: Option<FenceRow> = rows::decode(value);
+                if fence.is_some_and(|fence| fence.generation > self.generation) {
+                    self.depose("a partition has a newer fence");
+                }
+            }
+            IntakeKey::Job(job) => match rows::decode::<JobRow>(value) {
+                Some(decoded) => self.add_job(job, decoded, is_inherited, out),
+                None => log::error!("event=row_unreadable table={} job={job}", rows::INTAKE),
+            },
+            IntakeKey::Cancel(job) => self.cancel_job(job, out),
+        }
+    }
+
+    fn add_job(&mut self, id: JobId, row: JobRow, is_inherited: bool, out: &mut Outbox) {
+        if self.job_keys.contains_key(&id) {
+            return;
+        }
+        self.last_job += 1;
+        let key = JobKey(self.last_job);
+        let job = Job {
+            id,
+            part: rows::part_of(id, self.identity.parts),
+            queue: row.queue,
+            pool: row.pool.clone(),
+            team: row.team,
+            spec: row.spec,
+            accepted_at: out.moment_of(row.accepted_at),
+            is_inherited,
+            occurrences: Vec::new(),
+            next_occurrence: 0,
+            done_occurrences: 0,
+            progress_version: RowVersion(0),
+            has_cancel_row: false,
+            ending: None,
+            has_started: false,
+            changes: 0,
+            stored_changes: 0,
+            rule: row.rule,
+        };
+        log::info!(
+            "event=job_learned job={id} queue={} pool={} age_ms={} inherited={is_inherited}",
+            job.queue,
+            job.pool,
+            out.now.since(job.accepted_at).as_millis()
+        );
+        let facts = self.queue_facts.entry(job.queue.clone()).or_default();
+        if !job.spec.is_long_running() {
+            facts.note_job(&job.spec);
+        }
+        let pool = job.pool.clone();
+        self.job_keys.insert(id, key);
+        self.pools.entry(pool.clone()).or_default().jobs.insert(key);
+        self.jobs.insert(key, job);
+        self.begin_due(key, out);
+        self.stir(&pool);
+    }
+
+    /// Takes what was stored of a job.
+    pub(super) fn restore_job(
+        &mut self,
+        id: JobId,
+        row: &ProgressRow,
+        version: RowVersion,
+        out: &mut Outbox,
+    ) {
+        let Some(job) = self.job_keys.get(&id).and_then(|key| self.jobs.get_mut(key)) else {
+            log::warn!("event=progress_without_job job={id} version={version}");
+            return;
+        };
+        job.progress_version = version;
+        job.occurrences.clear();
+        job.next_occurrence = 0;
+        let accepted_at = job.accepted_at;
+        let due: Vec<_> =
+            (0..job.spec.occurrences()).map(|number| job.spec.due_at(number)).collect();
+        job.restore(row, |number| {
+            let due = due.get(number as usize).copied().flatten();
+            due.map_or(accepted_at, |due| out.moment_of(due))
+        });
+        job.has_started = true;
+        if job.is_done() && job.ending.is_none() {
+            let key = self.job_keys[&id];
+            self.end_job(key, JobState::Completed, out);
+        }
+    }
+
+    /// Begins the occurrences whose time has come.
+    pub(super) fn begin_occurrences(&mut self, out: &mut Outbox) {
+        let waits = |job: &Job| job.next_occurrence < job.spec.occurrences();
+        let due: Vec<JobKey> =
+            self.jobs.iter().filter(|(_, job)| waits(job)).map(|(key, _)| *key).collect();
+        for key in due {
+            self.begin_due(key, out);
+        }
+    }
+
+    fn begin_due(&mut self, key: JobKey, out: &mut Outbox) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let before = job.next_occurrence;
+        while job.next_occurrence < job.spec.occurrences() {
+            let number = job.next_occurrence;
+            let due_at = match job.spec.due_at(number) {
+                Some(due) if due > out.wall_now() => break,
+                Some(due) => out.moment_of(due),
+                None => job.accepted_at,
+            };
+            job.occurrences.push(Occurrence::new(number, due_at, &job.spec));
+            job.next_occurrence += 1;
+        }
+        if job.next_occurrence > before {
+            let pool = job.pool.clone();
+            self.stir(&pool);
+        }
+    }
+
+    fn cancel_job(&mut self, id: JobId, out: &mut Outbox) {
+        let Some(key) = self.job_keys.get(&id).copied() else { return };
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        job.has_cancel_row = true;
+        if job.ending.is_none() {
+            self.end_job(key, JobState::Cancelled, out);
+        }
+    }
+
+    /// Reads all jobs again, as changes have been missed.
+    fn reload_jobs(&mut self, out: &mut Outbox) {
+        self.intake = None;
+        self.reload = Reload { waiting: self.identity.parts, from: None };
+        for part in 0..self.identity.parts {
+            self.reload_part(part, String::new(), out);
+        }
+    }
+
+    fn reload_part(&mut self, part: u32, from: String, out: &mut Outbox) {
+        let range =
+            RowRange { from: from.clone(), ..RowRange::whole(rows::INTAKE, part.to_string()) };
+        let timeout = self.identity.times.store_timeout;
+        self.call(LeaderCall::ReloadJobs(part, from), StoreRequest::Read(range), timeout, out);
+    }
+
+    /// Takes a page of the jobs that are read again.
+    pub(super) fn take_reload(
+        &mut self,
+        part: u32,
+        from: String,
+        reply: &StoreReply,
+        out: &mut Outbox,
+    ) {
+        let StoreReply::Rows { rows, has_more, version } = reply else {
+            return self.reload_part(part, from, out);
+        };
+        let oldest = self.reload.from.map_or(*version, |from| from.min(*version));
+        self.reload.from = Some(oldest);
+        for row in rows {
+            self.take_intake_row(row, false, out);
+        }
+        if let Some(next) = next_page(rows, *has_more) {
+            return self.reload_part(part, next, out);
+        }
+        self.reload.waiting -= 1;
+        if self.reload.waiting == 0 {
+            self.intake = Some(Watch::new_after(WatchKind::Intake, oldest));
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/leader/job.rs
@@ -0,0 +1,283 @@
+//! A job that has not ended, with the state of each of its tasks.
+
+use magnoliapin_model::Moment;
+use magnoliapin_model::RowVersion;
+use magnoliapin_site::JobId;
+use magnoliapin_site::JobSpec;
+use magnoliapin_site::JobState;
+use magnoliapin_site::PoolName;
+use magnoliapin_site::QueueName;
+use magnoliapin_site::StepSpec;
+use magnoliapin_site::TaskName;
+use magnoliapin_site::TeamName;
+
+use crate::leader::target::TargetKey;
+use crate::rows::JobRule;
+use crate::rows::OccurrenceProgress;
+use crate::rows::ProgressRow;
+
+/// Place of a job in the book.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct JobKey(pub(crate) u64);
+
+/// A job that has not ended.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) id: JobId,
+    pub(crate) part: u32,
+    pub(crate) queue: QueueName,
+    pub(crate) pool: PoolName,
+    pub(crate) team: Option<TeamName>,
+    pub(crate) spec: JobSpec,
+    /// When it was accepted, on this process's clock.
+    pub(crate) accepted_at: Moment,
+    /// Whether it was accepted before this scheduler took over, so that the one before may have
+    /// started tasks of it.
+    pub(crate) is_inherited: bool,
+    /// Occurrences that have begun and are not done.
+    pub(crate) occurrences: Vec<Occurrence>,
+    /// Number of the next occurrence to begin.
+    pub(crate) next_occurrence: u32,
+    /// Occurrences that are done.
+    pub(crate) done_occurrences: u32,
+    /// Version of the row of its progress; 0 if there is none.
+    pub(crate) progress_version: RowVersion,
+    /// Whether the wish to cancel it is stored.
+    pub(crate) has_cancel_row: bool,
+    /// Final state that is being stored.
+    pub(crate) ending: Option<JobState>,
+    /// Whether a task has started.
+    pub(crate) has_started: bool,
+    /// Counts changes that must be stored.
+    pub(crate) changes: u64,
+    /// Changes that are stored.
+    pub(crate) stored_changes: u64,
+    /// What its queue said of it when it was accepted.
+    pub(crate) rule: JobRule,
+}
+
+/// One time that the steps of a job run.
+#[derive(Debug)]
+pub(crate) struct Occurrence {
+    pub(crate) number: u32,
+    /// When it is due, on this process's clock.
+    pub(crate) due_at: Moment,
+    pub(crate) steps: Vec<Step>,
+}
+
+/// One step of an occurrence.
+#[derive(Debug, Default)]
+pub(crate) struct Step {
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) done: u32,
+    pub(crate) waiting: u32,
+    /// Whether every step that it waits for is done.
+    pub(crate) is_open: bool,
+}
+
+/// One task.
+#[derive(Debug, Default)]
+pub(crate) struct Task {
+    pub(crate) state: TaskState,
+    /// Highest number of a run so far.
+    pub(crate) attempt: u32,
+    pub(crate) failures: u32,
+    pub(crate) checkpoint: Option<String>,
+    /// Target at which it failed or got stuck last.
+    pub(crate) avoid: Option<TargetKey>,
+    /// When it was last at work; for tasks that last.
+    pub(crate) away_since: Option<Moment>,
+}
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum TaskState {
+    /// It waits for its turn or a target.
+    #[default]
+    Waiting,
+    /// It was started on a target.
+    Placed(TargetKey),
+    /// It has ended well.
+    Done,
+}
+
+impl Step {
+    fn new(spec: &StepSpec) -> Self {
+        let tasks = (0..spec.tasks).map(|_| Task::default()).collect();
+        Self { tasks, done: 0, waiting: spec.tasks, is_open: false }
+    }
+
+    /// Returns whether all tasks have ended well.
+    pub(crate) fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Changes the state of a task and keeps the counts.
+    pub(crate) fn set_state(&mut self, index: u32, state: TaskState) {
+        let Some(task) = self.tasks.get_mut(index as usize) else {
+            return;
+        };
+        let before = std::mem::replace(&mut task.state, state);
+        match before {
+            TaskState::Waiting => self.waiting -= 1,
+            TaskState::Done => self.done -= 1,
+            TaskState::Placed(_) => {}
+        }
+        match state {
+            TaskState::Waiting => self.waiting += 1,
+            TaskState::Done => self.done += 1,
+            TaskState::Placed(_) => {}
+        }
+    }
+}
+
+impl Occurrence {
+    /// Makes an occurrence none of whose tasks has started.
+    pub(crate) fn new(number: u32, due_at: Moment, spec: &JobSpec) -> Self {
+        let steps = spec.steps.iter().map(Step::new).collect();
+        let mut occurrence = Self { number, due_at, steps };
+        occurrence.open_steps(spec);
+        occurrence
+    }
+
+    /// Opens the steps whose earlier steps are done.
+    pub(crate) fn open_steps(&mut self, spec: &JobSpec) {
+        for (number, step) in spec.steps.iter().enumerate() {
+            let is_open = step.after.iter().all(|after| self.steps[usize::from(*after)].is_done());
+            self.steps[number].is_open = is_open;
+        }
+    }
+
+    /// Returns whether all steps are done.
+    pub(crate) fn is_done(&self) -> bool {
+        self.steps.iter().all(Step::is_done)
+    }
+
+    /// Takes what was stored of the occurrence.
+    fn restore(&mut self, progress: &OccurrenceProgress, spec: &JobSpec) {
+        for (number, bits) in progress.done.iter().enumerate() {
+            let Some(step) = self.steps.get_mut(number) else { continue };
+            for index in 0..step.tasks.len() {
+                if bits.get(index / 8).is_some_and(|byte| byte & (1 << (index % 8)) != 0) {
+                    step.set_state(index as u32, TaskState::Done);
+                }
+            }
+        }
+        for (step, index, failures) in &progress.failures {
+            if let Some(task) = self.task_mut(*step, *index) {
+                task.failures = *failures;
+            }
+        }
+        for (step, index, checkpoint) in &progress.checkpoints {
+            if let Some(task) = self.task_mut(*step, *index) {
+                task.checkpoint = Some(checkpoint.clone());
+            }
+        }
+        self.open_steps(spec);
+    }
+
+    fn task_mut(&mut self, step: u16, index: u32) -> Option<&mut Task> {
+        self.steps.get_mut(usize::from(step))?.tasks.get_mut(index as usize)
+    }
+
+    fn progress(&self) -> OccurrenceProgress {
+        let mut progress = OccurrenceProgress { number: self.number, ..Default::default() };
+        for (number, step) in self.steps.iter().enumerate() {
+            let mut bits = vec![0_u8; step.tasks.len().div_ceil(8)];
+            for (index, task) in step.tasks.iter().enumerate() {
+                if task.state == TaskState::Done {
+                    bits[index / 8] |= 1 << (index % 8);
+                    continue;
+                }
+                let place = (number as u16, index as u32);
+                if task.failures > 0 {
+                    progress.failures.push((place.0, place.1, task.failures));
+                }
+                if let Some(checkpoint) = &task.checkpoint {
+                    progress.checkpoints.push((place.0, place.1, checkpoint.clone()));
+                }
+            }
+            progress.done.push(bits);
+        }
+        progress
+    }
+}
+
+impl Job {
+    /// Returns an occurrence that is not done.
+    pub(crate) fn occurrence(&self, number: u32) -> Option<&Occurrence> {
+        self.occurrences.iter().find(|occurrence| occurrence.number == number)
+    }
+
+    /// Returns an occurrence that is not done, for changes.
+    pub(crate) fn occurrence_mut(&mut self, number: u32) -> Option<&mut Occurrence> {
+        self.occurrences.iter_mut().find(|occurrence| occurrence.number == number)
+    }
+
+    /// Returns the step of a task, for changes.
+    pub(crate) fn step_mut(&mut self, task: TaskName) -> Option<&mut Step> {
+        self.occurrence_mut(task.occurrence)?.steps.get_mut(usize::from(task.step))
+    }
+
+    /// Returns a task.
+    pub(crate) fn task(&self, task: TaskName) -> Option<&Task> {
+        let step = self.occurrence(task.occurrence)?.steps.get(usize::from(task.step))?;
+        step.tasks.get(task.index as usize)
+    }
+
+    /// Returns a task, for changes.
+    pub(crate) fn task_mut(&mut self, task: TaskName) -> Option<&mut Task> {
+        self.step_mut(task)?.tasks.get_mut(task.index as usize)
+    }
+
+    /// Returns the description of a task's step.
+    pub(crate) fn step_spec(&self, task: TaskName) -> Option<&StepSpec> {
+        self.spec.steps.get(usize::from(task.step))
+    }
+
+    /// Returns whether all occurrences are done.
+    pub(crate) fn is_done(&self) -> bool {
+        self.occurrences.is_empty() && self.done_occurrences >= self.spec.occurrences()
+    }
+
+    /// Returns whether a task waits in an open step.
+    pub(crate) fn has_waiting(&self) -> bool {
+        self.ending.is_none()
+            && self.occurrences.iter().any(|occurrence| {
+                occurrence.steps.iter().any(|step| step.is_open && step.waiting > 0)
+            })
+    }
+
+    /// Takes what was stored of the job.
+    pub(crate) fn restore(&mut self, row: &ProgressRow, due_at: impl Fn(u32) -> Moment) {
+        for progress in &row.occurrences {
+            self.next_occurrence = self.next_occurrence.max(progress.number + 1);
+            if progress.is_done {
+                self.done_occurrences += 1;
+                continue;
+            }
+            let due_at = due_at(progress.number);
+            let mut occurrence = Occurrence::new(progress.number, due_at, &self.spec);
+            occurrence.restore(progress, &self.spec);
+            if occurrence.is_done() {
+                self.done_occurrences += 1;
+            } else {
+                self.occurrences.push(occurrence);
+            }
+        }
+    }
+
+    /// Returns what must be stored of the job.
+    pub(crate) fn progress(&self) -> ProgressRow {
+        let open: Vec<u32> = self.occurrences.iter().map(|open| open.number).collect();
+        let done = (0..self.next_occurrence).filter(|number| !open.contains(number));
+        let done = done.map(|number| OccurrenceProgress {
+            number,
+            is_done: true,
+            ..OccurrenceProgress::default()
+        });
+        let mut occurrences: Vec<_> = done.collect();
+        occurrences.extend(self.occurrences.iter().map(Occurrence::progress));
+        ProgressRow { occurrences }
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -0,0 +1,208 @@
+//! Learns which targets there are.
+
+use magnoliapin_model::RowVersion;
+use magnoliapin_site::StoreReply;
+use magnoliapin_site::StoreRequest;
+use magnoliapin_site::StoreTransaction;
+use magnoliapin_site::TargetChange;
+use magnoliapin_site::TargetName;
+use magnoliapin_site::TargetRecord;
+
+use crate::leader::target::Target;
+use crate::leader::target::TargetKey;
+use crate::leader::Leader;
+use crate::leader::LeaderCall;
+use crate::outbox::Outbox;
+use crate::rows;
+use crate::rows::LedRow;
+use crate::watch::WatchNews;
+
+/// Rows that one transaction about targets changes.
+const ROWS_PER_CALL: usize = 40;
+
+impl Leader {
+    /// Takes news about registrations.
+    pub(super) fn take_registrations(&mut self, news: WatchNews, out: &mut Outbox) {
+        match news {
+            WatchNews::Read(StoreReply::Targets { changes, .. }) => {
+                self.listed.extend(changes.iter().filter_map(listed_name).cloned());
+                self.take_target_changes(changes, out);
+                if !self.registrations.is_reading() {
+                    self.drop_unlisted(out);
+                }
+            }
+            WatchNews::Changed(StoreReply::Targets { changes, .. }) => {
+                self.take_target_changes(changes, out);
+            }
+            WatchNews::Lost => {
+                log::warn!("event=registration_history_lost generation={}", self.generation);
+                self.listed.clear();
+            }
+            _ => {}
+        }
+    }
+
+    fn take_target_changes(&mut self, changes: Vec<TargetChange>, out: &mut Outbox) {
+        for change in changes {
+            match change {
+                TargetChange::Registered(record) => self.take_record(record, out),
+                TargetChange::Removed(name) => self.note_missing(&name, out),
+                TargetChange::Unusable(name, why) => {
+                    log::warn!("event=registration_unusable target={name} why={why:?}");
+                    self.note_missing(&name, out);
+                }
+            }
+        }
+    }
+
+    /// Notes that targets which a complete list leaves out are not registered any more.
+    fn drop_unlisted(&mut self, out: &mut Outbox) {
+        let listed = std::mem::take(&mut self.listed);
+        let missing: Vec<TargetName> =
+            self.target_keys.keys().filter(|name| !listed.contains(*name)).cloned().collect();
+        for name in missing {
+            self.note_missing(&name, out);
+        }
+    }
+
+    fn note_missing(&mut self, name: &TargetName, out: &mut Outbox) {
+        let key = self.target_keys.get(name);
+        let Some(target) = key.and_then(|key| self.targets.get_mut(key)) else {
+            return;
+        };
+        if target.missing_since.is_none() {
+            log::info!("event=target_missing target={name} runs={}", target.runs.len());
+            target.missing_since = Some(out.now);
+        }
+    }
+
+    pub(super) fn take_record(&mut self, record: TargetRecord, out: &mut Outbox) {
+        let Some(key) = self.target_keys.get(&record.name).copied() else {
+            self.add_target(record, out);
+            return;
+        };
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        if target.born_at() > record.born_at {
+            // A report of the present life came before its registration.
+            return;
+        }
+        if target.born_at() != record.born_at || target.record.pool != record.pool {
+            log::info!(
+                "event=target_reborn target={} before={} now={}",
+                record.name,
+                target.born_at(),
+                record.born_at
+            );
+            self.remove_target(key, "it began another life", out);
+            self.add_target(record, out);
+            return;
+        }
+        if target.record.state != record.state {
+            log::info!(
+                "event=target_state target={} state={:?} runs={}",
+                record.name,
+                record.state,
+                target.runs.len()
+            );
+        }
+        target.missing_since = None;
+        target.record = record;
+        let pool = target.record.pool.clone();
+        self.stir(&pool);
+    }
+
+    fn add_target(&mut self, record: TargetRecord, out: &mut Outbox) {
+        log::info!(
+            "event=target_learned target={} pool={} zone={} state={:?} born={}",
+            record.name,
+            record.pool,
+            record.zone,
+            record.state,
+            record.born_at
+        );
+        self.last_target += 1;
+        let key = TargetKey(self.last_target);
+        self.target_keys.insert(record.name.clone(), key);
+        self.pools.entry(record.pool.clone()).or_default().targets.insert(key);
+        self.targets.insert(key, Target::new(record, out.now));
+    }
+
+    /// Forgets a life of a target on which nothing can run any more.
+    pub(super) fn remove_target(&mut self, key: TargetKey, why: &str, out: &mut Outbox) {
+        let Some(target) = self.targets.swap_remove(&key) else { return };
+        let name = target.record.name.clone();
+        log::info!("event=target_gone target={name} runs={} why={why:?}", target.runs.len());
+        self.target_keys.swap_remove(&name);
+        if let Some(pool) = self.pools.get_mut(&target.record.pool) {
+            pool.targets.swap_remove(&key);
+        }
+        for (task, run) in target.runs {
+            self.release_team(&run);
+            self.lose_run(key, task, run.attempt, out);
+        }
+        if self.old_lives.get(&name) == Some(&target.record.born_at) {
+            self.old_lives.swap_remove(&name);
+        }
+        if let Some(version) = target.led_version {
+            self.forget_target(&name, version, out);
+        }
+    }
+
+    /// Tells the store which targets may run something, before anything is started there.
+    pub(super) fn record_targets(&mut self, out: &mut Outbox) {
+        if self.calls.values().any(|call| matches!(call, LeaderCall::RecordLed(_))) {
+            return;
+        }
+        let Some(fence) = self.parts[0].load.fence() else { return };
+        let unrecorded = self.targets.iter().filter(|(_, target)| {
+            target.is_led && target.led_version.is_none() && target.missing_since.is_none()
+        });
+        let keys: Vec<TargetKey> = unrecorded.map(|(key, _)| *key).take(ROWS_PER_CALL).collect();
+        if keys.is_empty() {
+            return;
+        }
+        let mut transaction = StoreTransaction::default().with_expected(rows::fence_row(0), fence);
+        for key in &keys {
+            let record = &self.targets[key].record;
+            let value = rows::encode(&LedRow { born_at: record.born_at });
+            transaction.writes.push((rows::led_row(&record.name), value));
+        }
+        let timeout = self.identity.times.store_timeout;
+        let request = StoreRequest::Commit(transaction);
+        self.call(LeaderCall::RecordLed(keys), request, timeout, out);
+    }
+
+    /// Takes the answer to a record of targets.
+    pub(super) fn take_recorded(&mut self, keys: &[TargetKey], reply: &StoreReply) {
+        match reply {
+            StoreReply::Committed(version) => {
+                for key in keys {
+                    if let Some(target) = self.targets.get_mut(key) {
+                        target.led_version = Some(*version);
+                        let pool = target.record.pool.clone();
+                        self.stir(&pool);
+                    }
+                }
+            }
+            StoreReply::Conflict(_) => self.depose("the fence has changed"),
+            _ => {}
+        }
+    }
+
+    fn forget_target(&mut self, name: &TargetName, version: RowVersion, out: &mut Outbox) {
+        let Some(fence) = self.parts[0].load.fence() else { return };
+        let transaction = StoreTransaction::default()
+            .with_expected(rows::fence_row(0), fence)
+            .with_expected(rows::led_row(name), version)
+            .with_removal(rows::led_row(name));
+        let timeout = self.identity.times.store_timeout;
+        self.call(LeaderCall::ForgetLed, StoreRequest::Commit(transaction), timeout, out);
+    }
+}
+
+fn listed_name(change: &TargetChange) -> Option<&TargetName> {
+    match change {
+        TargetChange::Registered(record) => Some(&record.name),
+        TargetChange::Removed(_) | TargetChange::Unusable(..) => None,
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -0,0 +1,230 @@
+//! A target as the scheduler leads it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use magnoliapin_model::Moment;
+use magnoliapin_model::RowVersion;
+use magnoliapin_model::UnixMillis;
+use magnoliapin_site::JobId;
+use magnoliapin_site::Resources;
+use magnoliapin_site::TargetRecord;
+use magnoliapin_site::TargetState;
+use magnoliapin_site::TaskName;
+use magnoliapin_site::TeamName;
+
+use crate::leader::job::JobKey;
+use crate::times::CLOCK_DRIFT;
+use crate::times::LEASE_SLACK;
+use crate::CallId;
+use crate::NodeTimes;
+
+/// Place of a target in the book.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct TargetKey(pub(crate) u64);
+
+/// A target as the scheduler leads it: one life of it.
+#[derive(Debug)]
+pub(crate) struct Target {
+    /// Its registration, as it was last.
+    pub(crate) record: TargetRecord,
+    /// When the registration went missing; none while it is there.
+    pub(crate) missing_since: Option<Moment>,
+    /// Version of the row that tells the store that the target may run something.
+    pub(crate) led_version: Option<RowVersion>,
+    /// Whether it has reported under this scheduler's epoch.
+    pub(crate) is_led: bool,
+    /// Whether it is about to be moved or maintained and gets no new work.
+    pub(crate) is_reserved: bool,
+    /// Runs that are on it or may be.
+    pub(crate) runs: IndexMap<TaskName, Run>,
+    /// What the runs take.
+    pub(crate) used: Resources,
+    /// Its clock, and when that was read.
+    pub(crate) clock: Option<ClockReading>,
+    /// Latest end of a lease that was sent to it, on its clock.
+    pub(crate) lease_until_ms: u64,
+    /// What the hold loop does.
+    pub(crate) hold: HoldState,
+    /// Holds that failed since the last one that was answered.
+    pub(crate) failed_holds: u32,
+    /// Ends up to this number are dealt with, though perhaps not stored.
+    pub(crate) seen_end: u64,
+    /// Ends up to this number are stored.
+    pub(crate) stored_end: u64,
+    /// Ends that wait to be stored.
+    pub(crate) unstored: VecDeque<UnstoredEnd>,
+    /// What is known of its health.
+    pub(crate) health: TargetHealth,
+}
+
+/// What is known of a target's health.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TargetHealth {
+    /// Runs of one-time tasks that failed in a row.
+    pub(crate) failures_in_row: u32,
+    /// No new work before this.
+    pub(crate) shunned_until: Option<Moment>,
+}
+
+/// A reading of a target's clock.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ClockReading {
+    /// What it showed, in milliseconds.
+    pub(crate) clock_ms: u64,
+    /// When the reading arrived.
+    pub(crate) read_at: Moment,
+}
+
+/// What the hold loop of a target does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HoldState {
+    /// Waits until the moment, or until all ends are stored.
+    Pausing(Moment),
+    /// A call is in flight, sent at the moment.
+    InFlight(CallId, Moment),
+}
+
+/// An end that must be stored before the target may forget it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UnstoredEnd {
+    pub(crate) number: u64,
+    /// Job and its change that holds the end; none if nothing needs to be stored.
+    pub(crate) change: Option<(JobId, u64)>,
+}
+
+/// A run that is on a target or may be.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) attempt: u32,
+    /// The job, if it is known and open.
+    pub(crate) job: Option<JobKey>,
+    pub(crate) team: Option<TeamName>,
+    pub(crate) demand: Resources,
+    pub(crate) is_long: bool,
+    pub(crate) stage: RunStage,
+    /// When its start was sent first, or when it was found.
+    pub(crate) since: Moment,
+    /// When the target confirmed it.
+    pub(crate) confirmed_at: Option<Moment>,
+    pub(crate) percent: u32,
+    /// When its progress last changed.
+    pub(crate) progressed_at: Moment,
+    /// Orders about it that had no answer.
+    pub(crate) unanswered: u32,
+    /// Run time as its client estimated it, in milliseconds.
+    pub(crate) estimate_ms: u64,
+}
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunStage {
+    /// Its start was sent and is not confirmed.
+    Starting,
+    /// It runs.
+    Running,
+    /// It is to be stopped.
+    Stopping,
+}
+
+impl Target {
+    /// Makes a target that has not reported yet.
+    pub(crate) fn new(record: TargetRecord, now: Moment) -> Self {
+        Self {
+            record,
+            missing_since: None,
+            led_version: None,
+            is_led: false,
+            is_reserved: false,
+            runs: IndexMap::new(),
+            used: Resources::NONE,
+            clock: None,
+            lease_until_ms: 0,
+            hold: HoldState::Pausing(now),
+            failed_holds: 0,
+            seen_end: 0,
+            stored_end: 0,
+            unstored: VecDeque::new(),
+            health: TargetHealth::default(),
+        }
+    }
+
+    /// Returns when its life began.
+    pub(crate) fn born_at(&self) -> UnixMillis {
+        self.record.born_at
+    }
+
+    /// Returns what is free.
+    pub(crate) fn free(&self) -> Resources {
+        self.record.capacity.less(self.used)
+    }
+
+    /// Returns whether it may get new work.
+    pub(crate) fn is_open(&self, now: Moment, times: &NodeTimes) -> bool {
+        let is_registered =
+            self.missing_since.is_none_or(|since| now.since(since) < times.registration_grace);
+        self.is_led
+            && self.led_version.is_some()
+            && !self.is_reserved
+            && self.failed_holds == 0
+            && is_registered
+            && self.record.state == TargetState::Ready
+            && self.health.shunned_until.is_none_or(|until| now >= until)
+    }
+
+    /// Returns whether a label is one of its labels.
+    pub(crate) fn has_label(&self, label: &str) -> bool {
+        self.record.labels.iter().any(|own| own == label)
+    }
+
+    /// Adds a run and what it takes.
+    pub(crate) fn add_run(&mut self, task: TaskName, run: Run) {
+        self.used += run.demand;
+        if let Some(before) = self.runs.insert(task, run) {
+            self.used = self.used.less(before.demand);
+        }
+    }
+
+    /// Removes a run and what it takes.
+    pub(crate) fn remove_run(&mut self, task: TaskName) -> Option<Run> {
+        let run = self.runs.swap_remove(&task)?;
+        self.used = self.used.less(run.demand);
+        Some(run)
+    }
+
+    /// Estimates the target's clock at a moment.
+    pub(crate) fn clock_at(&self, at: Moment) -> Option<u64> {
+        let reading = self.clock?;
+        let later = u64::try_from(at.since(reading.read_at).as_millis()).unwrap_or(u64::MAX);
+        let earlier = u64::try_from(reading.read_at.since(at).as_millis()).unwrap_or(u64::MAX);
+        Some(reading.clock_ms.saturating_add(later).saturating_sub(earlier))
+    }
+
+    /// Returns the end of a lease that may be sent now, on the target's clock.
+    ///
+    /// It is bounded by `confirmed_at`, when the store last confirmed this scheduler: another one
+    /// may have taken over since, and counts on all leases being over [`NodeTimes::max_lease`]
+    /// after that.
+    pub(crate) fn next_lease(
+        &mut self,
+        now: Moment,
+        confirmed_at: Moment,
+        times: &NodeTimes,
+    ) -> Option<u64> {
+        let end = (now + times.task_lease).min(confirmed_at + times.max_lease);
+        let until = self.clock_at(end)?;
+        self.lease_until_ms = self.lease_until_ms.max(until);
+        Some(self.lease_until_ms)
+    }
+
+    /// Returns whether every lease that was sent to it is over for certain.
+    pub(crate) fn is_lease_over(&self, now: Moment) -> bool {
+        let Some(reading) = self.clock else {
+            return false;
+        };
+        let left_ms = self.lease_until_ms.saturating_sub(reading.clock_ms);
+        let left = Duration::from_millis(left_ms).div_f64(1.0 - CLOCK_DRIFT);
+        now > reading.read_at + left + LEASE_SLACK
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/machine.rs
@@ -0,0 +1,222 @@
+//! All decisions of one node.
+
+use magnoliapin_model::ConfigVersion;
+use magnoliapin_model::Moment;
+use magnoliapin_site::ClientAction;
+use magnoliapin_site::ClientRequest;
+use magnoliapin_site::NodeSettings;
+use magnoliapin_site::StoreReply;
+use magnoliapin_site::TargetReply;
+use rand::Rng;
+
+use crate::desk::Desk;
+use crate::election::Election;
+use crate::election::TakenLease;
+use crate::leader::Leader;
+use crate::leader::LeaderIdentity;
+use crate::outbox::Outbox;
+use crate::site_watch::SiteWatch;
+use crate::CallId;
+use crate::ClientId;
+use crate::NodeAction;
+use crate::NodeEvent;
+use crate::NodeTimes;
+
+/// Decides everything that a node does. It does no I/O and reads no clock.
+#[derive(Debug)]
+pub struct NodeMachine {
+    identity: LeaderIdentity,
+    out: Outbox,
+    site: SiteWatch,
+    election: Election,
+    desk: Desk,
+    leader: Option<Box<Leader>>,
+    is_stopping: bool,
+    was_ready: bool,
+}
+
+impl NodeMachine {
+    /// Makes the machine of a node that has just started.
+    pub fn new(settings: &NodeSettings, seed: u64) -> Self {
+        let mut out = Outbox::new(seed);
+        let times = NodeTimes::new(&settings.bounds);
+        let identity = LeaderIdentity {
+            node: settings.name.clone(),
+            incarnation: out.random.random(),
+            parts: settings.store_limits.parts(),
+            times,
+        };
+        Self {
+            site: SiteWatch::new(),
+            election: Election::new(settings.name.clone(), identity.incarnation),
+            desk: Desk::new(identity.parts, times.store_timeout),
+            leader: None,
+            is_stopping: false,
+            was_ready: false,
+            identity,
+            out,
+        }
+    }
+
+    /// Returns whether new connections of clients are welcome.
+    pub fn is_ready(&self) -> bool {
+        // The watches ask again within their wait; a store that has not answered for several of
+        // these takes no jobs from this node.
+        let longest = self.identity.times.watch_wait * 2 + self.identity.times.answer_slack;
+        let heard_at = self.site.heard_at().max(self.election.heard_at());
+        let is_heard = heard_at.is_some_and(|at| self.out.now.since(at) < longest);
+        self.site.config().is_some() && is_heard && !self.is_stopping
+    }
+
+    /// Returns whether this node schedules.
+    pub fn is_scheduler(&self) -> bool {
+        self.leader.is_some()
+    }
+
+    /// Returns the version of the configuration in force here.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.site.config().map(|config| config.version).unwrap_or_default()
+    }
+
+    /// Returns whether a planned stop is done: no client waits and another node may schedule.
+    pub fn is_stopped(&self) -> bool {
+        let has_let_go = self.leader.as_ref().is_none_or(|leader| leader.is_released());
+        self.is_stopping && has_let_go && self.desk.is_idle()
+    }
+
+    /// Takes one event and adds what is to be done to `actions`.
+    pub fn handle(&mut self, now: Moment, event: NodeEvent, actions: &mut Vec<NodeAction>) {
+        self.out.now = now.max(self.out.now);
+        match event {
+            NodeEvent::Tick => self.tick(),
+            NodeEvent::WallClock(wall) => self.out.set_wall(wall),
+            NodeEvent::Client(client, request) => self.take_request(client, *request),
+            NodeEvent::Store(call, reply) => self.take_store_reply(call, &reply),
+            NodeEvent::Target(call, reply) => self.take_target_reply(call, &reply),
+            NodeEvent::Instances(..) | NodeEvent::Advice(..) => {}
+            NodeEvent::Stop => self.stop(),
+        }
+        self.note_ready();
+        self.out.take_actions(actions);
+    }
+
+    /// Decides what follows from the events that were handled; called once after each batch.
+    pub fn finish(&mut self, actions: &mut Vec<NodeAction>) {
+        if let Some(leader) = &mut self.leader {
+            leader.finish(&mut self.out);
+        }
+        self.share_news();
+        self.out.take_actions(actions);
+    }
+
+    fn tick(&mut self) {
+        let times = self.identity.times;
+        self.site.poll(&times, &mut self.out);
+        let may_lead = self.leader.is_none() && self.site.config().is_some() && !self.is_stopping;
+        self.election.poll(may_lead, &times, &mut self.out);
+        self.desk.tick(&mut self.out);
+        if let Some(leader) = &mut self.leader {
+            leader.tick(&mut self.out);
+        }
+    }
+
+    fn take_request(&mut self, client: ClientId, request: ClientRequest) {
+        if matches!(request.action, ClientAction::Read) {
+            if let Some(leader) = &self.leader {
+                let open = |job| leader.open_state(job);
+                return self.desk.take_read(client, request, open, &mut self.out);
+            }
+        }
+        self.desk.take_request(client, request, &mut self.out);
+    }
+
+    fn take_store_reply(&mut self, call: CallId, reply: &StoreReply) {
+        if let Some(has_new_config) = self.site.take_reply(call, reply, &self.out) {
+            if has_new_config {
+                self.take_config();
+            }
+            self.site.poll(&self.identity.times, &mut self.out);
+            return;
+        }
+        let (is_taken, lease) = self.election.take_reply(call, reply, &mut self.out);
+        if let Some(lease) = lease {
+            self.begin_to_lead(lease);
+        }
+        if is_taken {
+            self.desk.set_waiting(self.election.waiting());
+            let is_overtaken = self
+                .leader
+                .as_ref()
+                .is_some_and(|leader| leader.generation() < self.election.generation());
+            if is_overtaken {
+                log::warn!("event=scheduler_overtaken by={}", self.election.generation());
+                self.leader = None;
+            }
+            return;
+        }
+        if self.desk.take_reply(call, reply, &mut self.out) {
+            return;
+        }
+        if let Some(leader) = &mut self.leader {
+            leader.take_store_reply(call, reply, &mut self.out);
+        }
+        self.drop_deposed();
+    }
+
+    fn take_target_reply(&mut self, call: CallId, reply: &TargetReply) {
+        if let Some(leader) = &mut self.leader {
+            leader.take_target_reply(call, reply, &mut self.out);
+        }
+        self.drop_deposed();
+    }
+
+    fn take_config(&mut self) {
+        let Some(config) = self.site.config().cloned() else { return };
+        self.desk.set_config(&config);
+        if let Some(leader) = &mut self.leader {
+            leader.set_config(config);
+        }
+    }
+
+    fn begin_to_lead(&mut self, lease: TakenLease) {
+        let Some(config) = self.site.config().cloned() else { return };
+        let leader = Leader::new(self.identity.clone(), lease, config, &mut self.out);
+        self.leader = Some(Box::new(leader));
+    }
+
+    fn drop_deposed(&mut self) {
+        if self.leader.as_ref().is_some_and(|leader| leader.is_deposed()) {
+            self.leader = None;
+        }
+    }
+
+    /// Tells the desk what the scheduler has done.
+    fn share_news(&mut self) {
+        let Some(leader) = &mut self.leader else { return };
+        let news = leader.take_news();
+        for (job, state) in news.ended {
+            self.desk.note_ended(job, state);
+        }
+        if news.was_renewed {
+            self.election.note_renewed(self.out.now);
+        }
+    }
+
+    fn stop(&mut self) {
+        if self.is_stopping {
+            return;
+        }
+        log::info!("event=stop_began scheduler={}", self.is_scheduler());
+        self.is_stopping = true;
+        if let Some(leader) = &mut self.leader {
+            leader.release(&mut self.out);
+        }
+    }
+
+    fn note_ready(&mut self) {
+        let is_ready = self.is_ready();
+        if std::mem::replace(&mut self.was_ready, is_ready) != is_ready {
+            log::info!("event=readiness ready={is_ready} config={}", self.config_version());
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/site_watch.rs
@@ -0,0 +1,111 @@
+//! Follows what the operator writes: the configuration and the waves.
+
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use magnoliapin_model::Moment;
+use magnoliapin_site::MaintenanceWave;
+use magnoliapin_site::SiteChange;
+use magnoliapin_site::SiteConfig;
+use magnoliapin_site::StoreReply;
+
+use crate::outbox::Outbox;
+use crate::watch::Watch;
+use crate::watch::WatchKind;
+use crate::watch::WatchNews;
+use crate::CallId;
+use crate::NodeTimes;
+
+/// Follows what the operator writes.
+#[derive(Debug)]
+pub(crate) struct SiteWatch {
+    watch: Watch,
+    config: Option<Rc<SiteConfig>>,
+    waves: IndexMap<u64, MaintenanceWave>,
+}
+
+impl SiteWatch {
+    /// Makes a watch that knows nothing.
+    pub(crate) fn new() -> Self {
+        Self { watch: Watch::new(WatchKind::Site), config: None, waves: IndexMap::new() }
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn config(&self) -> Option<&Rc<SiteConfig>> {
+        self.config.as_ref()
+    }
+
+    /// Returns when the store last answered, by when the call was sent.
+    pub(crate) fn heard_at(&self) -> Option<Moment> {
+        self.watch.heard_at()
+    }
+
+    /// Makes the next call.
+    pub(crate) fn poll(&mut self, times: &NodeTimes, out: &mut Outbox) {
+        self.watch.poll(times, out);
+    }
+
+    /// Takes the answer of a call; none if it was not this watch's, else whether the
+    /// configuration changed.
+    pub(crate) fn take_reply(
+        &mut self,
+        call: CallId,
+        reply: &StoreReply,
+        out: &Outbox,
+    ) -> Option<bool> {
+        let news = self.watch.take_reply(call, reply, out)?;
+        let (WatchNews::Read(reply) | WatchNews::Changed(reply)) = news else {
+            return Some(false);
+        };
+        let StoreReply::Site { changes, .. } = reply else {
+            return Some(false);
+        };
+        let mut has_new_config = false;
+        for change in changes {
+            has_new_config |= self.take_change(change);
+        }
+        Some(has_new_config)
+    }
+
+    fn take_change(&mut self, change: SiteChange) -> bool {
+        match change {
+            SiteChange::Config(config) => return self.take_config(*config),
+            SiteChange::Wave(wave) => {
+                if self.waves.get(&wave.wave) != Some(&wave) {
+                    log::info!(
+                        "event=wave_requested wave={} instances={} max_down={} duration_ms={}",
+                        wave.wave,
+                        wave.instances.len(),
+                        wave.max_down,
+                        wave.duration.as_millis()
+                    );
+                    self.waves.insert(wave.wave, wave);
+                }
+            }
+            SiteChange::WaveRemoved(wave) => {
+                if self.waves.shift_remove(&wave).is_some() {
+                    log::info!("event=wave_withdrawn wave={wave}");
+                }
+            }
+            SiteChange::Unreadable(why) => log::error!("event=site_row_unreadable why={why:?}"),
+        }
+        false
+    }
+
+    /// Takes a configuration, unless it is older than the one in force.
+    fn take_config(&mut self, config: SiteConfig) -> bool {
+        let current = self.config.as_ref().map(|config| config.version);
+        if current.is_some_and(|current| config.version <= current) {
+            return false;
+        }
+        log::info!(
+            "event=config_in_force version={} queues={} pools={} teams={}",
+            config.version,
+            config.queues.len(),
+            config.pools.len(),
+            config.teams.len()
+        );
+        self.config = Some(Rc::new(config));
+        true
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/times.rs
@@ -0,0 +1,58 @@
+//! Time bounds of a node's decisions.
+
+use std::time::Duration;
+
+use magnoliapin_site::SiteBounds;
+
+/// Time bounds, worked out from those of the site.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NodeTimes {
+    /// Time between two renewals of the scheduler's lease.
+    pub beat: Duration,
+    /// Silence of the scheduler after which another node takes over.
+    pub silence: Duration,
+    /// Time after which a call of the store has failed: over a hundred times what one takes.
+    pub store_timeout: Duration,
+    /// Longest wait of a watch, so that one that has gone silent is noticed.
+    pub watch_wait: Duration,
+    /// Time that an answer may take beyond the wait that was asked for.
+    pub answer_slack: Duration,
+    /// Lease of tasks on a target: outlasts a takeover, and the partitions that heal by
+    /// themselves.
+    pub task_lease: Duration,
+    /// Longest lease that a target grants; bounds what an unreachable target may still run.
+    pub max_lease: Duration,
+    /// How long a target may wait for an end before it answers a hold.
+    pub hold_wait: Duration,
+    /// Time after which an order to a target has failed.
+    pub order_timeout: Duration,
+    /// How long a registration may be missing while its target answers.
+    pub registration_grace: Duration,
+    /// How long the outcome of a job is kept.
+    pub outcome_retention: Duration,
+}
+
+impl NodeTimes {
+    /// Works the bounds out.
+    pub fn new(bounds: &SiteBounds) -> Self {
+        let beat = bounds.order_spacing / 6;
+        Self {
+            beat,
+            silence: beat * 3,
+            store_timeout: Duration::from_millis(1_000),
+            watch_wait: Duration::from_millis(1_000),
+            answer_slack: Duration::from_millis(700),
+            task_lease: (bounds.heartbeat * 4).min(bounds.max_lease),
+            max_lease: bounds.max_lease,
+            hold_wait: Duration::from_millis(2_000).min(bounds.max_lease / 4),
+            order_timeout: Duration::from_millis(400),
+            registration_grace: Duration::from_millis(2_500),
+            outcome_retention: bounds.outcome_retention,
+        }
+    }
+}
+
+/// How much slower than real time a target's clock may run.
+pub(crate) const CLOCK_DRIFT: f64 = 0.02;
+/// Time added to the end of a lease on a target whose clock is read from afar.
+pub(crate) const LEASE_SLACK: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/crates/magnoliapin_site/src/resources.rs
@@ -0,0 +1,75 @@
+//! What a task asks for and what a target offers.
+
+use std::fmt;
+use std::ops::Add;
+use std::ops::AddAssign;
+
+use magnoliapin_model::plain_data;
+
+plain_data! {
+    /// An amount of processor, memory and accelerators.
+    #[derive(Copy, Default, Eq, Hash)]
+    pub struct Resources {
+        /// Processor, in thousandths of a core.
+        pub cpu_milli: u32,
+        /// Memory, in mebibytes.
+        pub memory_mb: u32,
+        /// Accelerators, whole.
+        pub accelerators: u32,
+    }
+}
+
+impl Resources {
+    /// Nothing at all.
+    pub const NONE: Self = Self { cpu_milli: 0, memory_mb: 0, accelerators: 0 };
+
+    /// Returns whether this amount fits into `room`.
+    pub fn fits(self, room: Self) -> bool {
+        self.cpu_milli <= room.cpu_milli
+            && self.memory_mb <= room.memory_mb
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Returns what is left without `other`, with zero where that would be negative.
+    #[must_use]
+    pub fn less(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// Returns how often this amount fits into `room`, at most `most`.
+    pub fn count_in(self, room: Self, most: u32) -> u32 {
+        let times = |need: u32, have: u32| have.checked_div(need).unwrap_or(most);
+        times(self.cpu_milli, room.cpu_milli)
+            .min(times(self.memory_mb, room.memory_mb))
+            .min(times(self.accelerators, room.accelerators))
+            .min(most)
+    }
+}
+
+impl Add for Resources {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+}
+
+impl AddAssign for Resources {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl fmt::Display for Resources {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}m/{}MB/{}", self.cpu_milli, self.memory_mb, self.accelerators)
+    }
+}
