--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -232,8 +232,12 @@
         }
     }
 
-    /// Returns the state of a job that has not ended; none if it is not known here.
-    pub(crate) fn open_state(&self, job: JobId) -> Option<JobState> {
+    /// Returns the state of a job that has not ended; none if it is not known here, or if
+    /// another scheduler may know better.
+    pub(crate) fn open_state(&self, job: JobId, now: Moment) -> Option<JobState> {
+        if now.since(self.confirmed_at) > self.identity.times.silence {
+            return None;
+        }
         let job = self.jobs.get(self.job_keys.get(&job)?)?;
         Some(if job.has_started { JobState::Running } else { JobState::Queued })
     }
@@ -353,7 +357,7 @@
         if out.now > self.taken_at + longest {
             self.old_lives.clear();
         }
-        if self.old_lives.is_empty() {
+        if self.old_lives.is_empty() && !self.registrations.is_reading() {
             log::info!(
                 "event=runs_accounted generation={} after_ms={}",
                 self.generation,
--- a/crates/magnoliapin_scheduler/src/leader/ends.rs
+++ b/crates/magnoliapin_scheduler/src/leader/ends.rs
@@ -4,6 +4,7 @@
 use magnoliapin_site::JobId;
 use magnoliapin_site::JobState;
 use magnoliapin_site::RunEnd;
+use magnoliapin_site::RunId;
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TaskName;
 
@@ -54,7 +55,7 @@
         match ended.end {
             RunEnd::Done if !is_long => Some(self.take_done(job_key, key, task, out)),
             RunEnd::Failed if !is_long => {
-                let change = self.take_failed(job_key, key, task, out);
+                let change = self.take_failed(job_key, key, ended.run, out);
                 self.free_task(job_key, key, ended, out);
                 Some(change)
             }
@@ -125,14 +126,16 @@
         &mut self,
         job_key: JobKey,
         key: TargetKey,
-        task: TaskName,
+        failed: RunId,
         out: &mut Outbox,
     ) -> (JobId, u64) {
         let mut is_over = false;
         if let Some(job) = self.jobs.get_mut(&job_key) {
             let max_attempts = job.rule.max_attempts;
-            if let Some(known) = job.task_mut(task) {
+            let known = job.task_mut(failed.task);
+            if let Some(known) = known.filter(|known| known.failed_attempt < failed.attempt) {
                 known.failures += 1;
+                known.failed_attempt = failed.attempt;
                 known.avoid = Some(key);
                 is_over = known.failures >= max_attempts;
             }
--- a/crates/magnoliapin_scheduler/src/leader/holds.rs
+++ b/crates/magnoliapin_scheduler/src/leader/holds.rs
@@ -14,6 +14,7 @@
 use magnoliapin_site::TaskName;
 
 use crate::leader::job::TaskState;
+use crate::leader::registrations::TargetLoss;
 use crate::leader::target::ClockReading;
 use crate::leader::target::HoldState;
 use crate::leader::target::Run;
@@ -53,11 +54,14 @@
         let confirmed_at = self.confirmed_at;
         let Some(target) = self.targets.get_mut(&key) else { return };
         // A target answers at once while it lists ends that it may not forget.
-        let may_wait = target.is_led && target.unstored.is_empty() && target.failed_holds == 0;
+        let may_wait = target.is_led
+            && target.is_same_life
+            && target.unstored.is_empty()
+            && target.failed_holds == 0;
         let wait = if may_wait { times.hold_wait } else { Duration::ZERO };
         let lease_until_ms = target.next_lease(out.now, confirmed_at, &times);
-        let request =
-            TargetRequest::Hold { fence, stored_end: target.stored_end, lease_until_ms, wait };
+        let stored_end = if target.is_same_life { target.stored_end } else { 0 };
+        let request = TargetRequest::Hold { fence, stored_end, lease_until_ms, wait };
         let timeout = wait + times.answer_slack;
         let call = self.call_target(key, TargetCall::Hold(key, out.now), request, timeout, out);
         if let Some((target, call)) = self.targets.get_mut(&key).zip(call) {
@@ -74,6 +78,8 @@
         out: &mut Outbox,
     ) {
         let Some(target) = self.targets.get_mut(&key) else { return };
+        // A hold that was given up has been replaced by a later one.
+        let is_current = matches!(target.hold, HoldState::InFlight(_, at) if at == sent_at);
         match reply {
             TargetReply::Report(report) => {
                 if report.born_at.0 != 0 && report.born_at != target.born_at() {
@@ -84,9 +90,13 @@
             TargetReply::Refused { reason: StartRefusal::Fenced, .. } => {
                 self.depose("a target obeys a newer scheduler");
             }
-            TargetReply::OtherLife => self.remove_target(key, "another life answered", out),
+            TargetReply::OtherLife => self.remove_target(key, TargetLoss::OtherLife, out),
             TargetReply::Refused { .. } | TargetReply::Done { .. } | TargetReply::Failed(_) => {
+                if !is_current {
+                    return;
+                }
                 target.failed_holds += 1;
+                target.is_same_life = false;
                 target.hold = HoldState::Pausing(out.now + FAILED_PAUSE);
                 if target.failed_holds == 1 {
                     log::warn!(
@@ -108,8 +118,7 @@
             return;
         }
         record.born_at = report.born_at;
-        self.remove_target(key, "it reports another life", out);
-        self.take_record(record, out);
+        self.begin_life(key, record, out);
     }
 
     fn take_report(
@@ -134,9 +143,10 @@
             );
         }
         target.is_led = true;
+        target.is_same_life = true;
         let pool = target.record.pool.clone();
-        if self.old_lives.get(&target.record.name) == Some(&target.record.born_at) {
-            let name = target.record.name.clone();
+        let name = target.record.name.clone();
+        if self.old_lives.get(&name).is_some_and(|born| *born <= report.born_at) {
             self.old_lives.swap_remove(&name);
         }
         for ended in &report.ended {
@@ -162,6 +172,20 @@
         }
     }
 
+    /// Looks at the clock that an answer told. One that has jumped is that of another life, which
+    /// must report before anything else is started there.
+    pub(super) fn check_clock(&mut self, key: TargetKey, clock_ms: u64, out: &Outbox) {
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        if target.is_same_life && !target.is_own_clock(clock_ms, out.now) {
+            log::warn!(
+                "event=target_clock_jumped target={} clock_ms={clock_ms}",
+                target.record.name
+            );
+            target.is_same_life = false;
+            target.hold = HoldState::Pausing(out.now);
+        }
+    }
+
     /// Compares what a target runs with what it should run.
     fn reconcile(
         &mut self,
@@ -209,11 +233,15 @@
         let job_key = self.job_keys.get(&task.job).copied();
         let job = job_key.and_then(|job_key| self.jobs.get_mut(&job_key));
         let mut run = Run::found(row, out.now);
+        // What an unknown job asked for cannot be told, so nothing is started beside it.
+        run.demand =
+            self.targets.get(&key).map_or(Resources::NONE, |target| target.record.capacity);
         let mut is_wanted = false;
         if let Some(job) = job {
-            run.demand = job.step_spec(task).map_or(Resources::NONE, |step| step.demand);
+            run.demand = job.step_spec(task).map_or(run.demand, |step| step.demand);
             run.is_long = job.step_spec(task).is_some_and(|step| step.long_running);
             run.team.clone_from(&job.team);
+            run.is_unknown = false;
             is_wanted = job.ending.is_none()
                 && job.task(task).is_some_and(|known| known.state == TaskState::Waiting);
             if is_wanted {
@@ -230,6 +258,7 @@
         }
         if !is_wanted {
             run.stage = RunStage::Stopping;
+            self.due_orders.push((key, task));
         }
         log::info!(
             "event=run_found task={task} attempt={} target={} kept={is_wanted}",
@@ -262,7 +291,7 @@
     /// Gives up the targets whose leases are over and which do not answer, or which have left.
     pub(super) fn check_targets(&mut self, out: &mut Outbox) {
         let now = out.now;
-        let lost: Vec<(TargetKey, bool)> = self
+        let lost: Vec<(TargetKey, Option<TargetLoss>)> = self
             .targets
             .iter()
             .filter(|(_, target)| target.failed_holds > 0)
@@ -272,14 +301,18 @@
                     .missing_since
                     .is_some_and(|at| now.since(at) > self.identity.times.registration_grace);
                 let has_runs = !target.runs.is_empty();
-                (is_over && (is_gone || has_runs)).then_some((*key, is_gone))
+                let loss = match (is_gone, target.is_led) {
+                    (false, _) => None,
+                    (true, true) => Some(TargetLoss::LeaseOver),
+                    (true, false) => Some(TargetLoss::NeverHeard),
+                };
+                (is_over && (is_gone || has_runs)).then_some((*key, loss))
             })
             .collect();
-        for (key, is_gone) in lost {
-            if is_gone {
-                self.remove_target(key, "its registration and its lease are over", out);
-            } else {
-                self.lose_runs(key, out);
+        for (key, loss) in lost {
+            match loss {
+                Some(loss) => self.remove_target(key, loss, out),
+                None => self.lose_runs(key, out),
             }
         }
     }
@@ -333,6 +366,7 @@
             team: None,
             demand: Resources::NONE,
             is_long: false,
+            is_unknown: true,
             stage: RunStage::Running,
             since: now,
             confirmed_at: Some(now),
--- a/crates/magnoliapin_scheduler/src/leader/job.rs
+++ b/crates/magnoliapin_scheduler/src/leader/job.rs
@@ -7,6 +7,7 @@
 use magnoliapin_site::JobState;
 use magnoliapin_site::PoolName;
 use magnoliapin_site::QueueName;
+use magnoliapin_site::Resources;
 use magnoliapin_site::StepSpec;
 use magnoliapin_site::TaskName;
 use magnoliapin_site::TeamName;
@@ -15,6 +16,7 @@
 use crate::rows::JobRule;
 use crate::rows::OccurrenceProgress;
 use crate::rows::ProgressRow;
+use crate::rows::TaskFailures;
 
 /// Place of a job in the book.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -82,6 +84,8 @@
     /// Highest number of a run so far.
     pub(crate) attempt: u32,
     pub(crate) failures: u32,
+    /// Highest number of a run whose failure is counted.
+    pub(crate) failed_attempt: u32,
     pub(crate) checkpoint: Option<String>,
     /// Target at which it failed or got stuck last.
     pub(crate) avoid: Option<TargetKey>,
@@ -163,9 +167,11 @@
                 }
             }
         }
-        for (step, index, failures) in &progress.failures {
-            if let Some(task) = self.task_mut(*step, *index) {
-                task.failures = *failures;
+        for failed in &progress.failures {
+            if let Some(task) = self.task_mut(failed.step, failed.index) {
+                task.failures = failed.count;
+                task.failed_attempt = failed.attempt;
+                task.attempt = task.attempt.max(failed.attempt);
             }
         }
         for (step, index, checkpoint) in &progress.checkpoints {
@@ -189,12 +195,13 @@
                     bits[index / 8] |= 1 << (index % 8);
                     continue;
                 }
-                let place = (number as u16, index as u32);
+                let (step, index) = (number as u16, index as u32);
                 if task.failures > 0 {
-                    progress.failures.push((place.0, place.1, task.failures));
+                    let (count, attempt) = (task.failures, task.failed_attempt);
+                    progress.failures.push(TaskFailures { step, index, count, attempt });
                 }
                 if let Some(checkpoint) = &task.checkpoint {
-                    progress.checkpoints.push((place.0, place.1, checkpoint.clone()));
+                    progress.checkpoints.push((step, index, checkpoint.clone()));
                 }
             }
             progress.done.push(bits);
@@ -240,6 +247,22 @@
         self.occurrences.is_empty() && self.done_occurrences >= self.spec.occurrences()
     }
 
+    /// Returns the most that tasks which seem to wait can take at once, if they run after all.
+    pub(crate) fn most_unaccounted(&self) -> Resources {
+        let mut most = Resources::NONE;
+        for occurrence in &self.occurrences {
+            let steps = self.spec.steps.iter().zip(&occurrence.steps);
+            let demands = steps.map(|(spec, step)| spec.demand.times(step.waiting));
+            // Steps that wait for each other never run at once.
+            let of_all = demands.reduce(|one, other| match self.spec.is_chain() {
+                true => one.or_more(other),
+                false => one + other,
+            });
+            most += of_all.unwrap_or_default();
+        }
+        most
+    }
+
     /// Returns whether a task waits in an open step.
     pub(crate) fn has_waiting(&self) -> bool {
         self.ending.is_none()
--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -10,6 +10,7 @@
 use magnoliapin_site::TaskName;
 
 use crate::leader::holds::may_be_done;
+use crate::leader::registrations::TargetLoss;
 use crate::leader::target::RunStage;
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
@@ -35,7 +36,10 @@
         let payload = job.spec.payload.clone();
         let checkpoint = job.task(run.task).and_then(|task| task.checkpoint.clone());
         let Some(target) = self.targets.get_mut(&key) else { return };
-        let Some(lease_until_ms) = target.next_lease(out.now, confirmed_at, &times) else { return };
+        let Some(lease_until_ms) = target.next_lease(out.now, confirmed_at, &times) else {
+            // Its clock is not known before its first report.
+            return self.repeat_later(key, run.task, out.now + REPEAT_PAUSE);
+        };
         let request =
             TargetRequest::Start { run, payload, lease_until_ms, fence, checkpoint, ticket: None };
         self.call_target(key, TargetCall::Start(key, run), request, times.order_timeout, out);
@@ -55,14 +59,20 @@
             return;
         };
         match reply {
-            TargetReply::Done { .. } => {
+            TargetReply::Done { clock_ms } => {
                 run.confirmed_at = Some(out.now);
                 if run.stage == RunStage::Starting {
                     run.stage = RunStage::Running;
                 }
+                self.check_clock(key, *clock_ms, out);
+            }
+            TargetReply::Refused { clock_ms, reason } => {
+                self.take_refusal(key, id, *reason, out);
+                if let Some(clock_ms) = clock_ms {
+                    self.check_clock(key, *clock_ms, out);
+                }
             }
-            TargetReply::Refused { reason, .. } => self.take_refusal(key, id, *reason, out),
-            TargetReply::OtherLife => self.remove_target(key, "another life answered", out),
+            TargetReply::OtherLife => self.remove_target(key, TargetLoss::OtherLife, out),
             TargetReply::Failed(failure) if may_be_done(*failure) => {
                 run.unanswered += 1;
                 log::warn!(
@@ -91,26 +101,24 @@
             self.target_name(key)
         );
         let Some(target) = self.targets.get_mut(&key) else { return };
-        let run = target.runs.get(&id.task);
-        let was_unanswered = run.is_some_and(|run| run.unanswered > 0);
+        let Some(run) = target.runs.get_mut(&id.task) else { return };
         match reason {
             StartRefusal::Fenced => return self.depose("a target obeys a newer scheduler"),
-            // An earlier call with the same start may have begun it and it has ended since; the
-            // report tells. If it never began, it never will.
-            StartRefusal::Outdated
-            | StartRefusal::LeaseOver
-            | StartRefusal::NoTicket
-            | StartRefusal::Malformed => {}
+            StartRefusal::Outdated => {
+                // It has run there and ended, or was stopped before it began: the next report
+                // lists its end, or leaves it out.
+                run.confirmed_at = Some(out.now);
+                return;
+            }
             StartRefusal::NoRoom | StartRefusal::Unhealthy => {
                 target.health.shunned_until = Some(out.now + REFUSAL_PAUSE);
-                if was_unanswered {
-                    // The call before may still begin it.
-                    if let Some(run) = target.runs.get_mut(&id.task) {
-                        run.stage = RunStage::Stopping;
-                    }
-                    return self.repeat_later(key, id.task, out.now);
-                }
             }
+            StartRefusal::LeaseOver | StartRefusal::NoTicket | StartRefusal::Malformed => {}
+        }
+        if run.unanswered > 0 {
+            // A call before this one may have begun it, or may still do so.
+            run.stage = RunStage::Stopping;
+            return self.repeat_later(key, id.task, out.now);
         }
         self.drop_run(key, id.task, out);
     }
@@ -134,7 +142,7 @@
             TargetReply::Refused { reason: StartRefusal::Fenced, .. } => {
                 self.depose("a target obeys a newer scheduler");
             }
-            TargetReply::OtherLife => self.remove_target(key, "another life answered", out),
+            TargetReply::OtherLife => self.remove_target(key, TargetLoss::OtherLife, out),
             TargetReply::Refused { .. } | TargetReply::Failed(_) | TargetReply::Report(_) => {
                 self.repeat_later(key, id.task, out.now + REPEAT_PAUSE);
             }
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -192,7 +192,13 @@
         let Some(rule) = self.config.teams.iter().find(|rule| rule.name == *team) else {
             return NO_LIMIT;
         };
+        let is_capped = rule.cap != Resources::NONE;
+        if is_capped && self.has_unknown_runs() {
+            // They may be this team's, and stop within the grace time of a stop.
+            return Resources::NONE;
+        }
         let used = self.team_use.get(team).copied().unwrap_or_default();
+        let used = used + self.unaccounted_use(team);
         let left = |cap: u32, used: u32| if cap == 0 { u32::MAX } else { cap.saturating_sub(used) };
         Resources {
             cpu_milli: left(rule.cap.cpu_milli, used.cpu_milli),
@@ -201,6 +207,24 @@
         }
     }
 
+    /// Returns whether a target runs something of a job that is not known any more.
+    fn has_unknown_runs(&self) -> bool {
+        let is_unknown = |run: &Run| run.is_unknown;
+        self.targets.values().any(|target| target.runs.values().any(is_unknown))
+    }
+
+    /// Returns the most that a team may have running on targets that have not told what the
+    /// scheduler before started there.
+    fn unaccounted_use(&self, team: &TeamName) -> Resources {
+        if self.is_accounted {
+            return Resources::NONE;
+        }
+        let inherited = self.jobs.values().filter(|job| {
+            job.is_inherited && job.ending.is_none() && job.team.as_ref() == Some(team)
+        });
+        inherited.map(Job::most_unaccounted).fold(Resources::NONE, |sum, most| sum + most)
+    }
+
     /// Starts a task on a target.
     fn start(&mut self, key: JobKey, name: TaskName, target_key: TargetKey, out: &mut Outbox) {
         let first =
@@ -213,6 +237,7 @@
             team: job.team.clone(),
             demand: spec.demand,
             is_long: spec.long_running,
+            is_unknown: false,
             stage: RunStage::Starting,
             since: out.now,
             confirmed_at: None,
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -8,6 +8,7 @@
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetRecord;
 
+use crate::leader::target::RunStage;
 use crate::leader::target::Target;
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
@@ -20,12 +21,26 @@
 /// Rows that one transaction about targets changes.
 const ROWS_PER_CALL: usize = 40;
 
+/// Why a life of a target is over for the scheduler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TargetLoss {
+    /// It began another life, so that nothing of this one runs.
+    OtherLife,
+    /// Its registration is gone and its lease is over.
+    LeaseOver,
+    /// Its registration is gone and it has never reported to this scheduler.
+    NeverHeard,
+}
+
 impl Leader {
     /// Takes news about registrations.
     pub(super) fn take_registrations(&mut self, news: WatchNews, out: &mut Outbox) {
         match news {
             WatchNews::Read(StoreReply::Targets { changes, .. }) => {
                 self.listed.extend(changes.iter().filter_map(listed_name).cloned());
+                if !self.is_accounted {
+                    self.expect_reports(&changes);
+                }
                 self.take_target_changes(changes, out);
                 if !self.registrations.is_reading() {
                     self.drop_unlisted(out);
@@ -55,6 +70,21 @@
         }
     }
 
+    /// Waits for the reports of the targets that are registered: each may run what the scheduler
+    /// before started.
+    fn expect_reports(&mut self, changes: &[TargetChange]) {
+        for change in changes {
+            let TargetChange::Registered(record) = change else { continue };
+            let is_led = self
+                .target_keys
+                .get(&record.name)
+                .is_some_and(|key| self.targets.get(key).is_some_and(|target| target.is_led));
+            if !is_led {
+                self.old_lives.insert(record.name.clone(), record.born_at);
+            }
+        }
+    }
+
     /// Notes that targets which a complete list leaves out are not registered any more.
     fn drop_unlisted(&mut self, out: &mut Outbox) {
         let listed = std::mem::take(&mut self.listed);
@@ -87,14 +117,7 @@
             return;
         }
         if target.born_at() != record.born_at || target.record.pool != record.pool {
-            log::info!(
-                "event=target_reborn target={} before={} now={}",
-                record.name,
-                target.born_at(),
-                record.born_at
-            );
-            self.remove_target(key, "it began another life", out);
-            self.add_target(record, out);
+            self.begin_life(key, record, out);
             return;
         }
         if target.record.state != record.state {
@@ -111,6 +134,46 @@
         self.stir(&pool);
     }
 
+    /// Goes on with another life of a target, which runs nothing that was started before it.
+    ///
+    /// Starts that left since the last report of the life before may have reached this one, as it
+    /// has the same name. They are sent again, which is harmless if they have.
+    pub(super) fn begin_life(&mut self, key: TargetKey, record: TargetRecord, out: &mut Outbox) {
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        let last_report = target.clock.map(|reading| reading.read_at);
+        log::info!(
+            "event=target_reborn target={} before={} now={} runs={}",
+            record.name,
+            target.born_at(),
+            record.born_at,
+            target.runs.len()
+        );
+        let next = Target::new(record, out.now);
+        let before = std::mem::replace(target, next);
+        if before.record.pool != target.record.pool {
+            let pool = target.record.pool.clone();
+            if let Some(pool) = self.pools.get_mut(&before.record.pool) {
+                pool.targets.swap_remove(&key);
+            }
+            self.pools.entry(pool).or_default().targets.insert(key);
+        }
+        for (task, mut run) in before.runs {
+            let may_be_here = last_report.is_none_or(|at| run.since >= at);
+            if may_be_here && run.stage != RunStage::Stopping {
+                run.stage = RunStage::Starting;
+                run.confirmed_at = None;
+                run.unanswered = run.unanswered.max(1);
+                if let Some(target) = self.targets.get_mut(&key) {
+                    target.add_run(task, run);
+                }
+                self.due_orders.push((key, task));
+            } else {
+                self.release_team(&run);
+                self.lose_run(key, task, run.attempt, out);
+            }
+        }
+    }
+
     fn add_target(&mut self, record: TargetRecord, out: &mut Outbox) {
         log::info!(
             "event=target_learned target={} pool={} zone={} state={:?} born={}",
@@ -128,7 +191,7 @@
     }
 
     /// Forgets a life of a target on which nothing can run any more.
-    pub(super) fn remove_target(&mut self, key: TargetKey, why: &str, out: &mut Outbox) {
+    pub(super) fn remove_target(&mut self, key: TargetKey, why: TargetLoss, out: &mut Outbox) {
         let Some(target) = self.targets.swap_remove(&key) else { return };
         let name = target.record.name.clone();
         log::info!("event=target_gone target={name} runs={} why={why:?}", target.runs.len());
@@ -140,7 +203,9 @@
             self.release_team(&run);
             self.lose_run(key, task, run.attempt, out);
         }
-        if self.old_lives.get(&name) == Some(&target.record.born_at) {
+        // A target that never reported may still run what the scheduler before started.
+        let is_settled = why != TargetLoss::NeverHeard;
+        if is_settled && self.old_lives.get(&name) == Some(&target.record.born_at) {
             self.old_lives.swap_remove(&name);
         }
         if let Some(version) = target.led_version {
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -35,6 +35,9 @@
     pub(crate) led_version: Option<RowVersion>,
     /// Whether it has reported under this scheduler's epoch.
     pub(crate) is_led: bool,
+    /// Whether the life that reported last must still be the one that answers. If not, it must
+    /// not be told to forget ends, as another life numbers its own from 1.
+    pub(crate) is_same_life: bool,
     /// Whether it is about to be moved or maintained and gets no new work.
     pub(crate) is_reserved: bool,
     /// Runs that are on it or may be.
@@ -103,6 +106,8 @@
     pub(crate) team: Option<TeamName>,
     pub(crate) demand: Resources,
     pub(crate) is_long: bool,
+    /// Whether its job has ended and what is known of it is gone.
+    pub(crate) is_unknown: bool,
     pub(crate) stage: RunStage,
     /// When its start was sent first, or when it was found.
     pub(crate) since: Moment,
@@ -136,6 +141,7 @@
             missing_since: None,
             led_version: None,
             is_led: false,
+            is_same_life: false,
             is_reserved: false,
             runs: IndexMap::new(),
             used: Resources::NONE,
@@ -165,6 +171,7 @@
         let is_registered =
             self.missing_since.is_none_or(|since| now.since(since) < times.registration_grace);
         self.is_led
+            && self.is_same_life
             && self.led_version.is_some()
             && !self.is_reserved
             && self.failed_holds == 0
@@ -201,6 +208,18 @@
         Some(reading.clock_ms.saturating_add(later).saturating_sub(earlier))
     }
 
+    /// Returns whether a clock that an answer told can be that of the life that reported last.
+    pub(crate) fn is_own_clock(&self, clock_ms: u64, now: Moment) -> bool {
+        /// Longest that an answer or an order may have been on its way.
+        const MOST_MS: u64 = 1_000;
+        let Some((reading, expected)) = self.clock.zip(self.clock_at(now)) else {
+            return true;
+        };
+        let passed = now.since(reading.read_at).as_secs_f64() * 1000.0;
+        let slack = MOST_MS + (passed * CLOCK_DRIFT * 2.0) as u64;
+        clock_ms.abs_diff(expected) <= slack
+    }
+
     /// Returns the end of a lease that may be sent now, on the target's clock.
     ///
     /// It is bounded by `confirmed_at`, when the store last confirmed this scheduler: another one
--- a/crates/magnoliapin_scheduler/src/machine.rs
+++ b/crates/magnoliapin_scheduler/src/machine.rs
@@ -123,7 +123,8 @@
     fn take_request(&mut self, client: ClientId, request: ClientRequest) {
         if matches!(request.action, ClientAction::Read) {
             if let Some(leader) = &self.leader {
-                let open = |job| leader.open_state(job);
+                let now = self.out.now;
+                let open = |job| leader.open_state(job, now);
                 return self.desk.take_read(client, request, open, &mut self.out);
             }
         }
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -99,12 +99,26 @@
         pub(crate) is_done: bool,
         /// Tasks that have ended well, by step, a bit each.
         pub(crate) done: Vec<Vec<u8>>,
-        /// Tasks that have failed: step, index and how often.
-        pub(crate) failures: Vec<(u16, u32, u32)>,
+        /// Tasks that have failed.
+        pub(crate) failures: Vec<TaskFailures>,
         /// Saved progress of tasks: step, index and what to resume from.
         pub(crate) checkpoints: Vec<(u16, u32, String)>,
     }
 
+    /// Failures of one task.
+    #[derive(Copy, Eq)]
+    pub(crate) struct TaskFailures {
+        /// Step of the task.
+        pub(crate) step: u16,
+        /// Which task of the step.
+        pub(crate) index: u32,
+        /// How often it has failed.
+        pub(crate) count: u32,
+        /// Highest number of a run that counts: a target lists an end again until it is told that
+        /// the end is stored.
+        pub(crate) attempt: u32,
+    }
+
     /// How a job ended.
     #[derive(Copy, Eq)]
     pub(crate) struct OutcomeRow {
--- /dev/null
+++ b/crates/magnoliapin_scheduler/tests/soak/site.rs
@@ -0,0 +1,113 @@
+//! The site that the soak runs: its configuration, settings and sizes.
+
+use std::time::Duration;
+
+use magnoliapin_model::ConfigVersion;
+use magnoliapin_site::NodeName;
+use magnoliapin_site::NodeSettings;
+use magnoliapin_site::PoolName;
+use magnoliapin_site::PoolRule;
+use magnoliapin_site::QueueName;
+use magnoliapin_site::QueueRule;
+use magnoliapin_site::RequestLimits;
+use magnoliapin_site::Resources;
+use magnoliapin_site::SiteBounds;
+use magnoliapin_site::SiteConfig;
+use magnoliapin_site::StoreLimits;
+use magnoliapin_site::TeamName;
+use magnoliapin_site::TeamRule;
+use magnoliapin_site::ZoneName;
+
+pub(crate) const ZONES: usize = 3;
+pub(crate) const NODES: usize = 5;
+pub(crate) const POOLS: usize = 2;
+pub(crate) const TARGETS_PER_POOL: usize = 5;
+pub(crate) const HOST: &str = "jobs.example";
+pub(crate) const MAX_LEASE: Duration = Duration::from_secs(10);
+pub(crate) const STOP_GRACE: Duration = Duration::from_millis(400);
+pub(crate) const HEARTBEAT: Duration = Duration::from_millis(1500);
+/// Most that the second team may run at once.
+pub(crate) const CAP_MILLI: u32 = 24_000;
+
+pub(crate) fn target_capacity() -> Resources {
+    Resources { cpu_milli: 16_000, memory_mb: 32_768, accelerators: 0 }
+}
+
+pub(crate) fn settings(node: usize) -> NodeSettings {
+    NodeSettings {
+        name: NodeName::new(&format!("node-{node}")),
+        zone: ZoneName::new(&format!("zone-{}", node % ZONES)),
+        client_listen: "127.0.0.1:1".parse().expect("an address"),
+        ready_listen: "127.0.0.1:2".parse().expect("an address"),
+        peer_listen: None,
+        store: "127.0.0.1:3".parse().expect("an address"),
+        instances: None,
+        advice: None,
+        store_limits: StoreLimits {
+            writes_per_s: 800.0,
+            reads_per_s: 2000.0,
+            part_writes_per_s: 250.0,
+        },
+        instance_orders_per_s: 64.0,
+        instance_lists_per_s: 64.0,
+        bounds: SiteBounds {
+            max_lease: MAX_LEASE,
+            stop_grace: STOP_GRACE,
+            gang_wait: Duration::from_secs(3),
+            stop_time: Duration::from_secs(6),
+            order_spacing: Duration::from_secs(3),
+            move_time: Duration::from_millis(1500),
+            maintenance_time: Duration::from_secs(2),
+            outcome_retention: Duration::from_secs(120),
+            early_start: Duration::from_millis(250),
+            checkpoint_interval: Duration::from_secs(1),
+            restore_time: Duration::from_millis(600),
+            remote_penalty: 1.5,
+            notice_time: Duration::from_millis(4500),
+            heartbeat: HEARTBEAT,
+            impact_time: Duration::from_secs(4),
+        },
+    }
+}
+
+pub(crate) fn pool_name(pool: usize) -> PoolName {
+    PoolName::new(&format!("pool-{pool}"))
+}
+
+pub(crate) fn queue_prefix(pool: usize) -> String {
+    format!("/queue-{pool}/")
+}
+
+pub(crate) fn team_key(team: usize) -> String {
+    format!("key-{team}")
+}
+
+/// Returns the configuration of a version.
+pub(crate) fn config(version: u64) -> SiteConfig {
+    let queue = |pool: usize| QueueRule {
+        name: QueueName::new(&format!("queue-{pool}")),
+        host: HOST.to_owned(),
+        path_prefix: queue_prefix(pool),
+        pool: pool_name(pool),
+        priority: 0,
+        max_attempts: 3,
+        stretch_factor: 1.6,
+        target_latency: Duration::from_millis(600),
+        is_open: false,
+        advice: None,
+    };
+    let team = |team: usize| TeamRule {
+        name: TeamName::new(&format!("team-{team}")),
+        keys: vec![team_key(team)],
+        weight: 1,
+        cap: Resources { cpu_milli: if team == 1 { CAP_MILLI } else { 0 }, ..Resources::NONE },
+    };
+    let rule = PoolRule { enforces_capacity: true, is_standby: false };
+    SiteConfig {
+        version: ConfigVersion(version),
+        queues: (0..POOLS).map(queue).collect(),
+        pools: (0..POOLS).map(|pool| (pool_name(pool), rule)).collect(),
+        teams: (0..2).map(team).collect(),
+        limits: RequestLimits::default(),
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_scheduler/tests/soak/store.rs
@@ -0,0 +1,199 @@
+//! A store in memory, with versions, watches and a history that can be lost.
+
+use std::collections::BTreeMap;
+
+use magnoliapin_model::RowVersion;
+use magnoliapin_site::CallFailure;
+use magnoliapin_site::RowId;
+use magnoliapin_site::RowRange;
+use magnoliapin_site::SiteChange;
+use magnoliapin_site::SiteConfig;
+use magnoliapin_site::StoreReply;
+use magnoliapin_site::StoreRequest;
+use magnoliapin_site::StoreRow;
+use magnoliapin_site::StoreTransaction;
+use magnoliapin_site::TargetChange;
+use magnoliapin_site::TargetName;
+use magnoliapin_site::TargetRecord;
+
+/// Rows of one answer.
+const PAGE: usize = 50;
+
+type Key = (String, String, String);
+
+/// A store in memory.
+#[derive(Default)]
+pub(crate) struct FakeStore {
+    version: u64,
+    rows: BTreeMap<Key, (u64, Vec<u8>)>,
+    /// Changes by version: the row, and its value unless it was removed.
+    history: Vec<(u64, Key, Option<Vec<u8>>)>,
+    /// Oldest version after which the history is whole.
+    history_from: u64,
+    config: Option<(u64, SiteConfig)>,
+    registrations: BTreeMap<String, (u64, TargetRecord)>,
+    registration_history: Vec<(u64, TargetName, Option<TargetRecord>)>,
+}
+
+impl FakeStore {
+    pub(crate) fn set_config(&mut self, config: SiteConfig) {
+        self.version += 1;
+        self.config = Some((self.version, config));
+    }
+
+    pub(crate) fn register(&mut self, record: TargetRecord) {
+        let known = self.registrations.get(record.name.as_str());
+        if known.is_some_and(|(_, known)| *known == record) {
+            return;
+        }
+        self.version += 1;
+        let name = record.name.clone();
+        self.registration_history.push((self.version, name.clone(), Some(record.clone())));
+        self.registrations.insert(name.as_str().to_owned(), (self.version, record));
+    }
+
+    pub(crate) fn unregister(&mut self, name: &TargetName) {
+        if self.registrations.remove(name.as_str()).is_some() {
+            self.version += 1;
+            self.registration_history.push((self.version, name.clone(), None));
+        }
+    }
+
+    pub(crate) fn forget_history(&mut self) {
+        self.history.clear();
+        self.registration_history.clear();
+        self.history_from = self.version;
+    }
+
+    /// Carries a call out. None for a watch that has nothing to tell yet.
+    pub(crate) fn call(&mut self, request: &StoreRequest) -> Option<StoreReply> {
+        Some(match request {
+            StoreRequest::Commit(transaction) => self.commit(transaction),
+            StoreRequest::Read(range) => self.read(range),
+            StoreRequest::Watch { table, after, .. } => return self.watch(table, after.0),
+            StoreRequest::ReadSite => self.site(0)?,
+            StoreRequest::WatchSite { after, .. } => return self.site(after.0),
+            StoreRequest::ReadTargets { .. } => self.all_targets(),
+            StoreRequest::WatchTargets { after, .. } => return self.watch_targets(after.0),
+            StoreRequest::ReportWave { .. } => StoreReply::Failed(CallFailure::NotDone),
+        })
+    }
+
+    /// Answers a watch whose wait is over.
+    pub(crate) fn nothing_new(&self, request: &StoreRequest) -> StoreReply {
+        let version = RowVersion(self.version);
+        match request {
+            StoreRequest::WatchSite { .. } | StoreRequest::ReadSite => {
+                StoreReply::Site { changes: Vec::new(), version }
+            }
+            StoreRequest::WatchTargets { .. } => {
+                StoreReply::Targets { changes: Vec::new(), next: None, version }
+            }
+            _ => StoreReply::Rows { rows: Vec::new(), has_more: false, version },
+        }
+    }
+
+    fn commit(&mut self, transaction: &StoreTransaction) -> StoreReply {
+        assert!(transaction.entries() <= 100, "a transaction holds at most 100 entries");
+        let mut parts: Vec<&str> =
+            transaction.expected.iter().map(|(row, _)| row.part.as_str()).collect();
+        parts.extend(transaction.writes.iter().map(|(row, _)| row.part.as_str()));
+        parts.extend(transaction.removals.iter().map(|row| row.part.as_str()));
+        parts.dedup();
+        assert!(parts.len() <= 1, "a transaction stays in one partition: {parts:?}");
+        let version_of = |row: &RowId| self.rows.get(&key(row)).map_or(0, |(version, _)| *version);
+        if transaction.expected.iter().any(|(row, version)| version_of(row) != version.0) {
+            let rows = transaction.expected.iter().filter_map(|(row, _)| {
+                let (version, value) = self.rows.get(&key(row))?;
+                Some(row_of(&key(row), *version, Some(value.clone())))
+            });
+            return StoreReply::Conflict(rows.collect());
+        }
+        self.version += 1;
+        for (row, value) in &transaction.writes {
+            self.rows.insert(key(row), (self.version, value.clone()));
+            self.history.push((self.version, key(row), Some(value.clone())));
+        }
+        for row in &transaction.removals {
+            if self.rows.remove(&key(row)).is_some() {
+                self.history.push((self.version, key(row), None));
+            }
+        }
+        StoreReply::Committed(RowVersion(self.version))
+    }
+
+    fn read(&self, range: &RowRange) -> StoreReply {
+        let table = range.table.to_owned();
+        let from = (table.clone(), range.part.clone(), range.from.clone());
+        let in_range = self
+            .rows
+            .range(from..)
+            .take_while(|((row_table, part, key), _)| {
+                *row_table == table
+                    && *part == range.part
+                    && (range.to.is_empty() || *key < range.to)
+            })
+            .map(|(key, (version, value))| row_of(key, *version, Some(value.clone())));
+        let limit = if range.limit == 0 { PAGE } else { range.limit as usize };
+        let mut rows: Vec<StoreRow> = in_range.take(limit + 1).collect();
+        let has_more = rows.len() > limit;
+        rows.truncate(limit);
+        StoreReply::Rows { rows, has_more, version: RowVersion(self.version) }
+    }
+
+    fn watch(&self, table: &str, after: u64) -> Option<StoreReply> {
+        if after < self.history_from {
+            return Some(StoreReply::HistoryLost);
+        }
+        let changed =
+            self.history.iter().filter(|(version, key, _)| *version > after && key.0 == table);
+        let rows: Vec<StoreRow> =
+            changed.map(|(version, key, value)| row_of(key, *version, value.clone())).collect();
+        let version = RowVersion(self.version);
+        (!rows.is_empty()).then_some(StoreReply::Rows { rows, has_more: false, version })
+    }
+
+    fn site(&self, after: u64) -> Option<StoreReply> {
+        let (version, config) = self.config.as_ref()?;
+        if after > 0 && *version <= after {
+            return None;
+        }
+        let changes = vec![SiteChange::Config(Box::new(config.clone()))];
+        Some(StoreReply::Site { changes, version: RowVersion(self.version) })
+    }
+
+    fn all_targets(&self) -> StoreReply {
+        let records = self.registrations.values();
+        let changes = records.map(|(_, record)| TargetChange::Registered(record.clone())).collect();
+        StoreReply::Targets { changes, next: None, version: RowVersion(self.version) }
+    }
+
+    fn watch_targets(&self, after: u64) -> Option<StoreReply> {
+        if after < self.history_from {
+            return Some(StoreReply::HistoryLost);
+        }
+        let changed = self.registration_history.iter().filter(|(version, ..)| *version > after);
+        let changes: Vec<TargetChange> = changed
+            .map(|(_, name, record)| match record {
+                Some(record) => TargetChange::Registered(record.clone()),
+                None => TargetChange::Removed(name.clone()),
+            })
+            .collect();
+        let version = RowVersion(self.version);
+        (!changes.is_empty()).then_some(StoreReply::Targets { changes, next: None, version })
+    }
+}
+
+fn key(row: &RowId) -> Key {
+    (row.table.to_owned(), row.part.clone(), row.key.clone())
+}
+
+fn row_of(key: &Key, version: u64, value: Option<Vec<u8>>) -> StoreRow {
+    StoreRow {
+        table: key.0.clone(),
+        part: key.1.clone(),
+        key: key.2.clone(),
+        version: RowVersion(version),
+        value,
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_scheduler/tests/soak/world.rs
@@ -0,0 +1,546 @@
+//! Virtual time: nodes, store, targets and clients, and the messages between them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use magnoliapin_model::Moment;
+use magnoliapin_model::UnixMillis;
+use magnoliapin_scheduler::CallId;
+use magnoliapin_scheduler::ClientId;
+use magnoliapin_scheduler::NodeAction;
+use magnoliapin_scheduler::NodeEvent;
+use magnoliapin_scheduler::NodeMachine;
+use magnoliapin_site::CallFailure;
+use magnoliapin_site::ClientAnswer;
+use magnoliapin_site::EndedRun;
+use magnoliapin_site::InstanceName;
+use magnoliapin_site::RunEnd;
+use magnoliapin_site::StartRefusal;
+use magnoliapin_site::StoreReply;
+use magnoliapin_site::StoreRequest;
+use magnoliapin_site::TargetName;
+use magnoliapin_site::TargetRecord;
+use magnoliapin_site::TargetReply;
+use magnoliapin_site::TargetRequest;
+use magnoliapin_site::TargetState;
+use magnoliapin_site::ZoneName;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::clients::ClientBook;
+use crate::clients::ClientStep;
+use crate::faults::FaultState;
+use crate::faults::FaultStep;
+use crate::faults::StoreMode;
+use crate::judge::Judge;
+use crate::site;
+use crate::store::FakeStore;
+use crate::target::FakeTarget;
+use crate::target::TaskPlan;
+
+/// Time between two ticks of a node.
+const TICK: Duration = Duration::from_millis(20);
+/// Wall clock at the start.
+const START_WALL: u64 = 1_790_000_000_000;
+/// End of the load and of the faults.
+pub(crate) const LOAD_END: Duration = Duration::from_secs(30);
+/// End of the run: all that was accepted must have ended by then.
+const RUN_END: Duration = Duration::from_secs(75);
+
+/// One node.
+pub(crate) struct NodeSlot {
+    pub(crate) machine: Option<NodeMachine>,
+    pub(crate) life: u64,
+    pub(crate) zone: usize,
+    pub(crate) paused_until: Moment,
+    started: Moment,
+    /// Calls that have not been answered.
+    open: BTreeSet<CallId>,
+}
+
+/// Something that happens at a moment.
+pub(crate) enum Event {
+    Tick(usize, u64),
+    StoreCall(usize, u64, CallId, StoreRequest),
+    StoreWaitOver(u64),
+    ToNode(usize, u64, NodeEvent),
+    TargetCall(usize, u64, CallId, usize, u64, TargetRequest, bool),
+    TargetWaitOver(u64),
+    Timeout(usize, u64, CallId, bool),
+    Beat(usize),
+    Client(ClientStep),
+    Fault(FaultStep),
+}
+
+struct WaitingWatch {
+    node: usize,
+    life: u64,
+    call: CallId,
+    request: StoreRequest,
+}
+
+struct WaitingHold {
+    node: usize,
+    life: u64,
+    call: CallId,
+    target: usize,
+    target_life: u64,
+}
+
+/// Everything there is.
+pub(crate) struct World {
+    pub(crate) now: Moment,
+    pub(crate) random: Pcg64Mcg,
+    queue: BTreeMap<(Moment, u64), Event>,
+    last_event: u64,
+    pub(crate) nodes: Vec<NodeSlot>,
+    pub(crate) store: FakeStore,
+    pub(crate) targets: Vec<FakeTarget>,
+    /// When each target last reached the store.
+    pub(crate) beats: Vec<Moment>,
+    watches: BTreeMap<u64, WaitingWatch>,
+    holds: BTreeMap<u64, WaitingHold>,
+    pub(crate) faults: FaultState,
+    pub(crate) clients: ClientBook,
+    pub(crate) judge: Judge,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64) -> Self {
+        let mut world = Self {
+            now: Moment::START,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            last_event: 0,
+            nodes: Vec::new(),
+            store: FakeStore::default(),
+            targets: Vec::new(),
+            beats: Vec::new(),
+            watches: BTreeMap::new(),
+            holds: BTreeMap::new(),
+            faults: FaultState::default(),
+            clients: ClientBook::default(),
+            judge: Judge::default(),
+        };
+        world.store.set_config(site::config(1));
+        for number in 0..site::POOLS * site::TARGETS_PER_POOL {
+            world.add_target(number);
+        }
+        for node in 0..site::NODES {
+            world.nodes.push(NodeSlot {
+                machine: None,
+                life: 0,
+                zone: node % site::ZONES,
+                paused_until: Moment::START,
+                started: Moment::START,
+                open: BTreeSet::new(),
+            });
+            world.start_node(node);
+        }
+        world.plan_clients();
+        world.plan_faults();
+        world
+    }
+
+    fn add_target(&mut self, number: usize) {
+        let zone = number % site::ZONES;
+        let record = TargetRecord {
+            name: TargetName::new(&format!("i-{number}")),
+            born_at: UnixMillis(START_WALL + number as u64),
+            pool: site::pool_name(number % site::POOLS),
+            address: format!("10.0.0.{}:80", number + 1).parse().expect("an address"),
+            zone: ZoneName::new(&format!("zone-{zone}")),
+            state: TargetState::Ready,
+            capacity: site::target_capacity(),
+            labels: vec![format!("r{zone}")],
+            instance: Some(InstanceName::new(&format!("m-{number}"))),
+        };
+        let rate = 1.0 - self.random.random_range(0.0..0.02);
+        self.targets.push(FakeTarget::new(record, zone, self.now, rate));
+        self.beats.push(Moment::START);
+        self.at(Duration::from_millis(number as u64), Event::Beat(number));
+    }
+
+    pub(crate) fn start_node(&mut self, node: usize) {
+        let seed = self.random.random();
+        let slot = &mut self.nodes[node];
+        slot.life += 1;
+        slot.started = self.now;
+        slot.open.clear();
+        slot.machine = Some(NodeMachine::new(&site::settings(node), seed));
+        let life = slot.life;
+        self.at(Duration::ZERO, Event::Tick(node, life));
+    }
+
+    /// Schedules an event.
+    pub(crate) fn at(&mut self, after: Duration, event: Event) {
+        self.last_event += 1;
+        self.queue.insert((self.now + after, self.last_event), event);
+    }
+
+    pub(crate) fn run(&mut self) {
+        while let Some(((at, _), event)) = self.queue.pop_first() {
+            if at > Moment::START + RUN_END {
+                break;
+            }
+            self.now = at;
+            self.advance_targets();
+            self.handle(event);
+        }
+    }
+
+    /// Returns what was broken.
+    pub(crate) fn verdict(&mut self) -> Vec<String> {
+        let mut broken = std::mem::take(&mut self.judge.broken);
+        for (job, known) in &self.judge.jobs {
+            if known.accepted_at.is_some() && known.shown.is_none() {
+                let steps = &known.spec.steps;
+                let gang = steps.iter().any(|step| step.gang);
+                let long = known.spec.is_long_running();
+                let at = known.accepted_at.unwrap_or_default().0 / 1_000_000;
+                let cancelled = known.cancelled_at.is_some();
+                broken.push(format!(
+                    "{job}: accepted at {at} s and never shown as ended; steps {} gang {gang} \
+                     long {long} cancelled {cancelled}",
+                    steps.len()
+                ));
+            }
+        }
+        if self.judge.starts < 100 {
+            broken.push(format!("only {} tasks were started", self.judge.starts));
+        }
+        broken.truncate(5);
+        broken
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick(node, life) => {
+                if self.nodes[node].life == life {
+                    let wall = self.wall();
+                    self.tell_node(node, life, NodeEvent::WallClock(wall));
+                    self.tell_node(node, life, NodeEvent::Tick);
+                    self.at(TICK, Event::Tick(node, life));
+                }
+            }
+            Event::StoreCall(node, life, call, request) => {
+                self.store_call(node, life, call, request);
+            }
+            Event::StoreWaitOver(watch) => self.end_watch(watch),
+            Event::ToNode(node, life, event) => self.tell_node(node, life, event),
+            Event::TargetCall(node, life, call, target, target_life, request, is_late) => {
+                self.target_call(node, life, call, target, target_life, &request, is_late);
+            }
+            Event::TargetWaitOver(hold) => self.end_hold(hold),
+            Event::Timeout(node, life, call, is_store) => {
+                let failure = CallFailure::Unknown;
+                let event = if is_store {
+                    NodeEvent::Store(call, StoreReply::Failed(failure))
+                } else {
+                    NodeEvent::Target(call, TargetReply::Failed(failure))
+                };
+                self.tell_node(node, life, event);
+            }
+            Event::Beat(target) => self.beat(target),
+            Event::Client(step) => self.client_step(step),
+            Event::Fault(step) => self.fault_step(step),
+        }
+    }
+
+    pub(crate) fn wall(&self) -> UnixMillis {
+        UnixMillis(START_WALL + self.now.0 / 1000)
+    }
+
+    /// Hands an event to a node and carries out what follows.
+    pub(crate) fn tell_node(&mut self, node: usize, life: u64, event: NodeEvent) {
+        let slot = &mut self.nodes[node];
+        if slot.life != life || slot.machine.is_none() {
+            return;
+        }
+        if self.now < slot.paused_until {
+            let wait = slot.paused_until.since(self.now);
+            return self.at(wait, Event::ToNode(node, life, event));
+        }
+        let call = match &event {
+            NodeEvent::Store(call, _) | NodeEvent::Target(call, _) => Some(*call),
+            _ => None,
+        };
+        if call.is_some_and(|call| !slot.open.remove(&call)) {
+            return;
+        }
+        let Some(machine) = &mut slot.machine else { return };
+        let mut actions = Vec::new();
+        crate::journal::set_now(self.now.0, node);
+        let since = Moment(self.now.since(slot.started).as_micros() as u64);
+        machine.handle(since, event, &mut actions);
+        machine.finish(&mut actions);
+        for action in actions {
+            self.carry_out(node, life, action);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, life: u64, action: NodeAction) {
+        match action {
+            NodeAction::Answer(client, answer) => self.client_answer(client, &answer),
+            NodeAction::Store { call, request, timeout } => {
+                self.nodes[node].open.insert(call);
+                self.at(timeout, Event::Timeout(node, life, call, true));
+                let delay = self.store_delay(node);
+                self.at(delay, Event::StoreCall(node, life, call, request));
+            }
+            NodeAction::Target { call, target, address, request, timeout } => {
+                self.nodes[node].open.insert(call);
+                self.at(timeout, Event::Timeout(node, life, call, false));
+                let number = self.targets.iter().position(|known| known.record.address == address);
+                let Some(number) = number else { return };
+                assert_eq!(self.targets[number].record.name, target, "the name fits the address");
+                let delay = self.delay();
+                let target_life = self.targets[number].record.born_at.0;
+                let is_late = !matches!(request, TargetRequest::Hold { .. })
+                    && self.random.random_bool(self.faults.late_orders);
+                let event =
+                    Event::TargetCall(node, life, call, number, target_life, request, is_late);
+                if is_late {
+                    let late = Duration::from_millis(self.random.random_range(2000..12_000));
+                    self.at(late, event);
+                } else {
+                    self.at(delay, event);
+                }
+            }
+            NodeAction::Instances { .. } | NodeAction::Advice { .. } => {}
+        }
+    }
+
+    pub(crate) fn delay(&mut self) -> Duration {
+        Duration::from_micros(self.random.random_range(500..4000))
+    }
+
+    fn store_delay(&mut self, _node: usize) -> Duration {
+        let delay = self.delay();
+        match self.faults.store {
+            StoreMode::Slow => delay + Duration::from_millis(240),
+            _ => delay,
+        }
+    }
+
+    fn store_call(&mut self, node: usize, life: u64, call: CallId, request: StoreRequest) {
+        if self.faults.is_cut_from_store(node, self.nodes[node].zone) {
+            return;
+        }
+        match self.faults.store {
+            StoreMode::Silent => return,
+            StoreMode::Busy => {
+                return self.store_answer(
+                    node,
+                    life,
+                    call,
+                    StoreReply::Failed(CallFailure::NotDone),
+                );
+            }
+            StoreMode::Up | StoreMode::Slow => {}
+        }
+        let is_commit = matches!(request, StoreRequest::Commit(_));
+        if is_commit && self.random.random_bool(self.faults.lost_answers) {
+            if self.random.random_bool(0.5) {
+                let late = Duration::from_millis(self.random.random_range(1000..6000));
+                let stray = Event::StoreCall(node, u64::MAX, call, request);
+                return self.at(late, stray);
+            }
+            let _ = self.store.call(&request);
+            return self.answer_watches();
+        }
+        let wait = match &request {
+            StoreRequest::Watch { wait, .. }
+            | StoreRequest::WatchSite { wait, .. }
+            | StoreRequest::WatchTargets { wait, .. } => Some(*wait),
+            _ => None,
+        };
+        match self.store.call(&request) {
+            Some(reply) => self.store_answer(node, life, call, reply),
+            None => {
+                self.last_event += 1;
+                let number = self.last_event;
+                self.watches.insert(number, WaitingWatch { node, life, call, request });
+                self.at(wait.unwrap_or(TICK), Event::StoreWaitOver(number));
+            }
+        }
+        if is_commit {
+            self.answer_watches();
+        }
+    }
+
+    fn store_answer(&mut self, node: usize, life: u64, call: CallId, reply: StoreReply) {
+        let delay = self.delay() + Duration::from_millis(4);
+        self.at(delay, Event::ToNode(node, life, NodeEvent::Store(call, reply)));
+    }
+
+    pub(crate) fn answer_watches(&mut self) {
+        let mut ready = Vec::new();
+        for (number, watch) in &self.watches {
+            if let Some(reply) = self.store.call(&watch.request) {
+                ready.push((*number, reply));
+            }
+        }
+        for (number, reply) in ready {
+            let Some(watch) = self.watches.remove(&number) else { continue };
+            let is_cut = self.faults.is_cut_from_store(watch.node, self.nodes[watch.node].zone);
+            if !is_cut {
+                self.store_answer(watch.node, watch.life, watch.call, reply);
+            }
+        }
+    }
+
+    fn end_watch(&mut self, number: u64) {
+        let Some(watch) = self.watches.remove(&number) else { return };
+        if !self.faults.is_cut_from_store(watch.node, self.nodes[watch.node].zone) {
+            let reply = self.store.nothing_new(&watch.request);
+            self.store_answer(watch.node, watch.life, watch.call, reply);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments, reason = "the parts of one event")]
+    fn target_call(
+        &mut self,
+        node: usize,
+        life: u64,
+        call: CallId,
+        number: usize,
+        target_life: u64,
+        request: &TargetRequest,
+        is_late: bool,
+    ) {
+        let node_zone = self.nodes[node].zone;
+        let target = &mut self.targets[number];
+        if !target.is_up || self.faults.is_cut(node, node_zone, number, target.zone) {
+            return;
+        }
+        let now = self.now;
+        let born = target.record.born_at.0;
+        if born != target_life {
+            return self.target_answer(node, life, call, number, TargetReply::OtherLife);
+        }
+        let reply = match request {
+            TargetRequest::Start { run, .. } => {
+                let plan = self.plan(run.task, number);
+                let (reply, began) = self.targets[number].start(request, &plan, now);
+                if began {
+                    self.judge.start(now, number, born, *run, is_late);
+                }
+                reply
+            }
+            TargetRequest::Stop { run, fence } => target.stop(*run, *fence, now),
+            TargetRequest::Hold { wait, .. } => {
+                if let Some(refusal) = target.take_hold(request, now) {
+                    refusal
+                } else {
+                    let acknowledged = target.acknowledged;
+                    self.judge.acknowledge(number, born, acknowledged);
+                    if !self.targets[number].has_ends() && !wait.is_zero() {
+                        self.last_event += 1;
+                        let hold =
+                            WaitingHold { node, life, call, target: number, target_life: born };
+                        self.holds.insert(self.last_event, hold);
+                        return self.at(*wait, Event::TargetWaitOver(self.last_event));
+                    }
+                    self.targets[number].report(now)
+                }
+            }
+            TargetRequest::Pace { .. } => {
+                TargetReply::Refused { clock_ms: None, reason: StartRefusal::Malformed }
+            }
+        };
+        if !is_late {
+            self.target_answer(node, life, call, number, reply);
+        }
+    }
+
+    fn target_answer(
+        &mut self,
+        node: usize,
+        life: u64,
+        call: CallId,
+        target: usize,
+        reply: TargetReply,
+    ) {
+        let zones = (self.nodes[node].zone, self.targets[target].zone);
+        if self.faults.is_cut(node, zones.0, target, zones.1) {
+            return;
+        }
+        let delay = self.delay();
+        self.at(delay, Event::ToNode(node, life, NodeEvent::Target(call, reply)));
+    }
+
+    fn end_hold(&mut self, number: u64) {
+        let Some(hold) = self.holds.remove(&number) else { return };
+        let target = &self.targets[hold.target];
+        if target.is_up && target.record.born_at.0 == hold.target_life {
+            let report = target.report(self.now);
+            self.target_answer(hold.node, hold.life, hold.call, hold.target, report);
+        }
+    }
+
+    fn plan(&mut self, task: magnoliapin_site::TaskName, target: usize) -> TaskPlan {
+        let job = self.judge.jobs.get(&task.job);
+        let spec = job.and_then(|job| job.spec.steps.get(usize::from(task.step)));
+        let length = self.random.random_range(200..1500);
+        let fails = if self.faults.bad_target == Some(target) { 0.9 } else { 0.02 };
+        TaskPlan {
+            demand: spec.map(|spec| spec.demand).unwrap_or_default(),
+            length: match spec.is_some_and(|spec| spec.long_running) {
+                true => Duration::from_secs(1000),
+                false => Duration::from_millis(length),
+            },
+            end: if self.random.random_bool(fails) { RunEnd::Failed } else { RunEnd::Done },
+        }
+    }
+
+    /// Ends the runs whose time has come, and answers the holds that waited for them.
+    fn advance_targets(&mut self) {
+        let now = self.now;
+        for number in 0..self.targets.len() {
+            if !self.targets[number].is_up {
+                continue;
+            }
+            let born = self.targets[number].record.born_at.0;
+            let ends: Vec<EndedRun> = self.targets[number].advance(now);
+            for end in &ends {
+                self.judge.end(number, born, end.run, end.end, end.number);
+            }
+            if !ends.is_empty() {
+                let waiting: Vec<u64> = self
+                    .holds
+                    .iter()
+                    .filter(|(_, hold)| hold.target == number)
+                    .map(|(hold, _)| *hold)
+                    .collect();
+                for hold in waiting {
+                    self.end_hold(hold);
+                }
+            }
+        }
+    }
+
+    /// Lets a target renew its registration, and drops those that have been silent.
+    fn beat(&mut self, number: usize) {
+        let zone = self.targets[number].zone;
+        let reaches = self.targets[number].is_up
+            && !self.faults.is_zone_cut_from_store(zone)
+            && self.faults.store != StoreMode::Silent;
+        if reaches {
+            self.beats[number] = self.now;
+            let record = self.targets[number].record.clone();
+            self.store.register(record);
+        } else if self.now.since(self.beats[number]) > site::HEARTBEAT * 3 {
+            let name = self.targets[number].record.name.clone();
+            self.store.unregister(&name);
+        }
+        self.answer_watches();
+        self.at(site::HEARTBEAT, Event::Beat(number));
+    }
+
+    fn client_answer(&mut self, client: ClientId, answer: &ClientAnswer) {
+        self.take_answer(client, answer);
+    }
+}
--- a/crates/magnoliapin_site/src/job_spec.rs
+++ b/crates/magnoliapin_site/src/job_spec.rs
@@ -115,6 +115,12 @@
         })
     }
 
+    /// Returns whether each step waits for the one before it, so that no two run at once.
+    pub fn is_chain(&self) -> bool {
+        let mut later = self.steps.iter().enumerate().skip(1);
+        later.all(|(number, step)| step.after.iter().any(|after| usize::from(*after) + 1 == number))
+    }
+
     /// Returns whether the job runs until it is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|step| step.long_running)
--- a/crates/magnoliapin_site/src/resources.rs
+++ b/crates/magnoliapin_site/src/resources.rs
@@ -40,6 +40,26 @@
         }
     }
 
+    /// Returns this amount `count` times.
+    #[must_use]
+    pub fn times(self, count: u32) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
+    /// Returns the larger amount of each kind.
+    #[must_use]
+    pub fn or_more(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Returns how often this amount fits into `room`, at most `most`.
     pub fn count_in(self, room: Self, most: u32) -> u32 {
         let times = |need: u32, have: u32| have.checked_div(need).unwrap_or(most);
