Move instances to the pools that need them and maintain the operator's waves

Change: the scheduler lists instances, orders moves and maintenance within the time in which its lease is confirmed, evacuates tasks that last one at a time, stores what has begun of a wave, and sizes pools by what runs, waits and arrives.

--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -7,6 +7,7 @@
 mod commit;
 mod dispatch;
 mod ends;
+mod fleet;
 mod holds;
 mod intake;
 mod job;
@@ -39,8 +40,10 @@
 use magnoliapin_site::TargetReply;
 use magnoliapin_site::TaskName;
 use magnoliapin_site::TeamName;
+use magnoliapin_site::WaveState;
 
 use self::commit::PartCommit;
+use self::fleet::Fleet;
 use self::intake::Reload;
 use self::job::Job;
 use self::job::JobKey;
@@ -64,6 +67,8 @@
     pub(crate) incarnation: u64,
     pub(crate) parts: u32,
     pub(crate) times: NodeTimes,
+    /// Orders to instances that may be given in a second.
+    pub(crate) instance_orders_per_s: f64,
 }
 
 /// The scheduler.
@@ -103,6 +108,7 @@
     later_orders: Vec<(Moment, TargetKey, TaskName)>,
     /// What is known of the jobs of each queue.
     queue_facts: IndexMap<QueueName, QueueFacts>,
+    fleet: Fleet,
     news: LeaderNews,
 }
 
@@ -146,6 +152,9 @@
     ForgetLed,
     Commit(u32),
     Renew(Moment),
+    ReadWave(u64),
+    StoreWave(u64),
+    ReportWave(u64, WaveState),
 }
 
 /// A call of a target.
@@ -207,6 +216,7 @@
             due_orders: Vec::new(),
             later_orders: Vec::new(),
             queue_facts: IndexMap::new(),
+            fleet: Fleet::new(out.now),
             news: LeaderNews::default(),
         };
         leader.set_config(config);
@@ -259,6 +269,7 @@
         self.poll_holds(out);
         self.check_targets(out);
         self.check_accounts(out);
+        self.poll_fleet(out);
     }
 
     /// Does what may follow from any event.
@@ -295,6 +306,9 @@
             LeaderCall::ForgetLed => {}
             LeaderCall::Commit(part) => self.take_commit(part, reply, out),
             LeaderCall::Renew(sent_at) => self.take_renewed(sent_at, reply, out),
+            LeaderCall::ReadWave(wave) => self.take_wave(wave, reply, out),
+            LeaderCall::StoreWave(wave) => self.take_wave_stored(wave, reply),
+            LeaderCall::ReportWave(wave, state) => self.take_wave_reported(wave, state, reply),
         }
         true
     }
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -0,0 +1,346 @@
+//! The instances: which there are, and the orders that move and maintain them.
+
+mod evacuation;
+mod moves;
+mod needs;
+mod waves;
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use magnoliapin_model::Moment;
+use magnoliapin_site::CallFailure;
+use magnoliapin_site::InstanceName;
+use magnoliapin_site::InstancePage;
+use magnoliapin_site::InstanceRecord;
+use magnoliapin_site::InstanceReply;
+use magnoliapin_site::InstanceRequest;
+use magnoliapin_site::InstanceState;
+use magnoliapin_site::OrderRefusal;
+use magnoliapin_site::OrderSender;
+use magnoliapin_site::PoolName;
+
+use self::needs::PoolDemand;
+use self::waves::WaveProgress;
+use crate::leader::registrations::TargetLoss;
+use crate::leader::target::TargetKey;
+use crate::leader::Leader;
+use crate::outbox::Outbox;
+use crate::CallId;
+use crate::NodeAction;
+
+/// Time between two lists while orders are under way.
+const BUSY_LIST_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two lists otherwise.
+const IDLE_LIST_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Time between two plans.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which a call of the service has failed.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// An order is given only this long after the store has confirmed the lease, so that the next
+/// scheduler knows when the last one can have arrived.
+const ORDER_VALIDITY: Duration = Duration::from_millis(900);
+/// Pause before an order is given again that was refused or had no answer.
+const ORDER_PAUSE: Duration = Duration::from_millis(400);
+/// Orders that may be under way at once.
+const MOST_ORDERS: usize = 24;
+
+/// The instances and what is planned for them.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    instances: IndexMap<InstanceName, FleetInstance>,
+    calls: IndexMap<CallId, FleetCall>,
+    /// Counts whole lists, to tell instances that are gone.
+    lists: u64,
+    /// When the list that was read last had been asked for; none before the first.
+    listed_at: Option<Moment>,
+    list_started_at: Moment,
+    next_list_at: Moment,
+    is_listing: bool,
+    next_plan_at: Moment,
+    /// Moments of the orders of the last second.
+    recent_orders: Vec<Moment>,
+    waves: IndexMap<u64, WaveProgress>,
+    demand: IndexMap<PoolName, PoolDemand>,
+    /// Targets that get no new work, as their instances are to be moved or maintained.
+    reserved: IndexSet<TargetKey>,
+}
+
+/// An instance.
+#[derive(Clone, Debug)]
+struct FleetInstance {
+    record: InstanceRecord,
+    /// Number of the list that named it last.
+    list: u64,
+    order: Option<FleetOrder>,
+    /// No order before this.
+    paused_until: Moment,
+}
+
+/// An order for an instance.
+#[derive(Clone, Debug)]
+struct FleetOrder {
+    kind: OrderKind,
+    /// When the service said that it has taken the order.
+    taken_at: Option<Moment>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum OrderKind {
+    Move(PoolName),
+    Maintain(u64),
+}
+
+#[derive(Clone, Debug)]
+enum FleetCall {
+    List,
+    Order(InstanceName),
+}
+
+impl Fleet {
+    /// Makes a fleet of which nothing is known.
+    pub(crate) fn new(now: Moment) -> Self {
+        Self {
+            instances: IndexMap::new(),
+            calls: IndexMap::new(),
+            lists: 0,
+            listed_at: None,
+            list_started_at: now,
+            next_list_at: now,
+            is_listing: false,
+            next_plan_at: now,
+            recent_orders: Vec::new(),
+            waves: IndexMap::new(),
+            demand: IndexMap::new(),
+            reserved: IndexSet::new(),
+        }
+    }
+
+    fn has_orders(&self) -> bool {
+        self.instances.values().any(|instance| instance.order.is_some())
+    }
+}
+
+impl FleetInstance {
+    /// Returns whether an order can be given to it now.
+    fn is_free(&self, now: Moment) -> bool {
+        self.order.is_none()
+            && self.record.state == InstanceState::Up
+            && now >= self.paused_until
+    }
+}
+
+impl Leader {
+    /// Lists the instances, and plans for them, when it is time.
+    pub(super) fn poll_fleet(&mut self, out: &mut Outbox) {
+        if out.now >= self.fleet.next_list_at && !self.fleet.is_listing {
+            self.fleet.is_listing = true;
+            self.fleet.list_started_at = out.now;
+            self.call_instances(FleetCall::List, InstanceRequest::List { page: None }, out);
+        }
+        if out.now >= self.fleet.next_plan_at && self.fleet.listed_at.is_some() {
+            self.fleet.next_plan_at = out.now + PLAN_INTERVAL;
+            self.plan_fleet(out);
+        }
+    }
+
+    fn plan_fleet(&mut self, out: &mut Outbox) {
+        let before = std::mem::take(&mut self.fleet.reserved);
+        self.measure_demand(out.now);
+        self.plan_waves(out);
+        self.plan_moves(out);
+        let reserved = self.fleet.reserved.clone();
+        for (key, target) in &mut self.targets {
+            target.is_reserved = reserved.contains(key);
+        }
+        for key in before.iter().filter(|key| !reserved.contains(*key)) {
+            let pool = self.targets.get(key).map(|target| target.record.pool.clone());
+            if let Some(pool) = pool {
+                self.stir(&pool);
+            }
+        }
+    }
+
+    fn call_instances(&mut self, kind: FleetCall, request: InstanceRequest, out: &mut Outbox) {
+        let call = out.next_call();
+        out.push(NodeAction::Instances { call, request, timeout: CALL_TIMEOUT });
+        self.fleet.calls.insert(call, kind);
+    }
+
+    /// Takes an answer of the service for instances.
+    pub(crate) fn take_instance_reply(
+        &mut self,
+        call: CallId,
+        reply: &InstanceReply,
+        out: &mut Outbox,
+    ) {
+        match self.fleet.calls.swap_remove(&call) {
+            Some(FleetCall::List) => self.take_list(reply, out),
+            Some(FleetCall::Order(instance)) => self.take_order_reply(&instance, reply, out),
+            None => {}
+        }
+    }
+
+    fn take_list(&mut self, reply: &InstanceReply, out: &mut Outbox) {
+        let InstanceReply::Page(page) = reply else {
+            self.fleet.is_listing = false;
+            self.fleet.next_list_at = out.now + BUSY_LIST_INTERVAL;
+            return;
+        };
+        self.take_page(page, out);
+        if let Some(next) = &page.next {
+            let request = InstanceRequest::List { page: Some(next.clone()) };
+            return self.call_instances(FleetCall::List, request, out);
+        }
+        let fleet = &mut self.fleet;
+        fleet.is_listing = false;
+        fleet.listed_at = Some(fleet.list_started_at);
+        let last = fleet.lists;
+        fleet.lists += 1;
+        // One that two lists in a row leave out is gone.
+        fleet.instances.retain(|_, instance| instance.list + 1 >= last);
+        let is_busy = fleet.has_orders() || fleet.waves.values().any(|wave| !wave.is_over());
+        let interval = if is_busy { BUSY_LIST_INTERVAL } else { IDLE_LIST_INTERVAL };
+        fleet.next_list_at = out.now + interval;
+    }
+
+    fn take_page(&mut self, page: &InstancePage, out: &Outbox) {
+        for why in &page.unreadable {
+            log::warn!("event=instance_unreadable why={why:?}");
+        }
+        let asked_at = self.fleet.list_started_at;
+        let list = self.fleet.lists;
+        for record in &page.instances {
+            let instance = self.fleet.instances.entry(record.name.clone()).or_insert_with(|| {
+                FleetInstance {
+                    record: record.clone(),
+                    list,
+                    order: None,
+                    paused_until: out.now,
+                }
+            });
+            instance.list = list;
+            instance.record = record.clone();
+            instance.settle(asked_at);
+        }
+    }
+
+    /// Returns whether this scheduler may give orders: the one before can give none any more, and
+    /// the next one none yet.
+    fn may_order(&self, now: Moment) -> bool {
+        let spacing = self.identity.times.order_spacing;
+        let first = self.taken_at + spacing + ORDER_VALIDITY + CALL_TIMEOUT;
+        let is_first_ever = self.generation == 1;
+        now.since(self.confirmed_at) < ORDER_VALIDITY && (is_first_ever || now >= first)
+    }
+
+    /// Returns whether one more order may be given now.
+    fn has_order_room(&mut self, now: Moment) -> bool {
+        self.fleet.recent_orders.retain(|at| now.since(*at) < Duration::from_secs(1));
+        let rate = self.identity.instance_orders_per_s;
+        let under_way =
+            self.fleet.instances.values().filter(|instance| instance.is_ordering()).count();
+        (self.fleet.recent_orders.len() as f64) < rate && under_way < MOST_ORDERS
+    }
+
+    /// Gives an order.
+    fn order(&mut self, name: &InstanceName, kind: OrderKind, out: &mut Outbox) {
+        let sender =
+            OrderSender { node: self.identity.node.clone(), fence: self.generation };
+        let Some(instance) = self.fleet.instances.get_mut(name) else { return };
+        log::info!(
+            "event=instance_ordered instance={name} kind={kind:?} pool={} state={:?}",
+            instance.record.pool,
+            instance.record.state
+        );
+        instance.order = Some(FleetOrder { kind: kind.clone(), taken_at: None });
+        self.fleet.recent_orders.push(out.now);
+        let instance = name.clone();
+        let request = match kind {
+            OrderKind::Move(pool) => InstanceRequest::Move { instance, pool, sender },
+            OrderKind::Maintain(wave) => InstanceRequest::Maintain { instance, wave, sender },
+        };
+        self.fleet.next_list_at = self.fleet.next_list_at.min(out.now + BUSY_LIST_INTERVAL);
+        self.call_instances(FleetCall::Order(name.clone()), request, out);
+    }
+
+    fn take_order_reply(
+        &mut self,
+        name: &InstanceName,
+        reply: &InstanceReply,
+        out: &mut Outbox,
+    ) {
+        let Some(instance) = self.fleet.instances.get_mut(name) else { return };
+        let Some(order) = instance.order.clone() else { return };
+        match reply {
+            InstanceReply::Ordered => {
+                instance.order =
+                    Some(FleetOrder { taken_at: Some(out.now), kind: order.kind.clone() });
+                if let OrderKind::Maintain(wave) = order.kind {
+                    self.note_maintained(wave, name);
+                }
+                self.end_target_of(name, out);
+            }
+            InstanceReply::Refused(OrderRefusal::Fenced) => {
+                self.depose("the service for instances obeys a newer scheduler");
+            }
+            InstanceReply::Refused(refusal) => {
+                log::info!("event=instance_order_refused instance={name} why={refusal:?}");
+                instance.order = None;
+                instance.paused_until = out.now + ORDER_PAUSE;
+                if let OrderKind::Maintain(wave) = order.kind {
+                    self.note_refused(wave, name, *refusal);
+                }
+            }
+            InstanceReply::Failed(CallFailure::NotDone) => {
+                instance.order = None;
+                instance.paused_until = out.now + ORDER_PAUSE;
+            }
+            // The same order again tells: it is answered alike if it was carried out.
+            InstanceReply::Failed(CallFailure::Unknown) | InstanceReply::Page(_) => {
+                log::warn!("event=instance_order_unanswered instance={name}");
+                instance.order = None;
+                instance.paused_until = out.now + ORDER_PAUSE;
+            }
+        }
+    }
+
+    /// Notes that everything on an instance has ended.
+    fn end_target_of(&mut self, name: &InstanceName, out: &mut Outbox) {
+        let found = self
+            .targets
+            .iter()
+            .find(|(_, target)| target.record.instance.as_ref() == Some(name))
+            .map(|(key, _)| *key);
+        if let Some(key) = found {
+            self.remove_target(key, TargetLoss::OtherLife, out);
+        }
+    }
+
+    /// Returns the target that an instance hosts.
+    fn target_of(&self, name: &InstanceName) -> Option<TargetKey> {
+        let mut targets = self.targets.iter();
+        let found = targets.find(|(_, target)| target.record.instance.as_ref() == Some(name));
+        found.map(|(key, _)| *key)
+    }
+}
+
+impl FleetInstance {
+    fn is_ordering(&self) -> bool {
+        self.order.as_ref().is_some_and(|order| order.taken_at.is_none())
+    }
+
+    /// Ends an order that a list asked for at `asked_at` shows to be done.
+    fn settle(&mut self, asked_at: Moment) {
+        let Some(order) = &self.order else { return };
+        let is_listed_after = order.taken_at.is_some_and(|at| asked_at > at);
+        let is_there = match &order.kind {
+            OrderKind::Move(pool) => self.record.pool == *pool,
+            OrderKind::Maintain(_) => true,
+        };
+        if is_listed_after && is_there && self.record.state == InstanceState::Up {
+            self.order = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/waves.rs
@@ -0,0 +1,290 @@
+//! Maintains the instances of the operator's waves.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use magnoliapin_model::plain_data;
+use magnoliapin_model::Moment;
+use magnoliapin_model::RowVersion;
+use magnoliapin_site::InstanceName;
+use magnoliapin_site::InstanceState;
+use magnoliapin_site::MaintenanceWave;
+use magnoliapin_site::OrderRefusal;
+use magnoliapin_site::StoreReply;
+use magnoliapin_site::StoreRequest;
+use magnoliapin_site::StoreTransaction;
+use magnoliapin_site::WaveState;
+
+use super::OrderKind;
+use crate::leader::Leader;
+use crate::leader::LeaderCall;
+use crate::outbox::Outbox;
+use crate::rows;
+
+/// Time that one instance takes beyond its maintenance: until the list shows it in service.
+const ROUND_SLACK: Duration = Duration::from_millis(1_000);
+/// Time that must be left when instances which still run something are taken.
+const URGENT_TIME: Duration = Duration::from_secs(5);
+
+plain_data! {
+    /// What is done of a wave.
+    #[derive(Default, Eq)]
+    pub(crate) struct WaveRow {
+        /// Instances whose maintenance has begun.
+        pub(crate) begun: Vec<InstanceName>,
+        /// Whether the operator was told that the wave is completed.
+        pub(crate) is_reported: bool,
+    }
+}
+
+/// How far a wave is.
+#[derive(Debug)]
+pub(crate) struct WaveProgress {
+    wave: MaintenanceWave,
+    /// When it has to be done, as seen from here.
+    due_at: Moment,
+    /// Whether what was stored of it is known.
+    is_loaded: bool,
+    begun: IndexSet<InstanceName>,
+    version: RowVersion,
+    /// Whether something is not stored.
+    is_changed: bool,
+    is_storing: bool,
+    /// State that the operator was told last.
+    reported: Option<WaveState>,
+    is_reporting: bool,
+}
+
+impl WaveProgress {
+    fn new(wave: MaintenanceWave, now: Moment) -> Self {
+        Self {
+            due_at: now + wave.duration,
+            wave,
+            is_loaded: false,
+            begun: IndexSet::new(),
+            version: RowVersion(0),
+            is_changed: false,
+            is_storing: false,
+            reported: None,
+            is_reporting: false,
+        }
+    }
+
+    /// Returns whether the operator knows that the wave is completed.
+    pub(super) fn is_over(&self) -> bool {
+        self.reported == Some(WaveState::Completed)
+    }
+
+    /// Returns whether an instance still has to be maintained.
+    pub(super) fn waits_for(&self, name: &InstanceName) -> bool {
+        self.is_loaded && self.wave.instances.contains(name) && !self.begun.contains(name)
+    }
+}
+
+impl Leader {
+    /// Takes the waves that the operator asks for.
+    pub(crate) fn set_waves(&mut self, waves: &IndexMap<u64, MaintenanceWave>, out: &mut Outbox) {
+        self.fleet.waves.retain(|number, _| waves.contains_key(number));
+        for (number, wave) in waves {
+            if let Some(known) = self.fleet.waves.get_mut(number) {
+                known.wave = wave.clone();
+                continue;
+            }
+            self.fleet.waves.insert(*number, WaveProgress::new(wave.clone(), out.now));
+            self.read_wave(*number, out);
+        }
+    }
+
+    fn read_wave(&mut self, wave: u64, out: &mut Outbox) {
+        let range = magnoliapin_site::RowRange::one(&rows::wave_row(wave));
+        let timeout = self.identity.times.store_timeout;
+        self.call(LeaderCall::ReadWave(wave), StoreRequest::Read(range), timeout, out);
+    }
+
+    /// Takes what was stored of a wave.
+    pub(in crate::leader) fn take_wave(
+        &mut self,
+        number: u64,
+        reply: &StoreReply,
+        out: &mut Outbox,
+    ) {
+        let StoreReply::Rows { rows, .. } = reply else {
+            return self.read_wave(number, out);
+        };
+        let Some(wave) = self.fleet.waves.get_mut(&number) else { return };
+        wave.is_loaded = true;
+        let Some(row) = rows.first() else { return };
+        wave.version = row.version;
+        let decoded: Option<WaveRow> = row.value.as_deref().and_then(rows::decode);
+        match decoded {
+            Some(row) => {
+                wave.begun.extend(row.begun);
+                wave.reported = row.is_reported.then_some(WaveState::Completed);
+            }
+            None => log::error!("event=row_unreadable table={} wave={number}", rows::WAVE),
+        }
+    }
+
+    /// Orders what is due of the waves.
+    pub(super) fn plan_waves(&mut self, out: &mut Outbox) {
+        let numbers: Vec<u64> = self.fleet.waves.keys().copied().collect();
+        for number in numbers {
+            self.plan_wave(number, out);
+            self.store_wave(number, out);
+            self.report_wave(number, out);
+        }
+    }
+
+    fn plan_wave(&mut self, number: u64, out: &mut Outbox) {
+        let Some(wave) = self.fleet.waves.get(&number) else { return };
+        if !wave.is_loaded || wave.is_over() {
+            return;
+        }
+        let waiting: Vec<InstanceName> = wave
+            .wave
+            .instances
+            .iter()
+            .filter(|name| wave.waits_for(name))
+            .filter(|name| self.fleet.instances.contains_key(*name))
+            .cloned()
+            .collect();
+        let down = wave.wave.instances.iter().filter(|name| self.is_down_for(name, number)).count();
+        let mut room = (wave.wave.max_down as usize).saturating_sub(down);
+        let rounds = waiting.len().div_ceil(wave.wave.max_down.max(1) as usize) as u32;
+        let round = self.identity.times.maintenance_time + ROUND_SLACK;
+        let left = wave.due_at.since(out.now);
+        let is_urgent = left < round * rounds + URGENT_TIME;
+        let mut ranked: Vec<(u8, InstanceName)> =
+            waiting.into_iter().map(|name| (self.burden(&name), name)).collect();
+        ranked.sort();
+        for (burden, name) in ranked {
+            if room == 0 {
+                break;
+            }
+            let is_free =
+                self.fleet.instances.get(&name).is_some_and(|instance| instance.is_free(out.now));
+            if !is_free {
+                continue;
+            }
+            let is_empty = burden == 0;
+            if !is_empty && !self.prepare(&name, is_urgent, out) {
+                // Its place is kept, so that no more instances are prepared than can go down.
+                room -= 1;
+                continue;
+            }
+            if self.may_order(out.now) && self.has_order_room(out.now) {
+                self.order(&name, OrderKind::Maintain(number), out);
+            }
+            room -= 1;
+        }
+    }
+
+    /// Returns how much stands in the way of taking an instance: nothing, tasks that end by
+    /// themselves, or tasks that last.
+    fn burden(&self, name: &InstanceName) -> u8 {
+        let Some(target) = self.target_of(name).and_then(|key| self.targets.get(&key)) else {
+            return 0;
+        };
+        match (target.runs.is_empty(), target.runs.values().any(|run| run.is_long)) {
+            (true, _) => 0,
+            (false, false) => 1,
+            (false, true) => 2,
+        }
+    }
+
+    /// Returns whether an instance is down for a wave, or may be.
+    fn is_down_for(&self, name: &InstanceName, number: u64) -> bool {
+        let Some(instance) = self.fleet.instances.get(name) else { return false };
+        let is_ordered = instance
+            .order
+            .as_ref()
+            .is_some_and(|order| order.kind == OrderKind::Maintain(number));
+        is_ordered || instance.record.state == InstanceState::Maintained
+    }
+
+    /// Notes that the maintenance of an instance has begun.
+    pub(super) fn note_maintained(&mut self, number: u64, name: &InstanceName) {
+        if let Some(wave) = self.fleet.waves.get_mut(&number) {
+            wave.is_changed |= wave.begun.insert(name.clone());
+        }
+    }
+
+    /// Notes that an order of a wave was refused.
+    pub(super) fn note_refused(&mut self, number: u64, name: &InstanceName, why: OrderRefusal) {
+        if matches!(why, OrderRefusal::OtherWave | OrderRefusal::Invalid) {
+            // It will never be taken, so the wave does not wait for it.
+            self.note_maintained(number, name);
+        }
+    }
+
+    /// Stores what is done of a wave, so that the next scheduler takes no instance twice.
+    fn store_wave(&mut self, number: u64, out: &mut Outbox) {
+        let Some(fence) = self.parts[0].load.fence() else { return };
+        let Some(wave) = self.fleet.waves.get_mut(&number) else { return };
+        if !wave.is_changed || wave.is_storing {
+            return;
+        }
+        wave.is_changed = false;
+        wave.is_storing = true;
+        let row = WaveRow {
+            begun: wave.begun.iter().cloned().collect(),
+            is_reported: wave.is_over(),
+        };
+        let transaction = StoreTransaction::default()
+            .with_expected(rows::fence_row(0), fence)
+            .with_write(rows::wave_row(number), rows::encode(&row));
+        let timeout = self.identity.times.store_timeout;
+        self.call(LeaderCall::StoreWave(number), StoreRequest::Commit(transaction), timeout, out);
+    }
+
+    /// Takes the answer to a write about a wave.
+    pub(in crate::leader) fn take_wave_stored(&mut self, number: u64, reply: &StoreReply) {
+        if matches!(reply, StoreReply::Conflict(_)) {
+            return self.depose("the fence has changed");
+        }
+        if let Some(wave) = self.fleet.waves.get_mut(&number) {
+            wave.is_storing = false;
+            wave.is_changed |= !matches!(reply, StoreReply::Committed(_));
+        }
+    }
+
+    /// Tells the operator how far a wave is.
+    fn report_wave(&mut self, number: u64, out: &mut Outbox) {
+        let Some(wave) = self.fleet.waves.get(&number) else { return };
+        if !wave.is_loaded || wave.is_reporting {
+            return;
+        }
+        let is_waiting = wave
+            .wave
+            .instances
+            .iter()
+            .any(|name| wave.waits_for(name) && self.fleet.instances.contains_key(name));
+        let state = if is_waiting { WaveState::Running } else { WaveState::Completed };
+        // What is told must be stored, or the next scheduler would begin again.
+        if wave.reported == Some(state) || wave.is_changed || wave.is_storing {
+            return;
+        }
+        let Some(wave) = self.fleet.waves.get_mut(&number) else { return };
+        wave.is_reporting = true;
+        let request = StoreRequest::ReportWave { wave: number, state };
+        let timeout = self.identity.times.store_timeout;
+        self.call(LeaderCall::ReportWave(number, state), request, timeout, out);
+    }
+
+    /// Takes the answer to a report about a wave.
+    pub(in crate::leader) fn take_wave_reported(
+        &mut self,
+        number: u64,
+        state: WaveState,
+        reply: &StoreReply,
+    ) {
+        let Some(wave) = self.fleet.waves.get_mut(&number) else { return };
+        wave.is_reporting = false;
+        if matches!(reply, StoreReply::Committed(_)) {
+            log::info!("event=wave_reported wave={number} state={state:?}");
+            wave.reported = Some(state);
+            wave.is_changed |= state == WaveState::Completed;
+        }
+    }
+}
--- a/crates/magnoliapin_scheduler/src/leader/intake.rs
+++ b/crates/magnoliapin_scheduler/src/leader/intake.rs
@@ -135,6 +135,10 @@
         if !job.spec.is_long_running() {
             facts.note_job(&job.spec);
         }
+        let facts = *facts;
+        if !is_inherited {
+            self.note_arrival(&job.pool, &job.spec, &facts, out.now);
+        }
         let pool = job.pool.clone();
         self.job_keys.insert(id, key);
         self.pools.entry(pool.clone()).or_default().jobs.insert(key);
--- a/crates/magnoliapin_scheduler/src/machine.rs
+++ b/crates/magnoliapin_scheduler/src/machine.rs
@@ -4,6 +4,7 @@
 use magnoliapin_model::Moment;
 use magnoliapin_site::ClientAction;
 use magnoliapin_site::ClientRequest;
+use magnoliapin_site::InstanceReply;
 use magnoliapin_site::NodeSettings;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::TargetReply;
@@ -45,6 +46,7 @@
             incarnation: out.random.random(),
             parts: settings.store_limits.parts(),
             times,
+            instance_orders_per_s: settings.instance_orders_per_s,
         };
         Self {
             site: SiteWatch::new(),
@@ -93,7 +95,8 @@
             NodeEvent::Client(client, request) => self.take_request(client, *request),
             NodeEvent::Store(call, reply) => self.take_store_reply(call, &reply),
             NodeEvent::Target(call, reply) => self.take_target_reply(call, &reply),
-            NodeEvent::Instances(..) | NodeEvent::Advice(..) => {}
+            NodeEvent::Instances(call, reply) => self.take_instance_reply(call, &reply),
+            NodeEvent::Advice(..) => {}
             NodeEvent::Stop => self.stop(),
         }
         self.note_ready();
@@ -136,6 +139,9 @@
             if has_new_config {
                 self.take_config();
             }
+            if let Some(leader) = &mut self.leader {
+                leader.set_waves(self.site.waves(), &mut self.out);
+            }
             self.site.poll(&self.identity.times, &mut self.out);
             return;
         }
@@ -171,6 +177,13 @@
         self.drop_deposed();
     }
 
+    fn take_instance_reply(&mut self, call: CallId, reply: &InstanceReply) {
+        if let Some(leader) = &mut self.leader {
+            leader.take_instance_reply(call, reply, &mut self.out);
+        }
+        self.drop_deposed();
+    }
+
     fn take_config(&mut self) {
         let Some(config) = self.site.config().cloned() else { return };
         self.desk.set_config(&config);
@@ -181,7 +194,8 @@
 
     fn begin_to_lead(&mut self, lease: TakenLease) {
         let Some(config) = self.site.config().cloned() else { return };
-        let leader = Leader::new(self.identity.clone(), lease, config, &mut self.out);
+        let mut leader = Leader::new(self.identity.clone(), lease, config, &mut self.out);
+        leader.set_waves(self.site.waves(), &mut self.out);
         self.leader = Some(Box::new(leader));
     }
 
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -9,6 +9,7 @@
 //! | [`OUTCOME`] | a job | how it ended |
 //! | [`LEASE`] | [`LEASE_KEY`] | who schedules |
 //! | [`LED`] | a target | a life of a target that may run something |
+//! | [`WAVE`] | a wave | instances whose maintenance has begun |
 //!
 //! Jobs are spread over partitions by their identifiers. A new scheduler fences one partition
 //! after the other before it reads it, so that nothing of the one before it can change what was
@@ -44,6 +45,9 @@
 /// Table of targets that may run something.
 pub(crate) const LED: &str = "led";
 
+/// Table of what is done of the operator's waves.
+pub(crate) const WAVE: &str = "wave";
+
 /// Key of a partition's fence; comes before any job.
 pub(crate) const FENCE_KEY: &str = "!fence";
 /// What follows a job in the key of the wish to cancel it.
@@ -202,6 +206,11 @@
     RowId::new(LED, FIRST_PART, target.as_str())
 }
 
+/// Returns the row of what is done of a wave.
+pub(crate) fn wave_row(wave: u64) -> RowId {
+    RowId::new(WAVE, FIRST_PART, wave.to_string())
+}
+
 /// What a key of the table of jobs stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum IntakeKey {
--- a/crates/magnoliapin_scheduler/src/site_watch.rs
+++ b/crates/magnoliapin_scheduler/src/site_watch.rs
@@ -35,6 +35,11 @@
         self.config.as_ref()
     }
 
+    /// Returns the waves that the operator asks for.
+    pub(crate) fn waves(&self) -> &IndexMap<u64, MaintenanceWave> {
+        &self.waves
+    }
+
     /// Returns when the store last answered, by when the call was sent.
     pub(crate) fn heard_at(&self) -> Option<Moment> {
         self.watch.heard_at()
--- a/crates/magnoliapin_scheduler/src/times.rs
+++ b/crates/magnoliapin_scheduler/src/times.rs
@@ -28,6 +28,10 @@
     pub order_timeout: Duration,
     /// How long a registration may be missing while its target answers.
     pub registration_grace: Duration,
+    /// Least time between orders to one instance from different nodes.
+    pub order_spacing: Duration,
+    /// Time that maintenance takes.
+    pub maintenance_time: Duration,
     /// How long the outcome of a job is kept.
     pub outcome_retention: Duration,
 }
@@ -47,6 +51,8 @@
             hold_wait: Duration::from_millis(2_000).min(bounds.max_lease / 4),
             order_timeout: Duration::from_millis(400),
             registration_grace: Duration::from_millis(2_500),
+            order_spacing: bounds.order_spacing,
+            maintenance_time: bounds.maintenance_time,
             outcome_retention: bounds.outcome_retention,
         }
     }
