Take a target for ended only when a list or its next life shows it

Change: an order's answer ends nothing; the list of instances, or a newer target on the same instance, does. Rows of lives that end while they are recorded are removed. A new scheduler settles old lives by the list. A wave's time counts from when a node first saw it, and is stored.

--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -26,6 +26,7 @@
 use indexmap::IndexSet;
 use magnoliapin_model::Moment;
 use magnoliapin_model::UnixMillis;
+use magnoliapin_site::InstanceName;
 use magnoliapin_site::JobId;
 use magnoliapin_site::JobState;
 use magnoliapin_site::NodeName;
@@ -50,6 +51,7 @@
 use self::lease::Renewal;
 use self::queue_facts::QueueFacts;
 use self::recovery::PartLoad;
+use self::registrations::TargetLife;
 use self::target::Target;
 use self::target::TargetKey;
 use crate::election::TakenLease;
@@ -93,7 +95,7 @@
     pools: IndexMap<PoolName, Pool>,
     team_use: IndexMap<TeamName, Resources>,
     /// Lives of targets that may run what the scheduler before started, and have not told yet.
-    old_lives: IndexMap<TargetName, UnixMillis>,
+    old_lives: IndexMap<TargetName, OldLife>,
     /// Whether all that the scheduler before started is accounted for.
     is_accounted: bool,
     intake: Option<Watch>,
@@ -128,6 +130,14 @@
     is_stirred: bool,
 }
 
+/// A life of a target that may run what the scheduler before started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct OldLife {
+    born_at: UnixMillis,
+    /// Instance that hosts it.
+    instance: Option<InstanceName>,
+}
+
 /// How far the scheduler is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LeaderPhase {
@@ -148,7 +158,7 @@
     LoadProgress(u32),
     LoadLed,
     ReloadJobs(u32, String),
-    RecordLed(Vec<TargetKey>),
+    RecordLed(Vec<(TargetKey, TargetLife)>),
     ForgetLed,
     Commit(u32),
     Renew(Moment),
@@ -302,7 +312,7 @@
             LeaderCall::LoadProgress(part) => self.take_progress(part, reply, out),
             LeaderCall::LoadLed => self.take_led(reply, out),
             LeaderCall::ReloadJobs(part, from) => self.take_reload(part, from, reply, out),
-            LeaderCall::RecordLed(targets) => self.take_recorded(&targets, reply),
+            LeaderCall::RecordLed(targets) => self.take_recorded(&targets, reply, out),
             LeaderCall::ForgetLed => {}
             LeaderCall::Commit(part) => self.take_commit(part, reply, out),
             LeaderCall::Renew(sent_at) => self.take_renewed(sent_at, reply, out),
--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -24,6 +24,7 @@
 use self::needs::PoolDemand;
 use self::waves::WaveProgress;
 use crate::leader::registrations::TargetLoss;
+use crate::leader::target::Target;
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
@@ -125,9 +126,7 @@
 impl FleetInstance {
     /// Returns whether an order can be given to it now.
     fn is_free(&self, now: Moment) -> bool {
-        self.order.is_none()
-            && self.record.state == InstanceState::Up
-            && now >= self.paused_until
+        self.order.is_none() && self.record.state == InstanceState::Up && now >= self.paused_until
     }
 }
 
@@ -150,6 +149,7 @@
         self.measure_demand(out.now);
         self.plan_waves(out);
         self.plan_moves(out);
+        self.reserve_ordered();
         let reserved = self.fleet.reserved.clone();
         for (key, target) in &mut self.targets {
             target.is_reserved = reserved.contains(key);
@@ -162,6 +162,22 @@
         }
     }
 
+    /// Keeps new work off instances that have an order.
+    fn reserve_ordered(&mut self) {
+        let ordered: Vec<InstanceName> = self
+            .fleet
+            .instances
+            .iter()
+            .filter(|(_, instance)| instance.order.is_some())
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in ordered {
+            if let Some(key) = self.target_of(&name) {
+                self.fleet.reserved.insert(key);
+            }
+        }
+    }
+
     fn call_instances(&mut self, kind: FleetCall, request: InstanceRequest, out: &mut Outbox) {
         let call = out.next_call();
         out.push(NodeAction::Instances { call, request, timeout: CALL_TIMEOUT });
@@ -205,7 +221,7 @@
         fleet.next_list_at = out.now + interval;
     }
 
-    fn take_page(&mut self, page: &InstancePage, out: &Outbox) {
+    fn take_page(&mut self, page: &InstancePage, out: &mut Outbox) {
         for why in &page.unreadable {
             log::warn!("event=instance_unreadable why={why:?}");
         }
@@ -213,16 +229,59 @@
         let list = self.fleet.lists;
         for record in &page.instances {
             let instance = self.fleet.instances.entry(record.name.clone()).or_insert_with(|| {
-                FleetInstance {
-                    record: record.clone(),
-                    list,
-                    order: None,
-                    paused_until: out.now,
-                }
+                FleetInstance { record: record.clone(), list, order: None, paused_until: out.now }
             });
             instance.list = list;
             instance.record = record.clone();
             instance.settle(asked_at);
+            self.check_old_lives(record);
+            self.check_host(record, out);
+        }
+    }
+
+    /// Settles the lives that an instance hosted before: it hosts one target at a time.
+    fn check_old_lives(&mut self, record: &InstanceRecord) {
+        if self.fleet.list_started_at < self.taken_at {
+            return;
+        }
+        let is_off = self.is_off(record);
+        self.old_lives.retain(|name, life| {
+            let is_here = life.instance.as_ref() == Some(&record.name);
+            let is_other = record.target.as_ref().is_some_and(|now| now != name);
+            !(is_here && (is_other || is_off))
+        });
+    }
+
+    /// Returns whether an instance runs nothing: it is on its way, being maintained, or on standby.
+    fn is_off(&self, record: &InstanceRecord) -> bool {
+        match record.state {
+            InstanceState::Moving | InstanceState::Maintained => true,
+            InstanceState::Up => {
+                let rule = self.config.pools.get(&record.pool);
+                record.target.is_none() && rule.is_some_and(|rule| rule.is_standby)
+            }
+            InstanceState::Down => false,
+        }
+    }
+
+    /// Compares the target that an instance hosts with the one that is led there.
+    fn check_host(&mut self, record: &InstanceRecord, out: &mut Outbox) {
+        let is_off = self.is_off(record);
+        let is_over = |target: &Target| {
+            let is_here = target.record.instance.as_ref() == Some(&record.name);
+            let is_other = record.target.as_ref().is_some_and(|now| *now != target.record.name);
+            // A list may be older than a registration.
+            let is_older = target.learned_at >= self.fleet.list_started_at;
+            is_here && !is_older && (is_other || is_off)
+        };
+        let over: Vec<TargetKey> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| is_over(target))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in over {
+            self.remove_target(key, TargetLoss::OtherLife, out);
         }
     }
 
@@ -246,8 +305,7 @@
 
     /// Gives an order.
     fn order(&mut self, name: &InstanceName, kind: OrderKind, out: &mut Outbox) {
-        let sender =
-            OrderSender { node: self.identity.node.clone(), fence: self.generation };
+        let sender = OrderSender { node: self.identity.node.clone(), fence: self.generation };
         let Some(instance) = self.fleet.instances.get_mut(name) else { return };
         log::info!(
             "event=instance_ordered instance={name} kind={kind:?} pool={} state={:?}",
@@ -265,12 +323,7 @@
         self.call_instances(FleetCall::Order(name.clone()), request, out);
     }
 
-    fn take_order_reply(
-        &mut self,
-        name: &InstanceName,
-        reply: &InstanceReply,
-        out: &mut Outbox,
-    ) {
+    fn take_order_reply(&mut self, name: &InstanceName, reply: &InstanceReply, out: &mut Outbox) {
         let Some(instance) = self.fleet.instances.get_mut(name) else { return };
         let Some(order) = instance.order.clone() else { return };
         match reply {
@@ -280,7 +333,6 @@
                 if let OrderKind::Maintain(wave) = order.kind {
                     self.note_maintained(wave, name);
                 }
-                self.end_target_of(name, out);
             }
             InstanceReply::Refused(OrderRefusal::Fenced) => {
                 self.depose("the service for instances obeys a newer scheduler");
@@ -306,23 +358,11 @@
         }
     }
 
-    /// Notes that everything on an instance has ended.
-    fn end_target_of(&mut self, name: &InstanceName, out: &mut Outbox) {
-        let found = self
-            .targets
-            .iter()
-            .find(|(_, target)| target.record.instance.as_ref() == Some(name))
-            .map(|(key, _)| *key);
-        if let Some(key) = found {
-            self.remove_target(key, TargetLoss::OtherLife, out);
-        }
-    }
-
-    /// Returns the target that an instance hosts.
+    /// Returns the target that an instance hosts: the one that was born last.
     fn target_of(&self, name: &InstanceName) -> Option<TargetKey> {
-        let mut targets = self.targets.iter();
-        let found = targets.find(|(_, target)| target.record.instance.as_ref() == Some(name));
-        found.map(|(key, _)| *key)
+        let hosted =
+            self.targets.iter().filter(|(_, target)| target.record.instance.as_ref() == Some(name));
+        hosted.max_by_key(|(_, target)| target.born_at()).map(|(key, _)| *key)
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/fleet/moves.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/moves.rs
@@ -37,9 +37,9 @@
         let Some(standby) = self.standby_pool() else { return };
         let mut stands = self.pool_stands(out.now);
         let wants = |stands: &IndexMap<PoolName, PoolStand>| {
-            let short = stands.iter().filter(|(name, stand)| {
-                **name != standby && stand.wanted > stand.instances
-            });
+            let short = stands
+                .iter()
+                .filter(|(name, stand)| **name != standby && stand.wanted > stand.instances);
             // The pool that lacks the largest part of what it needs comes first.
             short
                 .max_by(|(_, one), (_, other)| one.shortage().total_cmp(&other.shortage()))
@@ -74,7 +74,8 @@
             }
             let surplus = stand.instances.saturating_sub(stand.wanted);
             let now = out.now;
-            let since = self.fleet.demand.entry(pool.clone()).or_default().surplus_since(surplus > 0, now);
+            let since =
+                self.fleet.demand.entry(pool.clone()).or_default().surplus_since(surplus > 0, now);
             if surplus == 0 || since.is_none_or(|since| now.since(since) < SURPLUS_TIME) {
                 continue;
             }
@@ -142,9 +143,7 @@
     let surplus = |stand: &PoolStand| stand.instances.saturating_sub(stand.wanted);
     let (name, stand) = stands
         .iter_mut()
-        .filter(|(name, stand)| {
-            *name != standby && surplus(stand) > 0 && !stand.idle.is_empty()
-        })
+        .filter(|(name, stand)| *name != standby && surplus(stand) > 0 && !stand.idle.is_empty())
         .max_by_key(|(_, stand)| surplus(stand))?;
     stand.idle.pop().map(|instance| (name.clone(), instance))
 }
--- a/crates/magnoliapin_scheduler/src/leader/fleet/waves.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/waves.rs
@@ -5,8 +5,8 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use magnoliapin_model::plain_data;
-use magnoliapin_model::Moment;
 use magnoliapin_model::RowVersion;
+use magnoliapin_model::UnixMillis;
 use magnoliapin_site::InstanceName;
 use magnoliapin_site::InstanceState;
 use magnoliapin_site::MaintenanceWave;
@@ -21,6 +21,7 @@
 use crate::leader::LeaderCall;
 use crate::outbox::Outbox;
 use crate::rows;
+use crate::site_watch::SeenWave;
 
 /// Time that one instance takes beyond its maintenance: until the list shows it in service.
 const ROUND_SLACK: Duration = Duration::from_millis(1_000);
@@ -35,6 +36,8 @@
         pub(crate) begun: Vec<InstanceName>,
         /// Whether the operator was told that the wave is completed.
         pub(crate) is_reported: bool,
+        /// When a node first learned of the wave.
+        pub(crate) seen_at: UnixMillis,
     }
 }
 
@@ -42,8 +45,8 @@
 #[derive(Debug)]
 pub(crate) struct WaveProgress {
     wave: MaintenanceWave,
-    /// When it has to be done, as seen from here.
-    due_at: Moment,
+    /// When a node first learned of it.
+    seen_at: UnixMillis,
     /// Whether what was stored of it is known.
     is_loaded: bool,
     begun: IndexSet<InstanceName>,
@@ -57,10 +60,10 @@
 }
 
 impl WaveProgress {
-    fn new(wave: MaintenanceWave, now: Moment) -> Self {
+    fn new(seen: SeenWave) -> Self {
         Self {
-            due_at: now + wave.duration,
-            wave,
+            seen_at: seen.seen_at,
+            wave: seen.wave,
             is_loaded: false,
             begun: IndexSet::new(),
             version: RowVersion(0),
@@ -84,14 +87,14 @@
 
 impl Leader {
     /// Takes the waves that the operator asks for.
-    pub(crate) fn set_waves(&mut self, waves: &IndexMap<u64, MaintenanceWave>, out: &mut Outbox) {
+    pub(crate) fn set_waves(&mut self, waves: &IndexMap<u64, SeenWave>, out: &mut Outbox) {
         self.fleet.waves.retain(|number, _| waves.contains_key(number));
-        for (number, wave) in waves {
+        for (number, seen) in waves {
             if let Some(known) = self.fleet.waves.get_mut(number) {
-                known.wave = wave.clone();
+                known.wave = seen.wave.clone();
                 continue;
             }
-            self.fleet.waves.insert(*number, WaveProgress::new(wave.clone(), out.now));
+            self.fleet.waves.insert(*number, WaveProgress::new(seen.clone()));
             self.read_wave(*number, out);
         }
     }
@@ -114,12 +117,17 @@
         };
         let Some(wave) = self.fleet.waves.get_mut(&number) else { return };
         wave.is_loaded = true;
-        let Some(row) = rows.first() else { return };
+        let Some(row) = rows.first() else {
+            // The next scheduler must know when the wave began.
+            wave.is_changed = true;
+            return;
+        };
         wave.version = row.version;
         let decoded: Option<WaveRow> = row.value.as_deref().and_then(rows::decode);
         match decoded {
             Some(row) => {
                 wave.begun.extend(row.begun);
+                wave.seen_at = wave.seen_at.min(row.seen_at);
                 wave.reported = row.is_reported.then_some(WaveState::Completed);
             }
             None => log::error!("event=row_unreadable table={} wave={number}", rows::WAVE),
@@ -153,7 +161,8 @@
         let mut room = (wave.wave.max_down as usize).saturating_sub(down);
         let rounds = waiting.len().div_ceil(wave.wave.max_down.max(1) as usize) as u32;
         let round = self.identity.times.maintenance_time + ROUND_SLACK;
-        let left = wave.due_at.since(out.now);
+        let due_at = out.moment_of(wave.seen_at) + wave.wave.duration;
+        let left = due_at.since(out.now);
         let is_urgent = left < round * rounds + URGENT_TIME;
         let mut ranked: Vec<(u8, InstanceName)> =
             waiting.into_iter().map(|name| (self.burden(&name), name)).collect();
@@ -196,10 +205,8 @@
     /// Returns whether an instance is down for a wave, or may be.
     fn is_down_for(&self, name: &InstanceName, number: u64) -> bool {
         let Some(instance) = self.fleet.instances.get(name) else { return false };
-        let is_ordered = instance
-            .order
-            .as_ref()
-            .is_some_and(|order| order.kind == OrderKind::Maintain(number));
+        let is_ordered =
+            instance.order.as_ref().is_some_and(|order| order.kind == OrderKind::Maintain(number));
         is_ordered || instance.record.state == InstanceState::Maintained
     }
 
@@ -230,6 +237,7 @@
         let row = WaveRow {
             begun: wave.begun.iter().cloned().collect(),
             is_reported: wave.is_over(),
+            seen_at: wave.seen_at,
         };
         let transaction = StoreTransaction::default()
             .with_expected(rows::fence_row(0), fence)
--- a/crates/magnoliapin_scheduler/src/leader/holds.rs
+++ b/crates/magnoliapin_scheduler/src/leader/holds.rs
@@ -146,7 +146,7 @@
         target.is_same_life = true;
         let pool = target.record.pool.clone();
         let name = target.record.name.clone();
-        if self.old_lives.get(&name).is_some_and(|born| *born <= report.born_at) {
+        if self.old_lives.get(&name).is_some_and(|life| life.born_at <= report.born_at) {
             self.old_lives.swap_remove(&name);
         }
         for ended in &report.ended {
--- a/crates/magnoliapin_scheduler/src/leader/recovery.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery.rs
@@ -14,6 +14,7 @@
 use crate::leader::Leader;
 use crate::leader::LeaderCall;
 use crate::leader::LeaderPhase;
+use crate::leader::OldLife;
 use crate::outbox::Outbox;
 use crate::rows;
 use crate::rows::FenceRow;
@@ -191,7 +192,8 @@
             let led: Option<LedRow> = row.value.as_deref().and_then(rows::decode);
             match led {
                 Some(led) => {
-                    self.old_lives.insert(TargetName::new(&row.key), led.born_at);
+                    let life = OldLife { born_at: led.born_at, instance: led.instance };
+                    self.old_lives.insert(TargetName::new(&row.key), life);
                 }
                 None => log::error!("event=row_unreadable table={} key={}", rows::LED, row.key),
             }
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -1,6 +1,7 @@
 //! Learns which targets there are.
 
 use magnoliapin_model::RowVersion;
+use magnoliapin_model::UnixMillis;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
 use magnoliapin_site::StoreTransaction;
@@ -13,6 +14,7 @@
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
 use crate::leader::LeaderCall;
+use crate::leader::OldLife;
 use crate::outbox::Outbox;
 use crate::rows;
 use crate::rows::LedRow;
@@ -21,6 +23,9 @@
 /// Rows that one transaction about targets changes.
 const ROWS_PER_CALL: usize = 40;
 
+/// Name of a target and when its life began.
+pub(super) type TargetLife = (TargetName, UnixMillis);
+
 /// Why a life of a target is over for the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TargetLoss {
@@ -80,7 +85,8 @@
                 .get(&record.name)
                 .is_some_and(|key| self.targets.get(key).is_some_and(|target| target.is_led));
             if !is_led {
-                self.old_lives.insert(record.name.clone(), record.born_at);
+                let life = OldLife { born_at: record.born_at, instance: record.instance.clone() };
+                self.old_lives.insert(record.name.clone(), life);
             }
         }
     }
@@ -183,6 +189,7 @@
             record.state,
             record.born_at
         );
+        self.end_earlier(&record, out);
         self.last_target += 1;
         let key = TargetKey(self.last_target);
         self.target_keys.insert(record.name.clone(), key);
@@ -190,6 +197,23 @@
         self.targets.insert(key, Target::new(record, out.now));
     }
 
+    /// Ends the target that an instance hosted before the one that has registered now.
+    fn end_earlier(&mut self, record: &TargetRecord, out: &mut Outbox) {
+        let Some(instance) = &record.instance else { return };
+        let earlier: Vec<TargetKey> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| {
+                target.record.instance.as_ref() == Some(instance)
+                    && target.born_at() < record.born_at
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for key in earlier {
+            self.remove_target(key, TargetLoss::OtherLife, out);
+        }
+    }
+
     /// Forgets a life of a target on which nothing can run any more.
     pub(super) fn remove_target(&mut self, key: TargetKey, why: TargetLoss, out: &mut Outbox) {
         let Some(target) = self.targets.swap_remove(&key) else { return };
@@ -205,7 +229,8 @@
         }
         // A target that never reported may still run what the scheduler before started.
         let is_settled = why != TargetLoss::NeverHeard;
-        if is_settled && self.old_lives.get(&name) == Some(&target.record.born_at) {
+        let born_at = target.record.born_at;
+        if is_settled && self.old_lives.get(&name).is_some_and(|life| life.born_at == born_at) {
             self.old_lives.swap_remove(&name);
         }
         if let Some(version) = target.led_version {
@@ -227,25 +252,38 @@
             return;
         }
         let mut transaction = StoreTransaction::default().with_expected(rows::fence_row(0), fence);
-        for key in &keys {
-            let record = &self.targets[key].record;
-            let value = rows::encode(&LedRow { born_at: record.born_at });
+        let mut lives = Vec::new();
+        for key in keys {
+            let record = &self.targets[&key].record;
+            let instance = record.instance.clone();
+            let value = rows::encode(&LedRow { born_at: record.born_at, instance });
             transaction.writes.push((rows::led_row(&record.name), value));
+            lives.push((key, (record.name.clone(), record.born_at)));
         }
         let timeout = self.identity.times.store_timeout;
         let request = StoreRequest::Commit(transaction);
-        self.call(LeaderCall::RecordLed(keys), request, timeout, out);
+        self.call(LeaderCall::RecordLed(lives), request, timeout, out);
     }
 
     /// Takes the answer to a record of targets.
-    pub(super) fn take_recorded(&mut self, keys: &[TargetKey], reply: &StoreReply) {
+    pub(super) fn take_recorded(
+        &mut self,
+        keys: &[(TargetKey, TargetLife)],
+        reply: &StoreReply,
+        out: &mut Outbox,
+    ) {
         match reply {
             StoreReply::Committed(version) => {
-                for key in keys {
-                    if let Some(target) = self.targets.get_mut(key) {
-                        target.led_version = Some(*version);
-                        let pool = target.record.pool.clone();
-                        self.stir(&pool);
+                for (key, life) in keys {
+                    let target = self.targets.get_mut(key);
+                    match target.filter(|target| target.born_at() == life.1) {
+                        Some(target) => {
+                            target.led_version = Some(*version);
+                            let pool = target.record.pool.clone();
+                            self.stir(&pool);
+                        }
+                        // The life ended while it was being recorded.
+                        None => self.forget_target(&life.0, *version, out),
                     }
                 }
             }
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -29,6 +29,8 @@
 pub(crate) struct Target {
     /// Its registration, as it was last.
     pub(crate) record: TargetRecord,
+    /// When this life was learned of.
+    pub(crate) learned_at: Moment,
     /// When the registration went missing; none while it is there.
     pub(crate) missing_since: Option<Moment>,
     /// Version of the row that tells the store that the target may run something.
@@ -138,6 +140,7 @@
     pub(crate) fn new(record: TargetRecord, now: Moment) -> Self {
         Self {
             record,
+            learned_at: now,
             missing_since: None,
             led_version: None,
             is_led: false,
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -20,6 +20,7 @@
 
 use magnoliapin_model::plain_data;
 use magnoliapin_model::UnixMillis;
+use magnoliapin_site::InstanceName;
 use magnoliapin_site::JobId;
 use magnoliapin_site::JobSpec;
 use magnoliapin_site::JobState;
@@ -155,10 +156,12 @@
     }
 
     /// A life of a target that may run something.
-    #[derive(Copy, Eq)]
+    #[derive(Eq)]
     pub(crate) struct LedRow {
         /// When the life began.
         pub(crate) born_at: UnixMillis,
+        /// Instance that hosts it.
+        pub(crate) instance: Option<InstanceName>,
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/site_watch.rs
+++ b/crates/magnoliapin_scheduler/src/site_watch.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 use magnoliapin_model::Moment;
+use magnoliapin_model::UnixMillis;
 use magnoliapin_site::MaintenanceWave;
 use magnoliapin_site::SiteChange;
 use magnoliapin_site::SiteConfig;
@@ -21,7 +22,14 @@
 pub(crate) struct SiteWatch {
     watch: Watch,
     config: Option<Rc<SiteConfig>>,
-    waves: IndexMap<u64, MaintenanceWave>,
+    waves: IndexMap<u64, SeenWave>,
+}
+
+/// A wave, and when this node learned of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct SeenWave {
+    pub(crate) wave: MaintenanceWave,
+    pub(crate) seen_at: UnixMillis,
 }
 
 impl SiteWatch {
@@ -36,7 +44,7 @@
     }
 
     /// Returns the waves that the operator asks for.
-    pub(crate) fn waves(&self) -> &IndexMap<u64, MaintenanceWave> {
+    pub(crate) fn waves(&self) -> &IndexMap<u64, SeenWave> {
         &self.waves
     }
 
@@ -67,16 +75,17 @@
         };
         let mut has_new_config = false;
         for change in changes {
-            has_new_config |= self.take_change(change);
+            has_new_config |= self.take_change(change, out.wall_now());
         }
         Some(has_new_config)
     }
 
-    fn take_change(&mut self, change: SiteChange) -> bool {
+    fn take_change(&mut self, change: SiteChange, now: UnixMillis) -> bool {
         match change {
             SiteChange::Config(config) => return self.take_config(*config),
             SiteChange::Wave(wave) => {
-                if self.waves.get(&wave.wave) != Some(&wave) {
+                let known = self.waves.get(&wave.wave);
+                if known.is_none_or(|known| known.wave != wave) {
                     log::info!(
                         "event=wave_requested wave={} instances={} max_down={} duration_ms={}",
                         wave.wave,
@@ -84,7 +93,8 @@
                         wave.max_down,
                         wave.duration.as_millis()
                     );
-                    self.waves.insert(wave.wave, wave);
+                    let seen_at = known.map_or(now, |known| known.seen_at);
+                    self.waves.insert(wave.wave, SeenWave { wave, seen_at });
                 }
             }
             SiteChange::WaveRemoved(wave) => {
