Count a loss only once the store has confirmed the scheduler

A scheduler that had been replaced took the leases of targets it could not reach for over, though its successor had extended them, and started their tasks again.

Change: leases of silent targets are not extended and are over by the moment of the last confirmation; a lost task starts again only after a confirmation sent since. Failures are kept by run. Rows older than the loading of their partition, and of jobs that have ended, are passed over.

--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -89,6 +89,8 @@
     jobs: IndexMap<JobKey, Job>,
     job_keys: IndexMap<JobId, JobKey>,
     last_job: u64,
+    /// Jobs that this scheduler has ended lately.
+    ended_jobs: IndexSet<JobId>,
     targets: IndexMap<TargetKey, Target>,
     target_keys: IndexMap<TargetName, TargetKey>,
     last_target: u64,
@@ -106,6 +108,8 @@
     renewal: Renewal,
     /// Orders that are sent at the end of the event that is being handled.
     due_orders: Vec<(TargetKey, TaskName)>,
+    /// Whether a task waits for the store to confirm this scheduler.
+    has_lost: bool,
     /// Orders that are sent again later.
     later_orders: Vec<(Moment, TargetKey, TaskName)>,
     /// What is known of the jobs of each queue.
@@ -211,6 +215,7 @@
             jobs: IndexMap::new(),
             job_keys: IndexMap::new(),
             last_job: 0,
+            ended_jobs: IndexSet::new(),
             targets: IndexMap::new(),
             target_keys: IndexMap::new(),
             last_target: 0,
@@ -224,6 +229,7 @@
             listed: IndexSet::new(),
             renewal: Renewal::new(out.now),
             due_orders: Vec::new(),
+            has_lost: false,
             later_orders: Vec::new(),
             queue_facts: IndexMap::new(),
             fleet: Fleet::new(out.now),
--- a/crates/magnoliapin_scheduler/src/leader/commit.rs
+++ b/crates/magnoliapin_scheduler/src/leader/commit.rs
@@ -22,6 +22,8 @@
 
 /// Most conditions and changes of one transaction: the store takes 100, and a job adds up to five.
 const ENTRIES_PER_CALL: usize = 90;
+/// Ended jobs that are remembered, as their rows may still be on the way from a read.
+const MOST_ENDED_JOBS: usize = 20_000;
 /// Pause after a transaction that failed; doubles up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(25);
 /// Longest pause after transactions that failed.
@@ -168,6 +170,10 @@
         self.news.ended.push((id, state));
         self.job_keys.swap_remove(&id);
         self.jobs.swap_remove(&key);
+        self.ended_jobs.insert(id);
+        if self.ended_jobs.len() > MOST_ENDED_JOBS {
+            self.ended_jobs.drain(..MOST_ENDED_JOBS / 2);
+        }
     }
 
     /// Lets targets forget ends that have just been stored.
--- a/crates/magnoliapin_scheduler/src/leader/ends.rs
+++ b/crates/magnoliapin_scheduler/src/leader/ends.rs
@@ -133,11 +133,10 @@
         if let Some(job) = self.jobs.get_mut(&job_key) {
             let max_attempts = job.rule.max_attempts;
             let known = job.task_mut(failed.task);
-            if let Some(known) = known.filter(|known| known.failed_attempt < failed.attempt) {
-                known.failures += 1;
-                known.failed_attempt = failed.attempt;
+            if let Some(known) = known.filter(|known| !known.failed.contains(&failed.attempt)) {
+                known.failed.push(failed.attempt);
                 known.avoid = Some(key);
-                is_over = known.failures >= max_attempts;
+                is_over = known.failed.len() >= max_attempts as usize;
             }
         }
         let change = self.change_job(job_key);
@@ -224,6 +223,11 @@
             });
         if is_current {
             self.make_wait(job_key, task, out);
+            self.has_lost = true;
+            let known = self.jobs.get_mut(&job_key).and_then(|job| job.task_mut(task));
+            if let Some(known) = known {
+                known.lost_at = Some(out.now);
+            }
         }
     }
 
--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -147,7 +147,10 @@
     fn plan_fleet(&mut self, out: &mut Outbox) {
         let before = std::mem::take(&mut self.fleet.reserved);
         self.measure_demand(out.now);
-        self.plan_waves(out);
+        if self.is_accounted {
+            self.empty_draining(out);
+            self.plan_waves(out);
+        }
         self.plan_moves(out);
         self.reserve_ordered();
         let reserved = self.fleet.reserved.clone();
--- a/crates/magnoliapin_scheduler/src/leader/holds.rs
+++ b/crates/magnoliapin_scheduler/src/leader/holds.rs
@@ -59,7 +59,10 @@
             && target.unstored.is_empty()
             && target.failed_holds == 0;
         let wait = if may_wait { times.hold_wait } else { Duration::ZERO };
-        let lease_until_ms = target.next_lease(out.now, confirmed_at, &times);
+        // A target that does not answer gets no longer lease, so that it is over some time.
+        let may_extend = target.failed_holds == 0;
+        let lease_until_ms =
+            if may_extend { target.next_lease(out.now, confirmed_at, &times) } else { None };
         let stored_end = if target.is_same_life { target.stored_end } else { 0 };
         let request = TargetRequest::Hold { fence, stored_end, lease_until_ms, wait };
         let timeout = wait + times.answer_slack;
@@ -296,7 +299,9 @@
             .iter()
             .filter(|(_, target)| target.failed_holds > 0)
             .filter_map(|(key, target)| {
-                let is_over = target.is_lease_over(now) || !target.is_led;
+                // Another scheduler may have extended the lease since the store last confirmed
+                // this one.
+                let is_over = target.is_lease_over(self.confirmed_at) || !target.is_led;
                 let is_gone = target
                     .missing_since
                     .is_some_and(|at| now.since(at) > self.identity.times.registration_grace);
--- a/crates/magnoliapin_scheduler/src/leader/intake.rs
+++ b/crates/magnoliapin_scheduler/src/leader/intake.rs
@@ -84,6 +84,12 @@
         let Some(value) = row.value.as_deref() else {
             return;
         };
+        // A change that was made before the partition was read is in what was read, or was undone.
+        let part = row.part.parse().ok().and_then(|part: usize| self.parts.get(part));
+        let loaded = part.and_then(|part| part.load.version()).unwrap_or_default();
+        if !is_inherited && row.version <= loaded && key != IntakeKey::Fence {
+            return;
+        }
         match key {
             IntakeKey::Fence => {
                 let fence: Option<FenceRow> = rows::decode(value);
@@ -99,8 +105,22 @@
         }
     }
 
+    /// Takes a row of the table of jobs that was read again.
+    fn take_reloaded_row(&mut self, row: &StoreRow, out: &mut Outbox) {
+        let Some(value) = row.value.as_deref() else { return };
+        match IntakeKey::read(&row.key) {
+            Some(IntakeKey::Job(job)) => match rows::decode::<JobRow>(value) {
+                Some(decoded) => self.add_job(job, decoded, false, out),
+                None => log::error!("event=row_unreadable table={} job={job}", rows::INTAKE),
+            },
+            Some(IntakeKey::Cancel(job)) => self.cancel_job(job, out),
+            Some(IntakeKey::Fence) | None => {}
+        }
+    }
+
     fn add_job(&mut self, id: JobId, row: JobRow, is_inherited: bool, out: &mut Outbox) {
-        if self.job_keys.contains_key(&id) {
+        // Rows that are read again may be older than the end of their job.
+        if self.job_keys.contains_key(&id) || self.ended_jobs.contains(&id) {
             return;
         }
         self.last_job += 1;
@@ -244,7 +264,8 @@
         let oldest = self.reload.from.map_or(*version, |from| from.min(*version));
         self.reload.from = Some(oldest);
         for row in rows {
-            self.take_intake_row(row, false, out);
+            // What is read again counts whatever its version, as changes have been missed.
+            self.take_reloaded_row(row, out);
         }
         if let Some(next) = next_page(rows, *has_more) {
             return self.reload_part(part, next, out);
--- a/crates/magnoliapin_scheduler/src/leader/job.rs
+++ b/crates/magnoliapin_scheduler/src/leader/job.rs
@@ -83,14 +83,18 @@
     pub(crate) state: TaskState,
     /// Highest number of a run so far.
     pub(crate) attempt: u32,
-    pub(crate) failures: u32,
-    /// Highest number of a run whose failure is counted.
-    pub(crate) failed_attempt: u32,
+    /// Numbers of the runs that have failed. Targets list ends in any order, and again until they
+    /// are told that an end is stored.
+    pub(crate) failed: Vec<u32>,
     pub(crate) checkpoint: Option<String>,
     /// Target at which it failed or got stuck last.
     pub(crate) avoid: Option<TargetKey>,
     /// When it was last at work; for tasks that last.
     pub(crate) away_since: Option<Moment>,
+    /// When its run was taken for lost, though its target did not say so. Another scheduler may
+    /// have taken over and keep the run alive, so the task starts again only once the store has
+    /// confirmed this one since.
+    pub(crate) lost_at: Option<Moment>,
 }
 
 /// Where a task stands.
@@ -169,9 +173,9 @@
         }
         for failed in &progress.failures {
             if let Some(task) = self.task_mut(failed.step, failed.index) {
-                task.failures = failed.count;
-                task.failed_attempt = failed.attempt;
-                task.attempt = task.attempt.max(failed.attempt);
+                task.failed.clone_from(&failed.attempts);
+                let highest = failed.attempts.iter().copied().max().unwrap_or_default();
+                task.attempt = task.attempt.max(highest);
             }
         }
         for (step, index, checkpoint) in &progress.checkpoints {
@@ -196,9 +200,9 @@
                     continue;
                 }
                 let (step, index) = (number as u16, index as u32);
-                if task.failures > 0 {
-                    let (count, attempt) = (task.failures, task.failed_attempt);
-                    progress.failures.push(TaskFailures { step, index, count, attempt });
+                if !task.failed.is_empty() {
+                    let attempts = task.failed.clone();
+                    progress.failures.push(TaskFailures { step, index, attempts });
                 }
                 if let Some(checkpoint) = &task.checkpoint {
                     progress.checkpoints.push((step, index, checkpoint.clone()));
--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -6,6 +6,7 @@
 use magnoliapin_site::StoreRequest;
 use magnoliapin_site::StoreTransaction;
 
+use crate::leader::job::Task;
 use crate::leader::Leader;
 use crate::leader::LeaderCall;
 use crate::outbox::Outbox;
@@ -82,6 +83,22 @@
     /// Notes that the store confirmed this scheduler.
     pub(super) fn note_confirmed(&mut self, sent_at: Moment) {
         self.confirmed_at = self.confirmed_at.max(sent_at);
+        // What was lost since this call left waits for the next one.
+        if self.has_lost {
+            self.has_lost = self.has_lost_since(sent_at);
+            for pool in self.pools.values_mut() {
+                pool.is_stirred = true;
+            }
+        }
+    }
+
+    fn has_lost_since(&self, sent_at: Moment) -> bool {
+        let is_lost = |task: &Task| task.lost_at.is_some_and(|at| at >= sent_at);
+        self.jobs.values().any(|job| {
+            job.occurrences
+                .iter()
+                .any(|open| open.steps.iter().any(|step| step.tasks.iter().any(is_lost)))
+        })
     }
 
     /// Counts the jobs of each queue none of whose tasks has started. Jobs that wait for their
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -25,7 +25,7 @@
 /// Room on a target, while tasks are being placed.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Place {
-    target: TargetKey,
+    pub(super) target: TargetKey,
     free: Resources,
     capacity: Resources,
 }
@@ -105,7 +105,8 @@
         let before: Vec<Place> = places.to_vec();
         let mut choices: Vec<Choice> = Vec::new();
         for (index, task) in state.tasks.iter().enumerate() {
-            if task.state != TaskState::Waiting {
+            let is_unsure = task.lost_at.is_some_and(|at| self.confirmed_at <= at);
+            if task.state != TaskState::Waiting || is_unsure {
                 continue;
             }
             if !spec.demand.fits(room) {
@@ -141,24 +142,10 @@
     ) -> Option<usize> {
         let mut best: Option<(usize, f64)> = None;
         for (number, place) in places.iter().enumerate() {
-            if !spec.demand.fits(place.free) {
+            let chosen = choices.iter().filter(|choice| choice.place == number).count();
+            if !self.fits_place(spec, name, place, chosen) {
                 continue;
             }
-            let target = &self.targets[&place.target];
-            if spec.requirement.as_deref().is_some_and(|label| !target.has_label(label)) {
-                continue;
-            }
-            // A second run of the same task would hide the first in the book of the target.
-            if target.runs.contains_key(&name) {
-                continue;
-            }
-            if spec.anti_affinity > 0 {
-                let chosen = choices.iter().filter(|choice| choice.place == number).count();
-                let running = target.runs.keys().filter(|other| is_same_step(other, &name)).count();
-                if chosen + running >= spec.anti_affinity as usize {
-                    continue;
-                }
-            }
             let cost = self.place_cost(job, spec, task, place);
             if best.is_none_or(|(_, least)| cost < least) {
                 best = Some((number, cost));
@@ -167,6 +154,27 @@
         best.map(|(number, _)| number)
     }
 
+    /// Returns whether a task may run at a place, where `chosen` others of its step will start.
+    pub(super) fn fits_place(
+        &self,
+        spec: &StepSpec,
+        name: TaskName,
+        place: &Place,
+        chosen: usize,
+    ) -> bool {
+        let target = &self.targets[&place.target];
+        let has_label = spec.requirement.as_deref().is_none_or(|label| target.has_label(label));
+        // A second run of the same task would hide the first in the book of the target.
+        if !spec.demand.fits(place.free) || !has_label || target.runs.contains_key(&name) {
+            return false;
+        }
+        if spec.anti_affinity == 0 {
+            return true;
+        }
+        let running = target.runs.keys().filter(|other| is_same_step(other, &name)).count();
+        chosen + running < spec.anti_affinity as usize
+    }
+
     /// Returns how bad a target is for a task.
     fn place_cost(&self, _job: &Job, spec: &StepSpec, task: &Task, place: &Place) -> f64 {
         /// A target at which the task failed is the last choice.
@@ -258,6 +266,7 @@
             task.attempt.max(first) + 1
         };
         task.attempt = run.attempt;
+        task.lost_at = None;
         job.has_started = true;
         let id = RunId { task: name, attempt: run.attempt };
         log::info!(
--- a/crates/magnoliapin_scheduler/src/leader/recovery.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery.rs
@@ -52,6 +52,11 @@
 }
 
 impl PartLoad {
+    /// Returns the version as of which the partition was read.
+    pub(crate) fn version(&self) -> Option<RowVersion> {
+        self.version
+    }
+
     /// Returns the version of the partition's fence, once this scheduler has written it.
     pub(crate) fn fence(&self) -> Option<RowVersion> {
         self.fence
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -111,17 +111,14 @@
     }
 
     /// Failures of one task.
-    #[derive(Copy, Eq)]
+    #[derive(Eq)]
     pub(crate) struct TaskFailures {
         /// Step of the task.
         pub(crate) step: u16,
         /// Which task of the step.
         pub(crate) index: u32,
-        /// How often it has failed.
-        pub(crate) count: u32,
-        /// Highest number of a run that counts: a target lists an end again until it is told that
-        /// the end is stored.
-        pub(crate) attempt: u32,
+        /// Numbers of its runs that have failed.
+        pub(crate) attempts: Vec<u32>,
     }
 
     /// How a job ended.
