Keep room for tasks that last, and let no takeover interrupt them

Change: places are kept free for tasks that last and fit nowhere. Nothing is evacuated until orders of the scheduler before must have been carried out. The count of waiting jobs is taken over until all jobs are read. Idle instances of a wave go first, then those that are being freed.

--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -106,6 +106,9 @@
     /// Targets that the list being read has named so far.
     listed: IndexSet<TargetName>,
     renewal: Renewal,
+    /// Jobs of each queue none of whose tasks has started, as told last. Until all jobs are read,
+    /// it is what the scheduler before has told.
+    waiting: Vec<(QueueName, u64)>,
     /// Orders that are sent at the end of the event that is being handled.
     due_orders: Vec<(TargetKey, TaskName)>,
     /// Whether a task waits for the store to confirm this scheduler.
@@ -194,6 +197,7 @@
         identity: LeaderIdentity,
         lease: TakenLease,
         config: Rc<SiteConfig>,
+        waiting: Vec<(QueueName, u64)>,
         out: &mut Outbox,
     ) -> Self {
         log::info!(
@@ -228,6 +232,7 @@
             registrations: Watch::new(crate::watch::WatchKind::Targets),
             listed: IndexSet::new(),
             renewal: Renewal::new(out.now),
+            waiting,
             due_orders: Vec::new(),
             has_lost: false,
             later_orders: Vec::new(),
--- a/crates/magnoliapin_scheduler/src/leader/fleet/evacuation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/evacuation.rs
@@ -13,6 +13,8 @@
 use crate::leader::Leader;
 use crate::outbox::Outbox;
 
+/// Tries of an order that the scheduler before may have made.
+const ORDER_TRIES: u32 = 4;
 /// Progress at which a task that lasts is at work.
 const AT_WORK: u32 = 100;
 
@@ -67,6 +69,12 @@
     /// Returns whether a task that lasts may be stopped: as many others of its step as may be
     /// away must be left to spare.
     fn may_interrupt(&self, key: TargetKey, task: TaskName, now: Moment) -> bool {
+        // What the scheduler before has ordered to stop may still seem to be at work.
+        let times = &self.identity.times;
+        let settled_at = self.taken_at + times.stop_grace + times.order_timeout * ORDER_TRIES;
+        if self.generation > 1 && now < settled_at {
+            return false;
+        }
         let job = self.job_keys.get(&task.job).and_then(|job| self.jobs.get(job));
         let Some(job) = job else { return true };
         let Some(spec) = job.step_spec(task) else { return true };
--- a/crates/magnoliapin_scheduler/src/leader/fleet/waves.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/waves.rs
@@ -50,6 +50,8 @@
     /// Whether what was stored of it is known.
     is_loaded: bool,
     begun: IndexSet<InstanceName>,
+    /// Instances that are being freed of what runs there.
+    preparing: IndexSet<InstanceName>,
     version: RowVersion,
     /// Whether something is not stored.
     is_changed: bool,
@@ -66,6 +68,7 @@
             wave: seen.wave,
             is_loaded: false,
             begun: IndexSet::new(),
+            preparing: IndexSet::new(),
             version: RowVersion(0),
             is_changed: false,
             is_storing: false,
@@ -164,10 +167,20 @@
         let due_at = out.moment_of(wave.seen_at) + wave.wave.duration;
         let left = due_at.since(out.now);
         let is_urgent = left < round * rounds + URGENT_TIME;
-        let mut ranked: Vec<(u8, InstanceName)> =
-            waiting.into_iter().map(|name| (self.burden(&name), name)).collect();
+        // Among those that run something, one that is being freed keeps its turn, or its tasks
+        // would come back.
+        let preparing = wave.preparing.clone();
+        let mut ranked: Vec<(u8, InstanceName)> = waiting
+            .into_iter()
+            .map(|name| match self.burden(&name) {
+                0 => (0, name),
+                _ if preparing.contains(&name) => (1, name),
+                burden => (burden + 1, name),
+            })
+            .collect();
         ranked.sort();
-        for (burden, name) in ranked {
+        let mut still_preparing = IndexSet::new();
+        for (rank, name) in ranked {
             if room == 0 {
                 break;
             }
@@ -176,9 +189,10 @@
             if !is_free {
                 continue;
             }
-            let is_empty = burden == 0;
+            let is_empty = rank == 0;
             if !is_empty && !self.prepare(&name, is_urgent, out) {
                 // Its place is kept, so that no more instances are prepared than can go down.
+                still_preparing.insert(name);
                 room -= 1;
                 continue;
             }
@@ -187,6 +201,9 @@
             }
             room -= 1;
         }
+        if let Some(wave) = self.fleet.waves.get_mut(&number) {
+            wave.preparing = still_preparing;
+        }
     }
 
     /// Returns how much stands in the way of taking an instance: nothing, tasks that end by
--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -9,6 +9,7 @@
 use crate::leader::job::Task;
 use crate::leader::Leader;
 use crate::leader::LeaderCall;
+use crate::leader::LeaderPhase;
 use crate::outbox::Outbox;
 use crate::rows;
 use crate::rows::LeaseRow;
@@ -49,12 +50,15 @@
         if self.renewal.is_in_flight || self.renewal.is_released || out.now < self.renewal.next_at {
             return;
         }
+        if self.phase == LeaderPhase::Active {
+            self.waiting = self.waiting_jobs();
+        }
         let lease = LeaseRow {
             generation: self.generation,
             node: self.identity.node.clone(),
             incarnation: self.identity.incarnation,
             is_released: self.renewal.is_releasing,
-            waiting: self.waiting_jobs(),
+            waiting: self.waiting.clone(),
         };
         let transaction = StoreTransaction::default()
             .with_expected(rows::fence_row(0), fence)
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -60,7 +60,6 @@
                 free: target.free(),
                 capacity: target.record.capacity,
             })
-            .filter(|place| place.free.cpu_milli > 0 && place.free.memory_mb > 0)
             .collect()
     }
 
@@ -81,9 +80,53 @@
                 self.start(key, choice.task, places[choice.place].target, out);
             }
         }
+        self.keep_room(key, places);
         places.retain(|place| place.free.cpu_milli > 0 && place.free.memory_mb > 0);
     }
 
+    /// Keeps targets free of other tasks until those that last and found no room fit there;
+    /// else smaller tasks would take all room that becomes free.
+    fn keep_room(&self, key: JobKey, places: &mut Vec<Place>) {
+        let Some(job) = self.jobs.get(&key).filter(|job| job.spec.is_long_running()) else {
+            return;
+        };
+        for occurrence in &job.occurrences {
+            for (number, step) in occurrence.steps.iter().enumerate() {
+                let spec = &job.spec.steps[number];
+                let waiting =
+                    step.tasks.iter().filter(|task| task.state == TaskState::Waiting).count();
+                for _ in 0..waiting {
+                    let name = TaskName {
+                        job: job.id,
+                        occurrence: occurrence.number,
+                        step: number as u16,
+                        index: 0,
+                    };
+                    let Some(place) = self.nearest_place(spec, name, places) else { break };
+                    places.swap_remove(place);
+                }
+            }
+        }
+    }
+
+    /// Returns the place that lacks the least room for a task.
+    fn nearest_place(&self, spec: &StepSpec, name: TaskName, places: &[Place]) -> Option<usize> {
+        let missing = |place: &Place| {
+            let lack = spec.demand.less(place.free);
+            let share = |lack: u32, whole: u32| f64::from(lack) / f64::from(whole.max(1));
+            share(lack.cpu_milli, place.capacity.cpu_milli)
+                + share(lack.memory_mb, place.capacity.memory_mb)
+        };
+        let fits_empty = |place: &Place| {
+            let empty = Place { free: place.capacity, ..*place };
+            self.fits_place(spec, name, &empty, 0)
+        };
+        let fitting = places.iter().enumerate().filter(|(_, place)| fits_empty(place));
+        fitting
+            .min_by(|(_, one), (_, other)| missing(one).total_cmp(&missing(other)))
+            .map(|(number, _)| number)
+    }
+
     /// Chooses targets for the waiting tasks of a step, and takes their room.
     fn choose(
         &self,
--- a/crates/magnoliapin_scheduler/src/machine.rs
+++ b/crates/magnoliapin_scheduler/src/machine.rs
@@ -194,7 +194,9 @@
 
     fn begin_to_lead(&mut self, lease: TakenLease) {
         let Some(config) = self.site.config().cloned() else { return };
-        let mut leader = Leader::new(self.identity.clone(), lease, config, &mut self.out);
+        let waiting = self.election.waiting().to_vec();
+        let identity = self.identity.clone();
+        let mut leader = Leader::new(identity, lease, config, waiting, &mut self.out);
         leader.set_waves(self.site.waves(), &mut self.out);
         self.leader = Some(Box::new(leader));
     }
--- a/crates/magnoliapin_scheduler/src/times.rs
+++ b/crates/magnoliapin_scheduler/src/times.rs
@@ -26,6 +26,8 @@
     pub hold_wait: Duration,
     /// Time after which an order to a target has failed.
     pub order_timeout: Duration,
+    /// Longest time that a target takes to stop a run.
+    pub stop_grace: Duration,
     /// How long a registration may be missing while its target answers.
     pub registration_grace: Duration,
     /// Least time between orders to one instance from different nodes.
@@ -50,6 +52,7 @@
             max_lease: bounds.max_lease,
             hold_wait: Duration::from_millis(2_000).min(bounds.max_lease / 4),
             order_timeout: Duration::from_millis(400),
+            stop_grace: bounds.stop_grace,
             registration_grace: Duration::from_millis(2_500),
             order_spacing: bounds.order_spacing,
             maintenance_time: bounds.maintenance_time,
