Take clients' requests through the scheduler, and instances out of service for ended

Change: nodes ask the node that holds the lease, over one connection each, with pings that tell within 0.6 s whether it answers; it stores new jobs together with all that waits to be stored. What it cannot answer goes to the store as before. A node takes over sooner where nobody listens any more, and weaker nodes go later. The list of instances settles targets whose instance is down.

--- a/crates/magnoliapin_node/src/lib.rs
+++ b/crates/magnoliapin_node/src/lib.rs
@@ -10,9 +10,12 @@
 mod client_server;
 mod clock;
 mod connection;
+mod frame;
 mod node_error;
 mod node_loop;
 mod node_service;
+mod peer_client;
+mod peer_server;
 
 pub use node_error::NodeError;
 pub use node_service::read_settings;
--- a/crates/magnoliapin_node/src/node_loop.rs
+++ b/crates/magnoliapin_node/src/node_loop.rs
@@ -27,6 +27,8 @@
 use crate::client_server::ServerState;
 use crate::clock::wall_clock;
 use crate::clock::NodeClock;
+use crate::peer_client::PeerClient;
+use crate::peer_server::PeerServer;
 
 /// Time between two ticks of a node that schedules.
 const SCHEDULER_TICK: Duration = Duration::from_millis(20);
@@ -44,6 +46,8 @@
     pub(crate) deadlines: CallDeadlines,
     pub(crate) pool: CallPool,
     pub(crate) server: Rc<ServerState>,
+    pub(crate) peers: PeerClient,
+    pub(crate) peer_server: Rc<PeerServer>,
     pub(crate) protocol: Rc<dyn SiteProtocol>,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) receiver: Receiver<NodeEvent>,
@@ -128,6 +132,18 @@
                     )
                 });
             }
+            NodeAction::Peer { call, address, request, timeout } => {
+                let peers = self.peers.clone();
+                let sender = self.sender.clone();
+                let deadline = self.clock.now() + timeout;
+                let task = async move {
+                    let reply = peers.call(address, request, deadline).await;
+                    // Nobody is left to be told once the node has stopped.
+                    let _ = sender.try_send(NodeEvent::Peer(call, reply));
+                };
+                self.executor.spawn(task).detach();
+            }
+            NodeAction::AnswerPeer(peer, reply) => self.peer_server.answer(peer, reply),
             NodeAction::Advice { call, request, timeout } => {
                 let http = protocol.write_advice_call(&request);
                 self.call(self.settings.advice, http, timeout, move |answer| {
--- a/crates/magnoliapin_node/src/node_service.rs
+++ b/crates/magnoliapin_node/src/node_service.rs
@@ -27,6 +27,8 @@
 use crate::client_server::ServerState;
 use crate::clock::NodeClock;
 use crate::node_loop::NodeLoop;
+use crate::peer_client::PeerClient;
+use crate::peer_server::PeerServer;
 use crate::NodeError;
 
 /// Runs a node with the settings of a file until a signal stops it.
@@ -45,6 +47,11 @@
         let listener = listen(address)?;
         executor.spawn(Rc::clone(&server).accept(listener)).detach();
     }
+    let peer_server = Rc::new(PeerServer::new(Rc::clone(&executor), sender.clone()));
+    if let Some(address) = settings.peer_listen {
+        let listener = listen(address)?;
+        executor.spawn(Rc::clone(&peer_server).accept(listener)).detach();
+    }
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .change_context(NodeError::Signals)?;
     executor.spawn(watch_signals(signals, Rc::clone(&server), sender.clone())).detach();
@@ -60,6 +67,8 @@
     let node = NodeLoop {
         machine: NodeMachine::new(&settings, StdRng::from_os_rng().random()),
         pool: CallPool::new(Rc::clone(&executor), deadlines.clone()),
+        peers: PeerClient::new(Rc::clone(&executor), deadlines.clone()),
+        peer_server,
         settings,
         clock,
         deadlines,
--- a/crates/magnoliapin_scheduler/src/desk.rs
+++ b/crates/magnoliapin_scheduler/src/desk.rs
@@ -1,9 +1,11 @@
 //! Serves clients: stores what they submit and tells what became of it.
 
+mod ask;
 mod cancel;
 mod read;
 mod submit;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -15,6 +17,7 @@
 use magnoliapin_site::ClientRequest;
 use magnoliapin_site::JobId;
 use magnoliapin_site::JobState;
+use magnoliapin_site::PeerRequest;
 use magnoliapin_site::QueueName;
 use magnoliapin_site::QueueRule;
 use magnoliapin_site::RefusalReason;
@@ -52,6 +55,11 @@
     routes: RouteTable,
     has_config: bool,
     requests: IndexMap<CallId, DeskRequest>,
+    /// Requests that the scheduler was asked for.
+    asked: IndexMap<CallId, DeskRequest>,
+    /// Requests to the scheduler of this node, which are handed over at once.
+    local: Vec<(CallId, PeerRequest)>,
+    scheduler: SchedulerPlace,
     /// Requests whose next call waits for its time.
     paused: Vec<(Moment, DeskRequest)>,
     known: IndexMap<JobId, KnownJob>,
@@ -59,6 +67,17 @@
     waiting: IndexMap<QueueName, u64>,
 }
 
+/// Where the scheduler is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SchedulerPlace {
+    /// It is not known, or does not answer.
+    Unknown,
+    /// This node schedules.
+    Here,
+    /// Another node does.
+    At(SocketAddr),
+}
+
 /// What this node knows of a job for certain.
 #[derive(Clone, Copy, Debug, Default)]
 struct KnownJob {
@@ -97,6 +116,9 @@
             routes: RouteTable::default(),
             has_config: false,
             requests: IndexMap::new(),
+            asked: IndexMap::new(),
+            local: Vec::new(),
+            scheduler: SchedulerPlace::Unknown,
             paused: Vec::new(),
             known: IndexMap::new(),
             waiting: IndexMap::new(),
@@ -121,27 +143,7 @@
 
     /// Returns whether no client waits.
     pub(crate) fn is_idle(&self) -> bool {
-        self.requests.is_empty() && self.paused.is_empty()
-    }
-
-    /// Takes a request to read, beside a scheduler that may know the job.
-    pub(crate) fn take_read(
-        &mut self,
-        client: ClientId,
-        request: ClientRequest,
-        open: impl Fn(JobId) -> Option<JobState>,
-        out: &mut Outbox,
-    ) {
-        let found = self.routes.find(&request.host, &request.path);
-        let state = found.and_then(|(_, rest)| JobId::read(rest)).and_then(open);
-        let is_allowed = found.is_some_and(|(queue, _)| {
-            let key = request.key.as_deref();
-            queue.is_open || key.and_then(|key| self.routes.team(key)).is_some()
-        });
-        match state.filter(|_| is_allowed) {
-            Some(state) => out.answer(client, ClientAnswer::State(state)),
-            None => self.take_request(client, request, out),
-        }
+        self.requests.is_empty() && self.asked.is_empty() && self.paused.is_empty()
     }
 
     /// Takes a request.
@@ -318,7 +320,7 @@
         out: &mut Outbox,
     ) {
         let submission = Submission::new(spec, queue, team, out.wall_now());
-        self.send(caller.request(DeskStage::Submit(submission)), out);
+        self.ask(caller.request(DeskStage::Submit(submission)), out);
     }
 
     fn read(&mut self, caller: Caller, out: &mut Outbox) {
@@ -326,7 +328,7 @@
             out.answer(caller.client, ClientAnswer::State(state));
             return;
         }
-        self.send(caller.request(DeskStage::Read(ReadStage::Outcome)), out);
+        self.ask(caller.request(DeskStage::Read(ReadStage::Outcome)), out);
     }
 
     fn cancel(&mut self, caller: Caller, out: &mut Outbox) {
@@ -336,6 +338,6 @@
             return;
         }
         let stage = known.version.map_or(CancelStage::Job, CancelStage::Write);
-        self.send(caller.request(DeskStage::Cancel(stage)), out);
+        self.ask(caller.request(DeskStage::Cancel(stage)), out);
     }
 }
--- a/crates/magnoliapin_scheduler/src/desk/submit.rs
+++ b/crates/magnoliapin_scheduler/src/desk/submit.rs
@@ -51,6 +51,13 @@
     }
 }
 
+impl Submission {
+    /// Returns the row, encoded.
+    pub(super) fn row(&self) -> &[u8] {
+        &self.value
+    }
+}
+
 impl Desk {
     pub(super) fn submit_call(&self, job: JobId, submission: &Submission) -> StoreRequest {
         let row = rows::job_row(rows::INTAKE, job, self.parts);
--- a/crates/magnoliapin_scheduler/src/election.rs
+++ b/crates/magnoliapin_scheduler/src/election.rs
@@ -3,11 +3,11 @@
 //! Taking it too early is safe: the one before is fenced at the store and at every target, so a
 //! wrong guess costs a short pause and nothing else.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use magnoliapin_model::Moment;
 use magnoliapin_model::RowVersion;
-use magnoliapin_site::NodeName;
 use magnoliapin_site::QueueName;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
@@ -15,6 +15,7 @@
 use magnoliapin_site::StoreTransaction;
 use rand::Rng;
 
+use crate::leader::LeaderIdentity;
 use crate::outbox::Outbox;
 use crate::rows;
 use crate::rows::FenceRow;
@@ -27,6 +28,10 @@
 
 /// Span over which the nodes spread their attempts, so that mostly one makes it.
 const ATTEMPT_SPREAD: Duration = Duration::from_millis(150);
+/// How much later a node takes over that has less processor than the holder had.
+const WEAKER_DELAY: Duration = Duration::from_millis(250);
+/// Schedulers of a new site that a much stronger node replaces.
+const MOST_EARLY_GENERATIONS: u64 = 3;
 
 /// A lease that was taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,8 +47,7 @@
 /// Follows the lease and takes it when its holder is silent.
 #[derive(Debug)]
 pub(crate) struct Election {
-    node: NodeName,
-    incarnation: u64,
+    identity: LeaderIdentity,
     watch: Watch,
     /// The lease as it was seen last, with its version.
     seen: Option<(LeaseRow, RowVersion)>,
@@ -63,10 +67,9 @@
 
 impl Election {
     /// Makes the election of a node that has just started.
-    pub(crate) fn new(node: NodeName, incarnation: u64) -> Self {
+    pub(crate) fn new(identity: LeaderIdentity) -> Self {
         Self {
-            node,
-            incarnation,
+            identity,
             watch: Watch::new(WatchKind::Lease),
             seen: None,
             changed_at: None,
@@ -75,6 +78,11 @@
         }
     }
 
+    /// Returns where the scheduler is that was seen last.
+    pub(crate) fn address(&self) -> Option<SocketAddr> {
+        self.seen.as_ref().and_then(|(lease, _)| lease.address)
+    }
+
     /// Returns the waiting jobs that the scheduler told last.
     pub(crate) fn waiting(&self) -> &[(QueueName, u64)] {
         self.seen.as_ref().map_or(&[], |(lease, _)| &lease.waiting)
@@ -90,11 +98,13 @@
         self.watch.heard_at()
     }
 
-    /// Watches the lease, and takes it if its holder is silent or has given it up.
-    pub(crate) fn poll(&mut self, may_lead: bool, times: &NodeTimes, out: &mut Outbox) {
-        self.watch.poll(times, out);
-        if may_lead && self.attempt.is_none() && self.is_free(times, out) {
-            self.try_take(times, out);
+    /// Watches the lease, and takes it if its holder is silent or has given it up. `is_gone` says
+    /// that nobody listens where the holder was.
+    pub(crate) fn poll(&mut self, may_lead: bool, is_gone: bool, out: &mut Outbox) {
+        let times = self.identity.times;
+        self.watch.poll(&times, out);
+        if may_lead && self.attempt.is_none() && self.is_free(is_gone, &times, out) {
+            self.try_take(&times, out);
         }
     }
 
@@ -156,7 +166,7 @@
     }
 
     /// Returns whether the lease is there for the taking.
-    fn is_free(&self, times: &NodeTimes, out: &Outbox) -> bool {
+    fn is_free(&self, is_gone: bool, times: &NodeTimes, out: &Outbox) -> bool {
         let (Some(changed_at), Some(heard_at)) = (self.changed_at, self.watch.heard_at()) else {
             return false;
         };
@@ -167,14 +177,33 @@
             return true;
         };
         // A process that was started again has nothing left of what it did before.
-        let is_own_past = lease.node == self.node && lease.incarnation != self.incarnation;
-        let is_own = lease.node == self.node && lease.incarnation == self.incarnation;
-        if lease.is_released || is_own_past {
+        let is_here = lease.node == self.identity.node;
+        let is_own = is_here && lease.incarnation == self.identity.incarnation;
+        if lease.is_released || (is_here && !is_own) {
             return true;
         }
+        let silence = if is_own {
+            times.silence * 2
+        } else if is_gone {
+            // Nobody listens there, and the next renewal has not come.
+            times.beat * 3 / 2
+        } else {
+            times.silence
+        };
+        // A stronger node goes first.
+        let is_weaker = self.identity.power < lease.power;
+        let silence = if is_weaker { silence + WEAKER_DELAY } else { silence };
         // The store must have answered all the while, or its silence is taken for the holder's.
-        let silence = if is_own { times.silence * 2 } else { times.silence };
-        out.now.since(changed_at) > silence && heard_at.since(changed_at) > silence / 2
+        let is_silent =
+            out.now.since(changed_at) > silence && heard_at.since(changed_at) > silence / 2;
+        is_silent || self.is_much_stronger(lease)
+    }
+
+    /// Returns whether the holder should let this node schedule, as it has far more processor.
+    /// Only a node that has just started says so, before there is much to take over.
+    fn is_much_stronger(&self, lease: &LeaseRow) -> bool {
+        let is_stronger = self.identity.power > lease.power.saturating_mul(3) / 2;
+        is_stronger && lease.generation <= MOST_EARLY_GENERATIONS
     }
 
     fn try_take(&mut self, times: &NodeTimes, out: &mut Outbox) {
@@ -184,8 +213,10 @@
             .map_or((1, RowVersion(0)), |(lease, version)| (lease.generation + 1, *version));
         let lease = LeaseRow {
             generation,
-            node: self.node.clone(),
-            incarnation: self.incarnation,
+            node: self.identity.node.clone(),
+            incarnation: self.identity.incarnation,
+            address: self.identity.address,
+            power: self.identity.power,
             is_released: false,
             waiting: self.waiting().to_vec(),
         };
--- a/crates/magnoliapin_scheduler/src/event.rs
+++ b/crates/magnoliapin_scheduler/src/event.rs
@@ -11,6 +11,8 @@
 use magnoliapin_site::ClientRequest;
 use magnoliapin_site::InstanceReply;
 use magnoliapin_site::InstanceRequest;
+use magnoliapin_site::PeerReply;
+use magnoliapin_site::PeerRequest;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
 use magnoliapin_site::TargetName;
@@ -31,6 +33,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClientId(pub u64);
 
+/// Links an answer to the node that waits for it, inside one process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PeerId(pub u64);
+
 /// Something that happened to a node.
 #[derive(Clone, Debug)]
 pub enum NodeEvent {
@@ -48,6 +54,10 @@
     Instances(CallId, InstanceReply),
     /// The placement service answered, or the call failed.
     Advice(CallId, AdviceReply),
+    /// The scheduler answered, or the call failed.
+    Peer(CallId, PeerReply),
+    /// Another node asks the scheduler for something.
+    PeerRequest(PeerId, PeerRequest),
     /// The process was asked to stop.
     Stop,
 }
@@ -88,6 +98,19 @@
         /// Time after which the call has failed.
         timeout: Duration,
     },
+    /// Calls the node that schedules; exactly one [`NodeEvent::Peer`] follows.
+    Peer {
+        /// Number of the call.
+        call: CallId,
+        /// Address of the node.
+        address: SocketAddr,
+        /// The request.
+        request: PeerRequest,
+        /// Time after which the call has failed.
+        timeout: Duration,
+    },
+    /// Answers another node; exactly one for each request.
+    AnswerPeer(PeerId, PeerReply),
     /// Calls the placement service; exactly one [`NodeEvent::Advice`] follows.
     Advice {
         /// Number of the call.
--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -17,8 +17,10 @@
 mod queue_facts;
 mod recovery;
 mod registrations;
+mod submissions;
 mod target;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,6 +32,7 @@
 use magnoliapin_site::JobId;
 use magnoliapin_site::JobState;
 use magnoliapin_site::NodeName;
+use magnoliapin_site::PeerReply;
 use magnoliapin_site::PoolName;
 use magnoliapin_site::QueueName;
 use magnoliapin_site::Resources;
@@ -52,6 +55,7 @@
 use self::queue_facts::QueueFacts;
 use self::recovery::PartLoad;
 use self::registrations::TargetLife;
+pub(crate) use self::submissions::Asker;
 use self::target::Target;
 use self::target::TargetKey;
 use crate::election::TakenLease;
@@ -67,10 +71,16 @@
 pub(crate) struct LeaderIdentity {
     pub(crate) node: NodeName,
     pub(crate) incarnation: u64,
+    /// Where other nodes reach it.
+    pub(crate) address: Option<SocketAddr>,
+    /// Processor that it may use, in thousandths of a core.
+    pub(crate) power: u32,
     pub(crate) parts: u32,
     pub(crate) times: NodeTimes,
     /// Orders to instances that may be given in a second.
     pub(crate) instance_orders_per_s: f64,
+    /// Pages of the list of instances that may be read in a second.
+    pub(crate) instance_lists_per_s: f64,
 }
 
 /// The scheduler.
@@ -90,7 +100,9 @@
     job_keys: IndexMap<JobId, JobKey>,
     last_job: u64,
     /// Jobs that this scheduler has ended lately.
-    ended_jobs: IndexSet<JobId>,
+    ended_jobs: IndexMap<JobId, JobState>,
+    /// Who waits for the end of a job to be stored.
+    cancels: IndexMap<JobId, Vec<Asker>>,
     targets: IndexMap<TargetKey, Target>,
     target_keys: IndexMap<TargetName, TargetKey>,
     last_target: u64,
@@ -187,6 +199,8 @@
 pub(crate) struct LeaderNews {
     /// Jobs whose end is stored.
     pub(crate) ended: Vec<(JobId, JobState)>,
+    /// Answers to this node's own requests.
+    pub(crate) answers: Vec<(CallId, PeerReply)>,
     /// Whether the lease was renewed.
     pub(crate) was_renewed: bool,
 }
@@ -219,7 +233,8 @@
             jobs: IndexMap::new(),
             job_keys: IndexMap::new(),
             last_job: 0,
-            ended_jobs: IndexSet::new(),
+            ended_jobs: IndexMap::new(),
+            cancels: IndexMap::new(),
             targets: IndexMap::new(),
             target_keys: IndexMap::new(),
             last_target: 0,
@@ -263,16 +278,6 @@
         }
     }
 
-    /// Returns the state of a job that has not ended; none if it is not known here, or if
-    /// another scheduler may know better.
-    pub(crate) fn open_state(&self, job: JobId, now: Moment) -> Option<JobState> {
-        if now.since(self.confirmed_at) > self.identity.times.silence {
-            return None;
-        }
-        let job = self.jobs.get(self.job_keys.get(&job)?)?;
-        Some(if job.has_started { JobState::Running } else { JobState::Queued })
-    }
-
     /// Hands over what the node should know.
     pub(crate) fn take_news(&mut self) -> LeaderNews {
         std::mem::take(&mut self.news)
@@ -291,6 +296,7 @@
         self.check_targets(out);
         self.check_accounts(out);
         self.poll_fleet(out);
+        self.drop_late_submissions(out);
     }
 
     /// Does what may follow from any event.
--- a/crates/magnoliapin_scheduler/src/leader/commit.rs
+++ b/crates/magnoliapin_scheduler/src/leader/commit.rs
@@ -13,6 +13,7 @@
 
 use crate::leader::job::Job;
 use crate::leader::job::JobKey;
+use crate::leader::submissions::Submissions;
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
 use crate::leader::LeaderCall;
@@ -33,6 +34,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct PartCommit {
     waiting: IndexSet<JobKey>,
+    /// Jobs that are not stored yet.
+    pub(crate) submissions: Submissions,
     in_flight: Option<InFlight>,
     retry_at: Option<Moment>,
     pause: Duration,
@@ -43,6 +46,15 @@
     sent_at: Moment,
     /// Each job with the changes that the transaction holds.
     jobs: Vec<(JobKey, u64)>,
+    /// Jobs that it stores for the first time.
+    submitted: Vec<JobId>,
+}
+
+impl PartCommit {
+    /// Returns the jobs that a transaction in flight stores for the first time.
+    pub(crate) fn sent_jobs(&self) -> &[JobId] {
+        self.in_flight.as_ref().map_or(&[], |in_flight| &in_flight.submitted)
+    }
 }
 
 impl Leader {
@@ -60,7 +72,8 @@
     pub(super) fn poll_commits(&mut self, out: &mut Outbox) {
         for part in 0..self.identity.parts {
             let commit = &self.parts[part as usize].commit;
-            let is_free = commit.in_flight.is_none() && !commit.waiting.is_empty();
+            let has_work = !commit.waiting.is_empty() || !commit.submissions.is_empty();
+            let is_free = commit.in_flight.is_none() && has_work;
             if is_free && commit.retry_at.is_none_or(|at| out.now >= at) {
                 self.send_commit(part, out);
             }
@@ -80,12 +93,13 @@
             jobs.push((*key, job.changes));
             transaction = add_job(transaction, job, self.identity.parts, out);
         }
+        let (transaction, submitted) = self.add_submissions(part, ENTRIES_PER_CALL, transaction);
         let commit = &mut self.parts[part as usize].commit;
         for (key, _) in &jobs {
             commit.waiting.swap_remove(key);
         }
         commit.retry_at = None;
-        commit.in_flight = Some(InFlight { sent_at: out.now, jobs });
+        commit.in_flight = Some(InFlight { sent_at: out.now, jobs, submitted });
         let timeout = self.identity.times.store_timeout;
         self.call(LeaderCall::Commit(part), StoreRequest::Commit(transaction), timeout, out);
     }
@@ -94,6 +108,8 @@
     pub(super) fn take_commit(&mut self, part: u32, reply: &StoreReply, out: &mut Outbox) {
         let commit = &mut self.parts[part as usize].commit;
         let Some(in_flight) = commit.in_flight.take() else { return };
+        self.take_submitted(part, &in_flight.submitted, reply, out);
+        let commit = &mut self.parts[part as usize].commit;
         match reply {
             StoreReply::Committed(version) => {
                 commit.pause = FIRST_PAUSE;
@@ -161,16 +177,17 @@
             }
             return;
         };
+        let id = job.id;
         log::info!(
             "event=job_ended job={} state={state} age_ms={}",
             job.id,
             out.now.since(job.accepted_at).as_millis()
         );
-        let id = job.id;
         self.news.ended.push((id, state));
         self.job_keys.swap_remove(&id);
         self.jobs.swap_remove(&key);
-        self.ended_jobs.insert(id);
+        self.ended_jobs.insert(id, state);
+        self.answer_cancels(id, out);
         if self.ended_jobs.len() > MOST_ENDED_JOBS {
             self.ended_jobs.drain(..MOST_ENDED_JOBS / 2);
         }
--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -32,9 +32,11 @@
 use crate::NodeAction;
 
 /// Time between two lists while orders are under way.
-const BUSY_LIST_INTERVAL: Duration = Duration::from_millis(300);
+const BUSY_LIST_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two lists otherwise.
-const IDLE_LIST_INTERVAL: Duration = Duration::from_millis(1_500);
+const IDLE_LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// How much more slowly than the service allows lists are read.
+const LIST_SHARE: f64 = 2.0;
 /// Time between two plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a call of the service has failed.
@@ -59,6 +61,8 @@
     list_started_at: Moment,
     next_list_at: Moment,
     is_listing: bool,
+    /// Pages of the list that is being read.
+    pages: u32,
     next_plan_at: Moment,
     /// Moments of the orders of the last second.
     recent_orders: Vec<Moment>,
@@ -110,6 +114,7 @@
             list_started_at: now,
             next_list_at: now,
             is_listing: false,
+            pages: 0,
             next_plan_at: now,
             recent_orders: Vec::new(),
             waves: IndexMap::new(),
@@ -118,6 +123,11 @@
         }
     }
 
+    /// Has the instances listed at the next occasion.
+    pub(crate) fn list_soon(&mut self, now: Moment) {
+        self.next_list_at = self.next_list_at.min(now);
+    }
+
     fn has_orders(&self) -> bool {
         self.instances.values().any(|instance| instance.order.is_some())
     }
@@ -207,11 +217,13 @@
             self.fleet.next_list_at = out.now + BUSY_LIST_INTERVAL;
             return;
         };
+        self.fleet.pages += 1;
         self.take_page(page, out);
         if let Some(next) = &page.next {
             let request = InstanceRequest::List { page: Some(next.clone()) };
             return self.call_instances(FleetCall::List, request, out);
         }
+        let rate = self.identity.instance_lists_per_s;
         let fleet = &mut self.fleet;
         fleet.is_listing = false;
         fleet.listed_at = Some(fleet.list_started_at);
@@ -221,7 +233,10 @@
         fleet.instances.retain(|_, instance| instance.list + 1 >= last);
         let is_busy = fleet.has_orders() || fleet.waves.values().any(|wave| !wave.is_over());
         let interval = if is_busy { BUSY_LIST_INTERVAL } else { IDLE_LIST_INTERVAL };
-        fleet.next_list_at = out.now + interval;
+        // The service gives only so many pages in a second, to all nodes together.
+        let least = Duration::from_secs_f64(f64::from(fleet.pages) / rate.max(0.1) * LIST_SHARE);
+        fleet.next_list_at = out.now + interval.max(least);
+        fleet.pages = 0;
     }
 
     fn take_page(&mut self, page: &InstancePage, out: &mut Outbox) {
@@ -255,7 +270,8 @@
         });
     }
 
-    /// Returns whether an instance runs nothing: it is on its way, being maintained, or on standby.
+    /// Returns whether an instance runs nothing: it is on its way, being maintained, out of service
+    /// without a target, or on standby.
     fn is_off(&self, record: &InstanceRecord) -> bool {
         match record.state {
             InstanceState::Moving | InstanceState::Maintained => true,
@@ -263,7 +279,7 @@
                 let rule = self.config.pools.get(&record.pool);
                 record.target.is_none() && rule.is_some_and(|rule| rule.is_standby)
             }
-            InstanceState::Down => false,
+            InstanceState::Down => record.target.is_none(),
         }
     }
 
--- a/crates/magnoliapin_scheduler/src/leader/holds.rs
+++ b/crates/magnoliapin_scheduler/src/leader/holds.rs
@@ -102,6 +102,8 @@
                 target.is_same_life = false;
                 target.hold = HoldState::Pausing(out.now + FAILED_PAUSE);
                 if target.failed_holds == 1 {
+                    // The list may say that its instance is out of service.
+                    self.fleet.list_soon(out.now);
                     log::warn!(
                         "event=target_silent target={} reply={reply:?} runs={}",
                         target.record.name,
--- a/crates/magnoliapin_scheduler/src/leader/intake.rs
+++ b/crates/magnoliapin_scheduler/src/leader/intake.rs
@@ -91,12 +91,7 @@
             return;
         }
         match key {
-            IntakeKey::Fence => {
-                let fence: Option<FenceRow> = rows::decode(value);
-                if fence.is_some_and(|fence| fence.generation > self.generation) {
-                    self.depose("a partition has a newer fence");
-                }
-            }
+            IntakeKey::Fence => self.check_fence(value),
             IntakeKey::Job(job) => match rows::decode::<JobRow>(value) {
                 Some(decoded) => self.add_job(job, decoded, is_inherited, out),
                 None => log::error!("event=row_unreadable table={} job={job}", rows::INTAKE),
@@ -105,6 +100,14 @@
         }
     }
 
+    /// Stops scheduling if a partition belongs to a newer scheduler.
+    fn check_fence(&mut self, value: &[u8]) {
+        let fence: Option<FenceRow> = rows::decode(value);
+        if fence.is_some_and(|fence| fence.generation > self.generation) {
+            self.depose("a partition has a newer fence");
+        }
+    }
+
     /// Takes a row of the table of jobs that was read again.
     fn take_reloaded_row(&mut self, row: &StoreRow, out: &mut Outbox) {
         let Some(value) = row.value.as_deref() else { return };
@@ -114,13 +117,14 @@
                 None => log::error!("event=row_unreadable table={} job={job}", rows::INTAKE),
             },
             Some(IntakeKey::Cancel(job)) => self.cancel_job(job, out),
-            Some(IntakeKey::Fence) | None => {}
+            Some(IntakeKey::Fence) => self.check_fence(value),
+            None => {}
         }
     }
 
-    fn add_job(&mut self, id: JobId, row: JobRow, is_inherited: bool, out: &mut Outbox) {
+    pub(super) fn add_job(&mut self, id: JobId, row: JobRow, is_inherited: bool, out: &mut Outbox) {
         // Rows that are read again may be older than the end of their job.
-        if self.job_keys.contains_key(&id) || self.ended_jobs.contains(&id) {
+        if self.job_keys.contains_key(&id) || self.ended_jobs.contains_key(&id) {
             return;
         }
         self.last_job += 1;
@@ -264,6 +268,9 @@
         let oldest = self.reload.from.map_or(*version, |from| from.min(*version));
         self.reload.from = Some(oldest);
         for row in rows {
+            if self.is_deposed() {
+                return;
+            }
             // What is read again counts whatever its version, as changes have been missed.
             self.take_reloaded_row(row, out);
         }
--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -57,6 +57,8 @@
             generation: self.generation,
             node: self.identity.node.clone(),
             incarnation: self.identity.incarnation,
+            address: self.identity.address,
+            power: self.identity.power,
             is_released: self.renewal.is_releasing,
             waiting: self.waiting.clone(),
         };
--- a/crates/magnoliapin_scheduler/src/machine.rs
+++ b/crates/magnoliapin_scheduler/src/machine.rs
@@ -2,26 +2,31 @@
 
 use magnoliapin_model::ConfigVersion;
 use magnoliapin_model::Moment;
-use magnoliapin_site::ClientAction;
 use magnoliapin_site::ClientRequest;
 use magnoliapin_site::InstanceReply;
 use magnoliapin_site::NodeSettings;
+use magnoliapin_site::PeerReply;
+use magnoliapin_site::PeerRequest;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::TargetReply;
 use rand::Rng;
 
 use crate::desk::Desk;
+use crate::desk::SchedulerPlace;
 use crate::election::Election;
 use crate::election::TakenLease;
+use crate::leader::Asker;
 use crate::leader::Leader;
 use crate::leader::LeaderIdentity;
 use crate::outbox::Outbox;
+use crate::peer_link::PeerLink;
 use crate::site_watch::SiteWatch;
 use crate::CallId;
 use crate::ClientId;
 use crate::NodeAction;
 use crate::NodeEvent;
 use crate::NodeTimes;
+use crate::PeerId;
 
 /// Decides everything that a node does. It does no I/O and reads no clock.
 #[derive(Debug)]
@@ -31,6 +36,7 @@
     site: SiteWatch,
     election: Election,
     desk: Desk,
+    link: PeerLink,
     leader: Option<Box<Leader>>,
     is_stopping: bool,
     was_ready: bool,
@@ -43,14 +49,18 @@
         let times = NodeTimes::new(&settings.bounds);
         let identity = LeaderIdentity {
             node: settings.name.clone(),
+            address: settings.peer_listen,
+            power: settings.power,
             incarnation: out.random.random(),
             parts: settings.store_limits.parts(),
             times,
             instance_orders_per_s: settings.instance_orders_per_s,
+            instance_lists_per_s: settings.instance_lists_per_s,
         };
         Self {
             site: SiteWatch::new(),
-            election: Election::new(settings.name.clone(), identity.incarnation),
+            election: Election::new(identity.clone()),
+            link: PeerLink::default(),
             desk: Desk::new(identity.parts, times.store_timeout),
             leader: None,
             is_stopping: false,
@@ -97,6 +107,8 @@
             NodeEvent::Target(call, reply) => self.take_target_reply(call, &reply),
             NodeEvent::Instances(call, reply) => self.take_instance_reply(call, &reply),
             NodeEvent::Advice(..) => {}
+            NodeEvent::Peer(call, reply) => self.take_peer_reply(call, reply),
+            NodeEvent::PeerRequest(peer, request) => self.take_peer_request(peer, request),
             NodeEvent::Stop => self.stop(),
         }
         self.note_ready();
@@ -105,6 +117,7 @@
 
     /// Decides what follows from the events that were handled; called once after each batch.
     pub fn finish(&mut self, actions: &mut Vec<NodeAction>) {
+        self.hand_over();
         if let Some(leader) = &mut self.leader {
             leader.finish(&mut self.out);
         }
@@ -116,7 +129,12 @@
         let times = self.identity.times;
         self.site.poll(&times, &mut self.out);
         let may_lead = self.leader.is_none() && self.site.config().is_some() && !self.is_stopping;
-        self.election.poll(may_lead, &times, &mut self.out);
+        self.election.poll(may_lead, self.link.is_gone(), &mut self.out);
+        if self.leader.is_none() {
+            self.link.set_scheduler(self.election.generation(), self.election.address());
+            self.link.poll(&mut self.out);
+        }
+        self.place_scheduler();
         self.desk.tick(&mut self.out);
         if let Some(leader) = &mut self.leader {
             leader.tick(&mut self.out);
@@ -124,13 +142,6 @@
     }
 
     fn take_request(&mut self, client: ClientId, request: ClientRequest) {
-        if matches!(request.action, ClientAction::Read) {
-            if let Some(leader) = &self.leader {
-                let now = self.out.now;
-                let open = |job| leader.open_state(job, now);
-                return self.desk.take_read(client, request, open, &mut self.out);
-            }
-        }
         self.desk.take_request(client, request, &mut self.out);
     }
 
@@ -157,7 +168,7 @@
                 .is_some_and(|leader| leader.generation() < self.election.generation());
             if is_overtaken {
                 log::warn!("event=scheduler_overtaken by={}", self.election.generation());
-                self.leader = None;
+                self.stop_leading();
             }
             return;
         }
@@ -199,11 +210,63 @@
         let mut leader = Leader::new(identity, lease, config, waiting, &mut self.out);
         leader.set_waves(self.site.waves(), &mut self.out);
         self.leader = Some(Box::new(leader));
+        self.place_scheduler();
     }
 
     fn drop_deposed(&mut self) {
         if self.leader.as_ref().is_some_and(|leader| leader.is_deposed()) {
-            self.leader = None;
+            self.stop_leading();
+        }
+    }
+
+    /// Drops the scheduler of this node, and asks the store for what it was asked for.
+    fn stop_leading(&mut self) {
+        let Some(mut leader) = self.leader.take() else { return };
+        let answers = leader.refuse_all(&mut self.out);
+        self.place_scheduler();
+        for (call, reply) in answers {
+            self.desk.take_peer_reply(call, reply, &mut self.out);
+        }
+    }
+
+    /// Tells the desk where the scheduler is.
+    fn place_scheduler(&mut self) {
+        let place = match (&self.leader, self.link.address()) {
+            (Some(_), _) => SchedulerPlace::Here,
+            (None, Some(address)) => SchedulerPlace::At(address),
+            (None, None) => SchedulerPlace::Unknown,
+        };
+        self.desk.set_scheduler(place);
+    }
+
+    /// Hands the desk's requests to the scheduler of this node.
+    fn hand_over(&mut self) {
+        for (call, request) in self.desk.take_local() {
+            match &mut self.leader {
+                Some(leader) => {
+                    leader.take_peer_request(Asker::Local(call), request, &mut self.out);
+                }
+                None => {
+                    self.desk.take_peer_reply(call, PeerReply::NotScheduler, &mut self.out);
+                }
+            }
+        }
+    }
+
+    fn take_peer_reply(&mut self, call: CallId, reply: PeerReply) {
+        if self.link.take_reply(call, &reply) {
+            return self.place_scheduler();
+        }
+        if self.desk.take_peer_reply(call, reply, &mut self.out) == Some(false) {
+            self.link.note_failure();
+            self.place_scheduler();
+        }
+    }
+
+    fn take_peer_request(&mut self, peer: PeerId, request: PeerRequest) {
+        match &mut self.leader {
+            Some(leader) => leader.take_peer_request(Asker::Peer(peer), request, &mut self.out),
+            None => self.out.push(NodeAction::AnswerPeer(peer, PeerReply::NotScheduler)),
         }
     }
 
@@ -214,6 +277,9 @@
         for (job, state) in news.ended {
             self.desk.note_ended(job, state);
         }
+        for (call, reply) in news.answers {
+            self.desk.take_peer_reply(call, reply, &mut self.out);
+        }
         if news.was_renewed {
             self.election.note_renewed(self.out.now);
         }
--- a/crates/magnoliapin_scheduler/src/outbox.rs
+++ b/crates/magnoliapin_scheduler/src/outbox.rs
@@ -1,10 +1,12 @@
 //! Gathers what the parts of a node want done.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use magnoliapin_model::Moment;
 use magnoliapin_model::UnixMillis;
 use magnoliapin_site::ClientAnswer;
+use magnoliapin_site::PeerRequest;
 use magnoliapin_site::StoreRequest;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -81,6 +83,18 @@
         call
     }
 
+    /// Calls the node that schedules.
+    pub(crate) fn call_peer(
+        &mut self,
+        address: SocketAddr,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> CallId {
+        let call = self.next_call();
+        self.push(NodeAction::Peer { call, address, request, timeout });
+        call
+    }
+
     /// Answers a client.
     pub(crate) fn answer(&mut self, client: ClientId, answer: ClientAnswer) {
         self.push(NodeAction::Answer(client, answer));
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -18,6 +18,8 @@
 
 mod row_codec;
 
+use std::net::SocketAddr;
+
 use magnoliapin_model::plain_data;
 use magnoliapin_model::UnixMillis;
 use magnoliapin_site::InstanceName;
@@ -146,6 +148,10 @@
         pub(crate) node: NodeName,
         /// Run of its process.
         pub(crate) incarnation: u64,
+        /// Where other nodes reach it.
+        pub(crate) address: Option<SocketAddr>,
+        /// Processor that it may use, in thousandths of a core.
+        pub(crate) power: u32,
         /// Whether it has given the lease up.
         pub(crate) is_released: bool,
         /// Jobs of each queue none of whose tasks has started.
--- a/crates/magnoliapin_scheduler/src/watch.rs
+++ b/crates/magnoliapin_scheduler/src/watch.rs
@@ -19,6 +19,9 @@
 /// Longest pause after calls that failed.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// Least time between two calls that watch the jobs.
+const INTAKE_PACE: Duration = Duration::from_millis(150);
+
 /// What a watch follows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WatchKind {
@@ -118,6 +121,10 @@
             return Some(WatchNews::Failed(*failure));
         }
         self.pause = FIRST_PAUSE;
+        if self.kind == WatchKind::Intake {
+            // Most jobs come through the scheduler; the others can wait for a moment.
+            self.retry_at = out.now + INTAKE_PACE;
+        }
         self.heard_at = Some(self.sent_at);
         let (version, next) = match reply {
             StoreReply::Rows { version, .. } | StoreReply::Site { version, .. } => (*version, None),
--- a/crates/magnoliapin_scheduler/tests/soak/main.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/main.rs
@@ -81,5 +81,7 @@
     ),
     (14, 14_000, "a replaced scheduler started more for a team whose runs it took for lost"),
     (16, 14_000, "a scheduler that had been replaced took runs for lost that the next one kept"),
+    (20, 14_000, "a job that had ended under the scheduler before was taken up again"),
+    (724, 14_000, "a scheduler that had been replaced read all jobs again and took them up"),
     (492, 14_000, "a job was taken up again from rows that were read before its end"),
 ];
--- a/crates/magnoliapin_scheduler/tests/soak/site.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/site.rs
@@ -1,5 +1,6 @@
 //! The site that the soak runs: its configuration, settings and sizes.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use magnoliapin_model::ConfigVersion;
@@ -39,7 +40,8 @@
         zone: ZoneName::new(&format!("zone-{}", node % ZONES)),
         client_listen: "127.0.0.1:1".parse().expect("an address"),
         ready_listen: "127.0.0.1:2".parse().expect("an address"),
-        peer_listen: None,
+        peer_listen: Some(node_address(node)),
+        power: 250,
         store: "127.0.0.1:3".parse().expect("an address"),
         instances: None,
         advice: None,
@@ -70,6 +72,10 @@
     }
 }
 
+pub(crate) fn node_address(node: usize) -> SocketAddr {
+    format!("10.1.0.{}:7000", node + 1).parse().expect("an address")
+}
+
 pub(crate) fn pool_name(pool: usize) -> PoolName {
     PoolName::new(&format!("pool-{pool}"))
 }
--- a/crates/magnoliapin_scheduler/tests/soak/world.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/world.rs
@@ -11,10 +11,13 @@
 use magnoliapin_scheduler::NodeAction;
 use magnoliapin_scheduler::NodeEvent;
 use magnoliapin_scheduler::NodeMachine;
+use magnoliapin_scheduler::PeerId;
 use magnoliapin_site::CallFailure;
 use magnoliapin_site::ClientAnswer;
 use magnoliapin_site::EndedRun;
 use magnoliapin_site::InstanceName;
+use magnoliapin_site::PeerReply;
+use magnoliapin_site::PeerRequest;
 use magnoliapin_site::RunEnd;
 use magnoliapin_site::StartRefusal;
 use magnoliapin_site::StoreReply;
@@ -68,12 +71,22 @@
     ToNode(usize, u64, NodeEvent),
     TargetCall(usize, u64, CallId, usize, u64, TargetRequest, bool),
     TargetWaitOver(u64),
-    Timeout(usize, u64, CallId, bool),
+    PeerCall(usize, u64, CallId, usize, PeerRequest),
+    PeerAnswer(PeerId, PeerReply),
+    Timeout(usize, u64, CallId, CallKind),
     Beat(usize),
     Client(ClientStep),
     Fault(FaultStep),
 }
 
+/// What a call is made to.
+#[derive(Clone, Copy)]
+pub(crate) enum CallKind {
+    Store,
+    Target,
+    Peer,
+}
+
 struct WaitingWatch {
     node: usize,
     life: u64,
@@ -102,6 +115,8 @@
     pub(crate) beats: Vec<Moment>,
     watches: BTreeMap<u64, WaitingWatch>,
     holds: BTreeMap<u64, WaitingHold>,
+    /// Who asked a node, which call it was, and the node that was asked.
+    peers: BTreeMap<PeerId, (usize, u64, CallId, usize)>,
     pub(crate) faults: FaultState,
     pub(crate) clients: ClientBook,
     pub(crate) judge: Judge,
@@ -120,6 +135,7 @@
             beats: Vec::new(),
             watches: BTreeMap::new(),
             holds: BTreeMap::new(),
+            peers: BTreeMap::new(),
             faults: FaultState::default(),
             clients: ClientBook::default(),
             judge: Judge::default(),
@@ -234,12 +250,16 @@
                 self.target_call(node, life, call, target, target_life, &request, is_late);
             }
             Event::TargetWaitOver(hold) => self.end_hold(hold),
-            Event::Timeout(node, life, call, is_store) => {
+            Event::PeerCall(node, life, call, to, request) => {
+                self.peer_call(node, life, call, to, request);
+            }
+            Event::PeerAnswer(peer, reply) => self.peer_answer(peer, reply),
+            Event::Timeout(node, life, call, kind) => {
                 let failure = CallFailure::Unknown;
-                let event = if is_store {
-                    NodeEvent::Store(call, StoreReply::Failed(failure))
-                } else {
-                    NodeEvent::Target(call, TargetReply::Failed(failure))
+                let event = match kind {
+                    CallKind::Store => NodeEvent::Store(call, StoreReply::Failed(failure)),
+                    CallKind::Target => NodeEvent::Target(call, TargetReply::Failed(failure)),
+                    CallKind::Peer => NodeEvent::Peer(call, PeerReply::Failed(failure)),
                 };
                 self.tell_node(node, life, event);
             }
@@ -264,7 +284,9 @@
             return self.at(wait, Event::ToNode(node, life, event));
         }
         let call = match &event {
-            NodeEvent::Store(call, _) | NodeEvent::Target(call, _) => Some(*call),
+            NodeEvent::Store(call, _) | NodeEvent::Target(call, _) | NodeEvent::Peer(call, _) => {
+                Some(*call)
+            }
             _ => None,
         };
         if call.is_some_and(|call| !slot.open.remove(&call)) {
@@ -286,13 +308,13 @@
             NodeAction::Answer(client, answer) => self.client_answer(client, &answer),
             NodeAction::Store { call, request, timeout } => {
                 self.nodes[node].open.insert(call);
-                self.at(timeout, Event::Timeout(node, life, call, true));
+                self.at(timeout, Event::Timeout(node, life, call, CallKind::Store));
                 let delay = self.store_delay(node);
                 self.at(delay, Event::StoreCall(node, life, call, request));
             }
             NodeAction::Target { call, target, address, request, timeout } => {
                 self.nodes[node].open.insert(call);
-                self.at(timeout, Event::Timeout(node, life, call, false));
+                self.at(timeout, Event::Timeout(node, life, call, CallKind::Target));
                 let number = self.targets.iter().position(|known| known.record.address == address);
                 let Some(number) = number else { return };
                 assert_eq!(self.targets[number].record.name, target, "the name fits the address");
@@ -309,10 +331,52 @@
                     self.at(delay, event);
                 }
             }
+            NodeAction::Peer { call, address, request, timeout } => {
+                self.nodes[node].open.insert(call);
+                self.at(timeout, Event::Timeout(node, life, call, CallKind::Peer));
+                let to = (0..site::NODES).find(|to| site::node_address(*to) == address);
+                let Some(to) = to else { return };
+                let delay = self.delay();
+                self.at(delay, Event::PeerCall(node, life, call, to, request));
+            }
+            NodeAction::AnswerPeer(peer, reply) => {
+                let delay = self.delay();
+                self.at(delay, Event::PeerAnswer(peer, reply));
+            }
             NodeAction::Instances { .. } | NodeAction::Advice { .. } => {}
         }
     }
 
+    fn peer_call(&mut self, node: usize, life: u64, call: CallId, to: usize, request: PeerRequest) {
+        if self.is_peer_cut(node, to) {
+            return;
+        }
+        if self.nodes[to].machine.is_none() {
+            let refused = PeerReply::Failed(CallFailure::NotDone);
+            return self.tell_node(node, life, NodeEvent::Peer(call, refused));
+        }
+        self.last_event += 1;
+        let peer = PeerId(self.last_event);
+        self.peers.insert(peer, (node, life, call, to));
+        let to_life = self.nodes[to].life;
+        self.tell_node(to, to_life, NodeEvent::PeerRequest(peer, request));
+    }
+
+    fn peer_answer(&mut self, peer: PeerId, reply: PeerReply) {
+        let Some((node, life, call, to)) = self.peers.remove(&peer) else { return };
+        if !self.is_peer_cut(node, to) {
+            self.tell_node(node, life, NodeEvent::Peer(call, reply));
+        }
+    }
+
+    fn is_peer_cut(&self, one: usize, other: usize) -> bool {
+        let zones = (self.nodes[one].zone, self.nodes[other].zone);
+        let cut_zone = self.faults.cut_zone;
+        self.faults.nodes_off.contains(&one)
+            || self.faults.nodes_off.contains(&other)
+            || cut_zone.is_some_and(|cut| (cut == zones.0) != (cut == zones.1))
+    }
+
     pub(crate) fn delay(&mut self) -> Duration {
         Duration::from_micros(self.random.random_range(500..4000))
     }
--- a/crates/magnoliapin_site/src/node_settings.rs
+++ b/crates/magnoliapin_site/src/node_settings.rs
@@ -19,6 +19,8 @@
     pub ready_listen: SocketAddr,
     /// Address for other nodes and metrics; none where no port is free for them.
     pub peer_listen: Option<SocketAddr>,
+    /// Processor that it may use, in thousandths of a core.
+    pub power: u32,
     /// The store.
     pub store: SocketAddr,
     /// The service that moves and maintains instances.
--- a/crates/magnoliapin_site/src/store_message.rs
+++ b/crates/magnoliapin_site/src/store_message.rs
@@ -195,7 +195,7 @@
 }
 
 /// Why a call has no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum CallFailure {
     /// Nothing was done.
     NotDone,
