Fence control rows apart from jobs, and let waits follow the store's pace

Change: the lease, led targets and waves lie in a partition of their own with its own fence; the time after which a call has failed follows the longest answer seen lately; an election waits three such times more; lives that ended are forgotten in one transaction; a node whose scheduler misses two pings asks the store for all that it had asked the scheduler.

--- a/crates/magnoliapin_scheduler/src/desk.rs
+++ b/crates/magnoliapin_scheduler/src/desk.rs
@@ -51,7 +51,6 @@
 #[derive(Debug)]
 pub(crate) struct Desk {
     parts: u32,
-    store_timeout: Duration,
     routes: RouteTable,
     has_config: bool,
     requests: IndexMap<CallId, DeskRequest>,
@@ -109,10 +108,9 @@
 
 impl Desk {
     /// Makes a desk that knows nothing.
-    pub(crate) fn new(parts: u32, store_timeout: Duration) -> Self {
+    pub(crate) fn new(parts: u32) -> Self {
         Self {
             parts,
-            store_timeout,
             routes: RouteTable::default(),
             has_config: false,
             requests: IndexMap::new(),
@@ -276,8 +274,7 @@
     }
 
     fn call(&mut self, request: DeskRequest, store_request: StoreRequest, out: &mut Outbox) {
-        let left = request.deadline.since(out.now).max(RETRY_PAUSE);
-        let call = out.call_store(store_request, self.store_timeout.min(left));
+        let call = out.call_store(store_request);
         self.requests.insert(call, request);
     }
 
--- a/crates/magnoliapin_scheduler/src/desk/ask.rs
+++ b/crates/magnoliapin_scheduler/src/desk/ask.rs
@@ -15,8 +15,11 @@
 use crate::outbox::Outbox;
 use crate::CallId;
 
-/// Time after which the scheduler has failed to store a change; a slow store takes a part of it.
-const CHANGE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Longest time in which the scheduler may store a change: the pings tell whether it is there, and
+/// a slow store would be no faster for this node.
+const CHANGE_TIMEOUT: Duration = Duration::from_millis(2_600);
+/// Part of the client's patience that the scheduler may use of it; the rest is for the store.
+const CHANGE_SHARE: f64 = 0.75;
 /// Time after which the scheduler has failed to tell a state.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -51,12 +54,25 @@
                 self.local.push((call, peer_request));
             }
             SchedulerPlace::At(address) => {
-                let call = out.call_peer(address, peer_request, longest.min(left / 2));
+                let timeout = longest.min(left.mul_f64(CHANGE_SHARE));
+                let call = out.call_peer(address, peer_request, timeout);
                 self.asked.insert(call, request);
             }
         }
     }
 
+    /// Asks the store for all that the scheduler was asked for: it does not answer.
+    pub(crate) fn ask_store(&mut self, out: &mut Outbox) {
+        let asked = std::mem::take(&mut self.asked);
+        if !asked.is_empty() {
+            log::warn!("event=scheduler_left requests={}", asked.len());
+        }
+        for (_, mut request) in asked {
+            request.unknown += 1;
+            self.send(request, out);
+        }
+    }
+
     /// Takes an answer of the scheduler. Returns whether it could be asked; none if the call was
     /// not the desk's.
     pub(crate) fn take_peer_reply(
--- a/crates/magnoliapin_scheduler/src/election.rs
+++ b/crates/magnoliapin_scheduler/src/election.rs
@@ -28,6 +28,8 @@
 
 /// Span over which the nodes spread their attempts, so that mostly one makes it.
 const ATTEMPT_SPREAD: Duration = Duration::from_millis(150);
+/// Answers of the store that lie between a renewal and the news of it.
+const LAG_FACTOR: u32 = 3;
 /// How much later a node takes over that has less processor than the holder had.
 const WEAKER_DELAY: Duration = Duration::from_millis(250);
 /// Schedulers of a new site that a much stronger node replaces.
@@ -104,7 +106,7 @@
         let times = self.identity.times;
         self.watch.poll(&times, out);
         if may_lead && self.attempt.is_none() && self.is_free(is_gone, &times, out) {
-            self.try_take(&times, out);
+            self.try_take(out);
         }
     }
 
@@ -193,6 +195,8 @@
         // A stronger node goes first.
         let is_weaker = self.identity.power < lease.power;
         let silence = if is_weaker { silence + WEAKER_DELAY } else { silence };
+        // A slow store tells of a renewal only after the renewal and the watch have waited for it.
+        let silence = silence + out.store_pace.lag() * LAG_FACTOR;
         // The store must have answered all the while, or its silence is taken for the holder's.
         let is_silent =
             out.now.since(changed_at) > silence && heard_at.since(changed_at) > silence / 2;
@@ -206,7 +210,7 @@
         is_stronger && lease.generation <= MOST_EARLY_GENERATIONS
     }
 
-    fn try_take(&mut self, times: &NodeTimes, out: &mut Outbox) {
+    fn try_take(&mut self, out: &mut Outbox) {
         let (generation, version) = self
             .seen
             .as_ref()
@@ -223,8 +227,8 @@
         let transaction = StoreTransaction::default()
             .with_expected(rows::lease_row(), version)
             .with_write(rows::lease_row(), rows::encode(&lease))
-            .with_write(rows::fence_row(0), rows::encode(&FenceRow { generation }));
-        let call = out.call_store(StoreRequest::Commit(transaction), times.store_timeout);
+            .with_write(rows::control_fence(), rows::encode(&FenceRow { generation }));
+        let call = out.call_store(StoreRequest::Commit(transaction));
         self.attempt = Some(Attempt { call, generation, sent_at: out.now });
     }
 
--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -22,11 +22,11 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use magnoliapin_model::Moment;
+use magnoliapin_model::RowVersion;
 use magnoliapin_model::UnixMillis;
 use magnoliapin_site::InstanceName;
 use magnoliapin_site::JobId;
@@ -53,6 +53,7 @@
 use self::job::JobKey;
 use self::lease::Renewal;
 use self::queue_facts::QueueFacts;
+use self::recovery::LedLoad;
 use self::recovery::PartLoad;
 use self::registrations::TargetLife;
 pub(crate) use self::submissions::Asker;
@@ -93,6 +94,11 @@
     confirmed_at: Moment,
     config: Rc<SiteConfig>,
     parts: Vec<Part>,
+    /// Version of the fence of the partition that is not about jobs.
+    control_fence: RowVersion,
+    /// Rows of lives that are over, which the store may forget.
+    forgotten: Vec<(TargetName, RowVersion)>,
+    led_load: LedLoad,
     phase: LeaderPhase,
     calls: IndexMap<CallId, LeaderCall>,
     target_calls: IndexMap<CallId, TargetCall>,
@@ -227,6 +233,9 @@
             confirmed_at: lease.taken_at,
             config: Rc::new(SiteConfig::default()),
             parts,
+            control_fence: lease.fence_version,
+            forgotten: Vec::new(),
+            led_load: LedLoad::default(),
             phase: LeaderPhase::Loading,
             calls: IndexMap::new(),
             target_calls: IndexMap::new(),
@@ -305,6 +314,7 @@
             self.dispatch(out);
             self.poll_orders(out);
             self.record_targets(out);
+            self.forget_targets(out);
             self.poll_commits(out);
         }
     }
@@ -329,7 +339,7 @@
             LeaderCall::LoadProgress(part) => self.take_progress(part, reply, out),
             LeaderCall::LoadLed => self.take_led(reply, out),
             LeaderCall::ReloadJobs(part, from) => self.take_reload(part, from, reply, out),
-            LeaderCall::RecordLed(targets) => self.take_recorded(&targets, reply, out),
+            LeaderCall::RecordLed(targets) => self.take_recorded(&targets, reply),
             LeaderCall::ForgetLed => {}
             LeaderCall::Commit(part) => self.take_commit(part, reply, out),
             LeaderCall::Renew(sent_at) => self.take_renewed(sent_at, reply, out),
@@ -367,14 +377,8 @@
     }
 
     /// Calls the store.
-    fn call(
-        &mut self,
-        kind: LeaderCall,
-        request: StoreRequest,
-        timeout: Duration,
-        out: &mut Outbox,
-    ) {
-        let call = out.call_store(request, timeout);
+    fn call(&mut self, kind: LeaderCall, request: StoreRequest, out: &mut Outbox) {
+        let call = out.call_store(request);
         self.calls.insert(call, kind);
     }
 
--- a/crates/magnoliapin_scheduler/src/leader/commit.rs
+++ b/crates/magnoliapin_scheduler/src/leader/commit.rs
@@ -100,8 +100,7 @@
         }
         commit.retry_at = None;
         commit.in_flight = Some(InFlight { sent_at: out.now, jobs, submitted });
-        let timeout = self.identity.times.store_timeout;
-        self.call(LeaderCall::Commit(part), StoreRequest::Commit(transaction), timeout, out);
+        self.call(LeaderCall::Commit(part), StoreRequest::Commit(transaction), out);
     }
 
     /// Takes the answer to a transaction.
--- a/crates/magnoliapin_scheduler/src/leader/fleet/waves.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/waves.rs
@@ -104,8 +104,7 @@
 
     fn read_wave(&mut self, wave: u64, out: &mut Outbox) {
         let range = magnoliapin_site::RowRange::one(&rows::wave_row(wave));
-        let timeout = self.identity.times.store_timeout;
-        self.call(LeaderCall::ReadWave(wave), StoreRequest::Read(range), timeout, out);
+        self.call(LeaderCall::ReadWave(wave), StoreRequest::Read(range), out);
     }
 
     /// Takes what was stored of a wave.
@@ -244,7 +243,6 @@
 
     /// Stores what is done of a wave, so that the next scheduler takes no instance twice.
     fn store_wave(&mut self, number: u64, out: &mut Outbox) {
-        let Some(fence) = self.parts[0].load.fence() else { return };
         let Some(wave) = self.fleet.waves.get_mut(&number) else { return };
         if !wave.is_changed || wave.is_storing {
             return;
@@ -257,10 +255,9 @@
             seen_at: wave.seen_at,
         };
         let transaction = StoreTransaction::default()
-            .with_expected(rows::fence_row(0), fence)
+            .with_expected(rows::control_fence(), self.control_fence)
             .with_write(rows::wave_row(number), rows::encode(&row));
-        let timeout = self.identity.times.store_timeout;
-        self.call(LeaderCall::StoreWave(number), StoreRequest::Commit(transaction), timeout, out);
+        self.call(LeaderCall::StoreWave(number), StoreRequest::Commit(transaction), out);
     }
 
     /// Takes the answer to a write about a wave.
@@ -293,8 +290,7 @@
         let Some(wave) = self.fleet.waves.get_mut(&number) else { return };
         wave.is_reporting = true;
         let request = StoreRequest::ReportWave { wave: number, state };
-        let timeout = self.identity.times.store_timeout;
-        self.call(LeaderCall::ReportWave(number, state), request, timeout, out);
+        self.call(LeaderCall::ReportWave(number, state), request, out);
     }
 
     /// Takes the answer to a report about a wave.
--- a/crates/magnoliapin_scheduler/src/leader/intake.rs
+++ b/crates/magnoliapin_scheduler/src/leader/intake.rs
@@ -250,8 +250,7 @@
     fn reload_part(&mut self, part: u32, from: String, out: &mut Outbox) {
         let range =
             RowRange { from: from.clone(), ..RowRange::whole(rows::INTAKE, part.to_string()) };
-        let timeout = self.identity.times.store_timeout;
-        self.call(LeaderCall::ReloadJobs(part, from), StoreRequest::Read(range), timeout, out);
+        self.call(LeaderCall::ReloadJobs(part, from), StoreRequest::Read(range), out);
     }
 
     /// Takes a page of the jobs that are read again.
--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -44,9 +44,6 @@
 
     /// Renews the lease when it is time.
     pub(super) fn poll_lease(&mut self, out: &mut Outbox) {
-        let Some(fence) = self.parts[0].load.fence() else {
-            return;
-        };
         if self.renewal.is_in_flight || self.renewal.is_released || out.now < self.renewal.next_at {
             return;
         }
@@ -63,12 +60,11 @@
             waiting: self.waiting.clone(),
         };
         let transaction = StoreTransaction::default()
-            .with_expected(rows::fence_row(0), fence)
+            .with_expected(rows::control_fence(), self.control_fence)
             .with_write(rows::lease_row(), rows::encode(&lease));
         self.renewal.is_in_flight = true;
-        let timeout = self.identity.times.store_timeout;
         let request = StoreRequest::Commit(transaction);
-        self.call(LeaderCall::Renew(out.now), request, timeout, out);
+        self.call(LeaderCall::Renew(out.now), request, out);
     }
 
     /// Takes the answer to a renewal.
--- a/crates/magnoliapin_scheduler/src/leader/recovery.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery.rs
@@ -41,6 +41,15 @@
     retry_at: Option<Moment>,
 }
 
+/// How far the loading of the targets is that may run something.
+#[derive(Debug, Default)]
+pub(crate) struct LedLoad {
+    /// Where the next page begins.
+    from: String,
+    retry_at: Option<Moment>,
+    is_done: bool,
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 enum LoadStage {
     #[default]
@@ -64,18 +73,28 @@
 }
 
 impl Leader {
-    /// Begins to load; the first partition is fenced already.
+    /// Begins to load; the partition that is not about jobs is fenced already.
     pub(super) fn start_loading(&mut self, fence: RowVersion, out: &mut Outbox) {
-        self.set_fence(0, fence, out);
-        for part in 1..self.identity.parts {
+        self.control_fence = fence;
+        for part in 0..self.identity.parts {
             self.load(part, out);
         }
-        let request = StoreRequest::Read(RowRange::whole(rows::LED, rows::FIRST_PART));
-        self.call(LeaderCall::LoadLed, request, self.identity.times.store_timeout, out);
+        self.load_led(out);
+    }
+
+    /// Reads the next page of the targets that may run something.
+    fn load_led(&mut self, out: &mut Outbox) {
+        let from = self.led_load.from.clone();
+        let range = RowRange { from, ..RowRange::whole(rows::LED, rows::CONTROL_PART) };
+        self.call(LeaderCall::LoadLed, StoreRequest::Read(range), out);
     }
 
     /// Makes calls again that failed.
     pub(super) fn retry_loading(&mut self, out: &mut Outbox) {
+        if self.led_load.retry_at.is_some_and(|at| out.now >= at) {
+            self.led_load.retry_at = None;
+            self.load_led(out);
+        }
         for part in 0..self.identity.parts {
             let load = &mut self.parts[part as usize].load;
             if load.retry_at.is_some_and(|at| out.now >= at) {
@@ -111,7 +130,7 @@
             }
             LoadStage::Done => return,
         };
-        self.call(kind, request, self.identity.times.store_timeout, out);
+        self.call(kind, request, out);
     }
 
     fn load_later(&mut self, part: u32, out: &Outbox) {
@@ -189,9 +208,8 @@
     /// Takes the targets that may run something.
     pub(super) fn take_led(&mut self, reply: &StoreReply, out: &mut Outbox) {
         let StoreReply::Rows { rows, has_more, .. } = reply else {
-            let request = StoreRequest::Read(RowRange::whole(rows::LED, rows::FIRST_PART));
-            let timeout = self.identity.times.store_timeout;
-            return self.call(LeaderCall::LoadLed, request, timeout, out);
+            self.led_load.retry_at = Some(out.now + RETRY_PAUSE);
+            return;
         };
         for row in rows {
             let led: Option<LedRow> = row.value.as_deref().and_then(rows::decode);
@@ -204,19 +222,18 @@
             }
         }
         if let Some(from) = next_page(rows, *has_more) {
-            let range = RowRange { from, ..RowRange::whole(rows::LED, rows::FIRST_PART) };
-            let timeout = self.identity.times.store_timeout;
-            return self.call(LeaderCall::LoadLed, StoreRequest::Read(range), timeout, out);
+            self.led_load.from = from;
+            return self.load_led(out);
         }
+        self.led_load.is_done = true;
         self.finish_loading(out);
     }
 
     /// Starts to schedule once everything is read.
     fn finish_loading(&mut self, out: &mut Outbox) {
         let is_done = |load: &PartLoad| load.stage == LoadStage::Done;
-        let is_led_loaded = !self.calls.values().any(|call| *call == LeaderCall::LoadLed);
         if self.phase != LeaderPhase::Loading
-            || !is_led_loaded
+            || !self.led_load.is_done
             || !self.parts.iter().all(|part| is_done(&part.load))
         {
             return;
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -234,7 +234,7 @@
             self.old_lives.swap_remove(&name);
         }
         if let Some(version) = target.led_version {
-            self.forget_target(&name, version, out);
+            self.forget_target(&name, version);
         }
     }
 
@@ -243,7 +243,7 @@
         if self.calls.values().any(|call| matches!(call, LeaderCall::RecordLed(_))) {
             return;
         }
-        let Some(fence) = self.parts[0].load.fence() else { return };
+        let fence = self.control_fence;
         let unrecorded = self.targets.iter().filter(|(_, target)| {
             target.is_led && target.led_version.is_none() && target.missing_since.is_none()
         });
@@ -251,7 +251,8 @@
         if keys.is_empty() {
             return;
         }
-        let mut transaction = StoreTransaction::default().with_expected(rows::fence_row(0), fence);
+        let mut transaction =
+            StoreTransaction::default().with_expected(rows::control_fence(), fence);
         let mut lives = Vec::new();
         for key in keys {
             let record = &self.targets[&key].record;
@@ -260,18 +261,12 @@
             transaction.writes.push((rows::led_row(&record.name), value));
             lives.push((key, (record.name.clone(), record.born_at)));
         }
-        let timeout = self.identity.times.store_timeout;
         let request = StoreRequest::Commit(transaction);
-        self.call(LeaderCall::RecordLed(lives), request, timeout, out);
+        self.call(LeaderCall::RecordLed(lives), request, out);
     }
 
     /// Takes the answer to a record of targets.
-    pub(super) fn take_recorded(
-        &mut self,
-        keys: &[(TargetKey, TargetLife)],
-        reply: &StoreReply,
-        out: &mut Outbox,
-    ) {
+    pub(super) fn take_recorded(&mut self, keys: &[(TargetKey, TargetLife)], reply: &StoreReply) {
         match reply {
             StoreReply::Committed(version) => {
                 for (key, life) in keys {
@@ -283,7 +278,7 @@
                             self.stir(&pool);
                         }
                         // The life ended while it was being recorded.
-                        None => self.forget_target(&life.0, *version, out),
+                        None => self.forget_target(&life.0, *version),
                     }
                 }
             }
@@ -292,14 +287,27 @@
         }
     }
 
-    fn forget_target(&mut self, name: &TargetName, version: RowVersion, out: &mut Outbox) {
-        let Some(fence) = self.parts[0].load.fence() else { return };
-        let transaction = StoreTransaction::default()
-            .with_expected(rows::fence_row(0), fence)
-            .with_expected(rows::led_row(name), version)
-            .with_removal(rows::led_row(name));
-        let timeout = self.identity.times.store_timeout;
-        self.call(LeaderCall::ForgetLed, StoreRequest::Commit(transaction), timeout, out);
+    /// Has the store forget a life that is over, with the next transaction about targets.
+    fn forget_target(&mut self, name: &TargetName, version: RowVersion) {
+        self.forgotten.push((name.clone(), version));
+    }
+
+    /// Has the store forget the lives that are over.
+    pub(super) fn forget_targets(&mut self, out: &mut Outbox) {
+        let is_busy = self.calls.values().any(|call| matches!(call, LeaderCall::ForgetLed));
+        if is_busy || self.forgotten.is_empty() {
+            return;
+        }
+        let count = self.forgotten.len().min(ROWS_PER_CALL);
+        let mut transaction =
+            StoreTransaction::default().with_expected(rows::control_fence(), self.control_fence);
+        for (name, version) in self.forgotten.drain(..count) {
+            // Another life under the same name may have been recorded since.
+            transaction = transaction
+                .with_expected(rows::led_row(&name), version)
+                .with_removal(rows::led_row(&name));
+        }
+        self.call(LeaderCall::ForgetLed, StoreRequest::Commit(transaction), out);
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/machine.rs
+++ b/crates/magnoliapin_scheduler/src/machine.rs
@@ -61,7 +61,7 @@
             site: SiteWatch::new(),
             election: Election::new(identity.clone()),
             link: PeerLink::default(),
-            desk: Desk::new(identity.parts, times.store_timeout),
+            desk: Desk::new(identity.parts),
             leader: None,
             is_stopping: false,
             was_ready: false,
@@ -131,7 +131,11 @@
         let may_lead = self.leader.is_none() && self.site.config().is_some() && !self.is_stopping;
         self.election.poll(may_lead, self.link.is_gone(), &mut self.out);
         if self.leader.is_none() {
-            self.link.set_scheduler(self.election.generation(), self.election.address());
+            let (generation, address) = (self.election.generation(), self.election.address());
+            if self.link.set_scheduler(generation, address) {
+                // The one before may never answer.
+                self.desk.ask_store(&mut self.out);
+            }
             self.link.poll(&mut self.out);
         }
         self.place_scheduler();
@@ -146,6 +150,7 @@
     }
 
     fn take_store_reply(&mut self, call: CallId, reply: &StoreReply) {
+        self.out.store_pace.end(call, reply, self.out.now);
         if let Some(has_new_config) = self.site.take_reply(call, reply, &self.out) {
             if has_new_config {
                 self.take_config();
@@ -255,7 +260,11 @@
 
     fn take_peer_reply(&mut self, call: CallId, reply: PeerReply) {
         if self.link.take_reply(call, &reply) {
-            return self.place_scheduler();
+            self.place_scheduler();
+            if self.leader.is_none() && self.link.is_silent() {
+                self.desk.ask_store(&mut self.out);
+            }
+            return;
         }
         if self.desk.take_peer_reply(call, reply, &mut self.out) == Some(false) {
             self.link.note_failure();
--- a/crates/magnoliapin_scheduler/src/outbox.rs
+++ b/crates/magnoliapin_scheduler/src/outbox.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::store_pace::StorePace;
 use crate::CallId;
 use crate::ClientId;
 use crate::NodeAction;
@@ -26,6 +27,8 @@
     wall_told_at: Moment,
     /// Source of random numbers.
     pub(crate) random: Pcg64Mcg,
+    /// How long the store takes to answer.
+    pub(crate) store_pace: StorePace,
     actions: Vec<NodeAction>,
     last_call: u64,
 }
@@ -38,6 +41,7 @@
             wall: UnixMillis(0),
             wall_told_at: Moment::START,
             random: Pcg64Mcg::seed_from_u64(seed),
+            store_pace: StorePace::default(),
             actions: Vec::new(),
             last_call: 0,
         }
@@ -77,8 +81,9 @@
     }
 
     /// Calls the store.
-    pub(crate) fn call_store(&mut self, request: StoreRequest, timeout: Duration) -> CallId {
+    pub(crate) fn call_store(&mut self, request: StoreRequest) -> CallId {
         let call = self.next_call();
+        let timeout = self.store_pace.begin(call, &request, self.now);
         self.push(NodeAction::Store { call, request, timeout });
         call
     }
--- a/crates/magnoliapin_scheduler/src/peer_link.rs
+++ b/crates/magnoliapin_scheduler/src/peer_link.rs
@@ -15,6 +15,8 @@
 const PING_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after which a ping has failed: many times what the way takes.
 const PING_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pings in a row without an answer after which nothing else is waited for.
+const SILENT_PINGS: u32 = 2;
 /// Pings in a row that may find nobody listening before the process there is taken for gone.
 const REFUSED_PINGS: u32 = 2;
 
@@ -29,14 +31,18 @@
     is_up: bool,
     /// Pings in a row that nobody was there to take.
     refused: u32,
+    /// Pings in a row without an answer.
+    failed: u32,
 }
 
 impl PeerLink {
-    /// Points the link at the scheduler of a generation.
-    pub(crate) fn set_scheduler(&mut self, generation: u64, address: Option<SocketAddr>) {
-        if generation != self.generation || address != self.address {
+    /// Points the link at the scheduler of a generation. Returns whether it is another one.
+    pub(crate) fn set_scheduler(&mut self, generation: u64, address: Option<SocketAddr>) -> bool {
+        let is_other = generation != self.generation || address != self.address;
+        if is_other {
             *self = Self { address, generation, ..Self::default() };
         }
+        is_other
     }
 
     /// Returns where the scheduler is, if it answers.
@@ -49,6 +55,11 @@
         self.refused >= REFUSED_PINGS
     }
 
+    /// Returns whether the scheduler has been silent for long.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.failed >= SILENT_PINGS
+    }
+
     /// Sends a ping when it is time.
     pub(crate) fn poll(&mut self, out: &mut Outbox) {
         let Some(address) = self.address else { return };
@@ -69,14 +80,17 @@
             PeerReply::Pong { generation } => {
                 self.is_up = *generation == self.generation;
                 self.refused = 0;
+                self.failed = 0;
             }
             PeerReply::Failed(CallFailure::NotDone) => {
                 self.is_up = false;
                 self.refused += 1;
+                self.failed += 1;
             }
             _ => {
                 self.is_up = false;
                 self.refused = 0;
+                self.failed += 1;
             }
         }
         true
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -57,8 +57,8 @@
 pub(crate) const CANCEL_SUFFIX: &str = ".cancel";
 /// Key of the scheduler's lease.
 pub(crate) const LEASE_KEY: &str = "scheduler";
-/// Partition of the lease and of the targets.
-pub(crate) const FIRST_PART: &str = "0";
+/// Partition of all that is not about one job, so that no rush of jobs delays it.
+pub(crate) const CONTROL_PART: &str = "control";
 
 plain_data! {
     /// A job as it was accepted.
@@ -202,19 +202,24 @@
     RowId::new(INTAKE, part.to_string(), FENCE_KEY)
 }
 
+/// Returns the fence of the partition that is not about jobs.
+pub(crate) fn control_fence() -> RowId {
+    RowId::new(INTAKE, CONTROL_PART, FENCE_KEY)
+}
+
 /// Returns the scheduler's lease.
 pub(crate) fn lease_row() -> RowId {
-    RowId::new(LEASE, FIRST_PART, LEASE_KEY)
+    RowId::new(LEASE, CONTROL_PART, LEASE_KEY)
 }
 
 /// Returns the row of a target that may run something.
 pub(crate) fn led_row(target: &TargetName) -> RowId {
-    RowId::new(LED, FIRST_PART, target.as_str())
+    RowId::new(LED, CONTROL_PART, target.as_str())
 }
 
 /// Returns the row of what is done of a wave.
 pub(crate) fn wave_row(wave: u64) -> RowId {
-    RowId::new(WAVE, FIRST_PART, wave.to_string())
+    RowId::new(WAVE, CONTROL_PART, wave.to_string())
 }
 
 /// What a key of the table of jobs stands for.
--- a/crates/magnoliapin_scheduler/src/times.rs
+++ b/crates/magnoliapin_scheduler/src/times.rs
@@ -11,8 +11,6 @@
     pub beat: Duration,
     /// Silence of the scheduler after which another node takes over.
     pub silence: Duration,
-    /// Time after which a call of the store has failed: over a hundred times what one takes.
-    pub store_timeout: Duration,
     /// Longest wait of a watch, so that one that has gone silent is noticed.
     pub watch_wait: Duration,
     /// Time that an answer may take beyond the wait that was asked for.
@@ -45,7 +43,6 @@
         Self {
             beat,
             silence: beat * 3,
-            store_timeout: Duration::from_millis(1_000),
             watch_wait: Duration::from_millis(1_000),
             answer_slack: Duration::from_millis(700),
             task_lease: (bounds.heartbeat * 4).min(bounds.max_lease),
--- a/crates/magnoliapin_scheduler/src/watch.rs
+++ b/crates/magnoliapin_scheduler/src/watch.rs
@@ -96,12 +96,12 @@
         }
         // Silence of the scheduler must be noticed sooner than other changes.
         let wait = if self.kind == WatchKind::Lease { times.beat } else { times.watch_wait };
-        let (request, timeout) = match self.after {
-            Some(after) => (self.watch_request(after, wait), wait + times.answer_slack),
-            None => (self.read_request(), times.store_timeout),
+        let request = match self.after {
+            Some(after) => self.watch_request(after, wait),
+            None => self.read_request(),
         };
         self.sent_at = out.now;
-        self.call = Some(out.call_store(request, timeout));
+        self.call = Some(out.call_store(request));
     }
 
     /// Takes the answer of a call; none if the call was not the watch's.
@@ -159,7 +159,7 @@
             WatchKind::Site => StoreRequest::ReadSite,
             WatchKind::Targets => StoreRequest::ReadTargets { from },
             WatchKind::Lease => StoreRequest::Read(RowRange::one(&rows::lease_row())),
-            WatchKind::Intake => StoreRequest::Read(RowRange::one(&rows::fence_row(0))),
+            WatchKind::Intake => StoreRequest::Read(RowRange::one(&rows::control_fence())),
         }
     }
 
