--- a/crates/magnoliapin_node/src/peer_server.rs
+++ b/crates/magnoliapin_node/src/peer_server.rs
@@ -31,8 +31,15 @@
     executor: Rc<LocalExecutor<'static>>,
     events: Sender<NodeEvent>,
     last_peer: Cell<u64>,
-    /// Where each answer goes, and its number on that connection.
-    waiting: RefCell<IndexMap<PeerId, (Sender<Vec<u8>>, u64)>>,
+    waiting: RefCell<IndexMap<PeerId, AnswerRoute>>,
+}
+
+/// Where the answer to a request goes.
+#[derive(Debug)]
+struct AnswerRoute {
+    frames: Sender<Vec<u8>>,
+    /// Number of the request on its connection.
+    number: u64,
 }
 
 impl PeerServer {
@@ -43,9 +50,9 @@
 
     /// Hands an answer to the node that waits for it.
     pub(crate) fn answer(&self, peer: PeerId, reply: PeerReply) {
-        if let Some((sender, number)) = self.waiting.borrow_mut().swap_remove(&peer) {
+        if let Some(route) = self.waiting.borrow_mut().swap_remove(&peer) {
             // A node that has gone, or reads nothing, asks the store.
-            let _ = sender.try_send(frame::encode(&(number, reply)));
+            let _ = route.frames.try_send(frame::encode(&(route.number, reply)));
         }
     }
 
@@ -85,7 +92,8 @@
         {
             let peer = PeerId(self.last_peer.get() + 1);
             self.last_peer.set(peer.0);
-            self.waiting.borrow_mut().insert(peer, (sender.clone(), number));
+            let route = AnswerRoute { frames: sender.clone(), number };
+            self.waiting.borrow_mut().insert(peer, route);
             // Nobody is left to be told once the node has stopped.
             let _ = self.events.try_send(NodeEvent::PeerRequest(peer, request));
         }
--- a/crates/magnoliapin_scheduler/tests/soak/main.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/main.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod journal;
 mod judge;
+mod network;
 mod site;
 mod store;
 mod target;
