--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -129,8 +129,8 @@
     waiting: Vec<(QueueName, u64)>,
     /// Orders that are sent at the end of the event that is being handled.
     due_orders: Vec<(TargetKey, TaskName)>,
-    /// Whether a task waits for the store to confirm this scheduler.
-    has_lost: bool,
+    /// Tasks that wait for the store to confirm this scheduler.
+    unsure: IndexSet<TaskName>,
     /// Orders that are sent again later.
     later_orders: Vec<(Moment, TargetKey, TaskName)>,
     /// What is known of the jobs of each queue.
@@ -161,6 +161,8 @@
     born_at: UnixMillis,
     /// Instance that hosts it.
     instance: Option<InstanceName>,
+    /// Version of the row that tells of it, if there is one.
+    version: Option<RowVersion>,
 }
 
 /// How far the scheduler is.
@@ -184,7 +186,7 @@
     LoadLed,
     ReloadJobs(u32, String),
     RecordLed(Vec<(TargetKey, TargetLife)>),
-    ForgetLed,
+    ForgetLed(Vec<(TargetName, RowVersion)>),
     Commit(u32),
     Renew(Moment),
     ReadWave(u64),
@@ -258,7 +260,7 @@
             renewal: Renewal::new(out.now),
             waiting,
             due_orders: Vec::new(),
-            has_lost: false,
+            unsure: IndexSet::new(),
             later_orders: Vec::new(),
             queue_facts: IndexMap::new(),
             fleet: Fleet::new(out.now),
@@ -340,7 +342,7 @@
             LeaderCall::LoadLed => self.take_led(reply, out),
             LeaderCall::ReloadJobs(part, from) => self.take_reload(part, from, reply, out),
             LeaderCall::RecordLed(targets) => self.take_recorded(&targets, reply),
-            LeaderCall::ForgetLed => {}
+            LeaderCall::ForgetLed(lives) => self.take_forgotten(lives, reply),
             LeaderCall::Commit(part) => self.take_commit(part, reply, out),
             LeaderCall::Renew(sent_at) => self.take_renewed(sent_at, reply, out),
             LeaderCall::ReadWave(wave) => self.take_wave(wave, reply, out),
@@ -399,8 +401,16 @@
             return;
         }
         let longest = self.identity.times.max_lease.div_f64(1.0 - CLOCK_DRIFT) + LEASE_SLACK;
-        if out.now > self.taken_at + longest {
-            self.old_lives.clear();
+        if out.now > self.taken_at + longest && !self.old_lives.is_empty() {
+            log::warn!(
+                "event=runs_given_up generation={} targets={}",
+                self.generation,
+                self.old_lives.len()
+            );
+            let lives = std::mem::take(&mut self.old_lives);
+            let rows = lives.into_iter().filter_map(|(name, life)| Some((name, life.version?)));
+            self.forgotten.extend(rows);
+            self.doubt_inherited(out.now);
         }
         if self.old_lives.is_empty() && !self.registrations.is_reading() {
             log::info!(
--- a/crates/magnoliapin_scheduler/src/leader/commit.rs
+++ b/crates/magnoliapin_scheduler/src/leader/commit.rs
@@ -58,14 +58,11 @@
 }
 
 impl Leader {
-    /// Notes that a job has changed and must be stored. Returns the change.
-    pub(super) fn change_job(&mut self, key: JobKey) -> (JobId, u64) {
-        let Some(job) = self.jobs.get_mut(&key) else {
-            return (JobId::default(), 0);
-        };
+    /// Notes that a job has changed and must be stored.
+    pub(super) fn change_job(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
         job.changes += 1;
         self.parts[job.part as usize].commit.waiting.insert(key);
-        (job.id, job.changes)
     }
 
     /// Sends the transactions that can be sent.
@@ -201,7 +198,7 @@
             .map(|(key, _)| *key)
             .collect();
         for key in keys {
-            self.advance_stored(key);
+            self.advance_stored(key, out.now);
         }
         self.poll_holds(out);
     }
--- a/crates/magnoliapin_scheduler/src/leader/ends.rs
+++ b/crates/magnoliapin_scheduler/src/leader/ends.rs
@@ -1,5 +1,6 @@
 //! Deals with runs that have ended, and with those that are lost.
 
+use indexmap::IndexSet;
 use magnoliapin_site::EndedRun;
 use magnoliapin_site::JobId;
 use magnoliapin_site::JobState;
@@ -42,41 +43,30 @@
         );
         let job_key = *self.job_keys.get(&task.job)?;
         let job = self.jobs.get_mut(&job_key)?;
-        if job.ending.is_some() {
-            return None;
-        }
         let is_long = job.step_spec(task).is_some_and(|step| step.long_running);
-        if job.task(task)?.state == TaskState::Done {
-            return None;
-        }
-        if let Some(checkpoint) = &ended.checkpoint {
-            self.keep_checkpoint(task, checkpoint);
-        }
-        match ended.end {
-            RunEnd::Done if !is_long => Some(self.take_done(job_key, key, task, out)),
-            RunEnd::Failed if !is_long => {
-                let change = self.take_failed(job_key, key, ended.run, out);
-                self.free_task(job_key, key, ended, out);
-                Some(change)
+        let is_done = job.task(task).is_none_or(|task| task.state == TaskState::Done);
+        if job.ending.is_none() && !is_done {
+            if let Some(checkpoint) = &ended.checkpoint {
+                self.keep_checkpoint(task, checkpoint);
             }
-            _ => {
-                self.free_task(job_key, key, ended, out);
-                None
+            match ended.end {
+                RunEnd::Done if !is_long => self.take_done(job_key, key, task, out),
+                RunEnd::Failed if !is_long => {
+                    self.take_failed(job_key, key, ended.run, out);
+                    self.free_task(job_key, key, ended, out);
+                }
+                _ => self.free_task(job_key, key, ended, out),
             }
         }
+        // An end that changes nothing may do so because of a change that is not stored yet, such
+        // as the end of another member of its gang.
+        let job = self.jobs.get(&job_key)?;
+        Some((task.job, job.changes))
     }
 
     /// Notes that a task has done its work.
-    fn take_done(
-        &mut self,
-        job_key: JobKey,
-        key: TargetKey,
-        task: TaskName,
-        out: &mut Outbox,
-    ) -> (JobId, u64) {
-        let Some(job) = self.jobs.get_mut(&job_key) else {
-            return (task.job, 0);
-        };
+    fn take_done(&mut self, job_key: JobKey, key: TargetKey, task: TaskName, out: &mut Outbox) {
+        let Some(job) = self.jobs.get_mut(&job_key) else { return };
         let is_gang = job.step_spec(task).is_some_and(|step| step.gang);
         let mut others = Vec::new();
         if let Some(step) = job.step_mut(task) {
@@ -95,9 +85,8 @@
                 self.stop_run(other, task);
             }
         }
-        let change = self.change_job(job_key);
+        self.change_job(job_key);
         self.finish_occurrence(job_key, task.occurrence, out);
-        change
     }
 
     fn finish_occurrence(&mut self, job_key: JobKey, number: u32, out: &mut Outbox) {
@@ -122,13 +111,7 @@
     }
 
     /// Counts a failure of a task, which may be one too many for the job.
-    fn take_failed(
-        &mut self,
-        job_key: JobKey,
-        key: TargetKey,
-        failed: RunId,
-        out: &mut Outbox,
-    ) -> (JobId, u64) {
+    fn take_failed(&mut self, job_key: JobKey, key: TargetKey, failed: RunId, out: &mut Outbox) {
         let mut is_over = false;
         if let Some(job) = self.jobs.get_mut(&job_key) {
             let max_attempts = job.rule.max_attempts;
@@ -138,12 +121,18 @@
                 known.avoid = Some(key);
                 is_over = known.failed.len() >= max_attempts as usize;
             }
+            // The members of a gang share their attempts, and one that fails ends the others.
+            let is_gang = job.step_spec(failed.task).is_some_and(|step| step.gang);
+            if let Some(step) = job.step_mut(failed.task).filter(|_| is_gang) {
+                let attempts: IndexSet<u32> =
+                    step.tasks.iter().flat_map(|task| &task.failed).copied().collect();
+                is_over = attempts.len() >= max_attempts as usize;
+            }
         }
-        let change = self.change_job(job_key);
+        self.change_job(job_key);
         if is_over {
             self.end_job(job_key, JobState::Failed, out);
         }
-        change
     }
 
     /// Lets a task wait again whose run has ended without doing its work.
@@ -223,7 +212,7 @@
             });
         if is_current {
             self.make_wait(job_key, task, out);
-            self.has_lost = true;
+            self.unsure.insert(task);
             let known = self.jobs.get_mut(&job_key).and_then(|job| job.task_mut(task));
             if let Some(known) = known {
                 known.lost_at = Some(out.now);
--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -263,11 +263,16 @@
             return;
         }
         let is_off = self.is_off(record);
-        self.old_lives.retain(|name, life| {
-            let is_here = life.instance.as_ref() == Some(&record.name);
-            let is_other = record.target.as_ref().is_some_and(|now| now != name);
-            !(is_here && (is_other || is_off))
-        });
+        let over: Vec<_> = self
+            .old_lives
+            .extract_if(.., |name, life| {
+                let is_here = life.instance.as_ref() == Some(&record.name);
+                let is_other = record.target.as_ref().is_some_and(|now| now != name);
+                is_here && (is_other || is_off)
+            })
+            .collect();
+        let rows = over.into_iter().filter_map(|(name, life)| Some((name, life.version?)));
+        self.forgotten.extend(rows);
     }
 
     /// Returns whether an instance runs nothing: it is on its way, being maintained, out of service
@@ -377,6 +382,19 @@
         }
     }
 
+    /// Returns whether nothing runs on an instance for certain.
+    fn is_vacant(&self, name: &InstanceName) -> bool {
+        match self.target_of(name).and_then(|key| self.targets.get(&key)) {
+            Some(target) => target.is_vacant(self.is_accounted, self.confirmed_at),
+            // A target that has not registered yet may have had a start all the same.
+            None => self
+                .fleet
+                .instances
+                .get(name)
+                .is_none_or(|instance| instance.record.target.is_none() || self.is_accounted),
+        }
+    }
+
     /// Returns the target that an instance hosts: the one that was born last.
     fn target_of(&self, name: &InstanceName) -> Option<TargetKey> {
         let hosted =
--- a/crates/magnoliapin_scheduler/src/leader/fleet/moves.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/moves.rs
@@ -110,15 +110,14 @@
                 continue;
             }
             stand.instances += 1;
-            let target = self.target_of(name).and_then(|key| self.targets.get(&key));
-            let is_idle = target.is_none_or(|target| target.runs.is_empty());
-            if is_idle && instance.is_free(now) {
+            if instance.is_free(now) && self.is_vacant(name) {
                 stand.idle.push(name.clone());
             }
         }
         for (pool, stand) in &mut stands {
             let demand = self.fleet.demand.get(pool).copied().unwrap_or_default();
             let needed = demand.needed().instances(capacity) / FILL;
+            let needed = needed.max(f64::from(demand.apart)) + f64::from(demand.leaving);
             stand.wanted = (needed + SPARE_INSTANCES).ceil() as usize;
         }
         stands
--- a/crates/magnoliapin_scheduler/src/leader/fleet/needs.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/needs.rs
@@ -25,6 +25,10 @@
     present: Amount,
     /// Part of that whose tasks last.
     lasting: Amount,
+    /// Instances that tasks of one step need, as they may not share one.
+    pub(super) apart: u32,
+    /// Instances that are being freed of tasks that last.
+    pub(super) leaving: u32,
     /// Since when it has had more instances than it needs.
     surplus_since: Option<Moment>,
 }
@@ -93,6 +97,15 @@
     }
 }
 
+/// What is in a pool now.
+#[derive(Clone, Copy, Debug, Default)]
+struct Present {
+    all: Amount,
+    lasting: Amount,
+    apart: u32,
+    leaving: u32,
+}
+
 impl Leader {
     /// Notes that a job has arrived.
     pub(in crate::leader) fn note_arrival(
@@ -109,33 +122,43 @@
 
     /// Measures what runs and waits in each pool.
     pub(super) fn measure_demand(&mut self, now: Moment) {
-        let mut present: IndexMap<PoolName, (Amount, Amount)> = IndexMap::new();
+        let mut present: IndexMap<PoolName, Present> = IndexMap::new();
         for target in self.targets.values() {
-            let (all, lasting) = present.entry(target.record.pool.clone()).or_default();
+            let pool = present.entry(target.record.pool.clone()).or_default();
             for run in target.runs.values() {
-                all.add(run.demand, 1.0);
+                pool.all.add(run.demand, 1.0);
                 if run.is_long {
-                    lasting.add(run.demand, 1.0);
+                    pool.lasting.add(run.demand, 1.0);
                 }
             }
+            let has_lasting = target.runs.values().any(|run| run.is_long);
+            pool.leaving += u32::from(target.is_reserved && has_lasting);
         }
         for job in self.jobs.values().filter(|job| job.ending.is_none()) {
-            let (all, lasting) = present.entry(job.pool.clone()).or_default();
+            let pool = present.entry(job.pool.clone()).or_default();
             for occurrence in &job.occurrences {
                 for (spec, step) in job.spec.steps.iter().zip(&occurrence.steps) {
                     if step.is_open && step.waiting > 0 {
-                        all.add(spec.demand, f64::from(step.waiting));
+                        pool.all.add(spec.demand, f64::from(step.waiting));
                         if spec.long_running {
-                            lasting.add(spec.demand, f64::from(step.waiting));
+                            pool.lasting.add(spec.demand, f64::from(step.waiting));
                         }
                     }
+                    if spec.long_running && spec.anti_affinity > 0 {
+                        pool.apart = pool.apart.max(spec.tasks.div_ceil(spec.anti_affinity));
+                    }
                 }
             }
         }
-        for (pool, (all, lasting)) in present {
+        for demand in self.fleet.demand.values_mut() {
+            (demand.apart, demand.leaving) = (0, 0);
+        }
+        for (pool, present) in present {
             let demand = self.fleet.demand.entry(pool).or_default();
-            demand.present = all;
-            demand.lasting = lasting;
+            demand.present = present.all;
+            demand.lasting = present.lasting;
+            demand.apart = present.apart;
+            demand.leaving = present.leaving;
         }
         for demand in self.fleet.demand.values_mut() {
             demand.decay(now);
--- a/crates/magnoliapin_scheduler/src/leader/fleet/waves.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/waves.rs
@@ -11,11 +11,13 @@
 use magnoliapin_site::InstanceState;
 use magnoliapin_site::MaintenanceWave;
 use magnoliapin_site::OrderRefusal;
+use magnoliapin_site::PoolName;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
 use magnoliapin_site::StoreTransaction;
 use magnoliapin_site::WaveState;
 
+use super::evacuation::Preparation;
 use super::OrderKind;
 use crate::leader::Leader;
 use crate::leader::LeaderCall;
@@ -27,6 +29,8 @@
 const ROUND_SLACK: Duration = Duration::from_millis(1_000);
 /// Time that must be left when instances which still run something are taken.
 const URGENT_TIME: Duration = Duration::from_secs(5);
+/// One in so many instances of a pool is freed at once, so that the others can take its work.
+const FREED_SHARE: usize = 8;
 
 plain_data! {
     /// What is done of a wave.
@@ -179,6 +183,7 @@
             .collect();
         ranked.sort();
         let mut still_preparing = IndexSet::new();
+        let mut taken: IndexMap<PoolName, usize> = IndexMap::new();
         for (rank, name) in ranked {
             if room == 0 {
                 break;
@@ -188,12 +193,21 @@
             if !is_free {
                 continue;
             }
-            let is_empty = rank == 0;
-            if !is_empty && !self.prepare(&name, is_urgent, out) {
-                // Its place is kept, so that no more instances are prepared than can go down.
-                still_preparing.insert(name);
-                room -= 1;
-                continue;
+            if rank > 0 {
+                let is_begun = preparing.contains(&name);
+                if !is_urgent && !is_begun && !self.may_take_more(&name, &mut taken) {
+                    continue;
+                }
+                match self.prepare(&name, is_urgent, is_begun, out) {
+                    Preparation::Done => {}
+                    Preparation::UnderWay => {
+                        // Its place is kept, so that no more are prepared than can go down.
+                        still_preparing.insert(name);
+                        room -= 1;
+                        continue;
+                    }
+                    Preparation::Postponed => continue,
+                }
             }
             if self.may_order(out.now) && self.has_order_room(out.now) {
                 self.order(&name, OrderKind::Maintain(number), out);
@@ -205,16 +219,29 @@
         }
     }
 
+    /// Counts an instance that is to be freed. Returns whether its pool can do without it: only a
+    /// part of the instances at work are freed at once.
+    fn may_take_more(&self, name: &InstanceName, taken: &mut IndexMap<PoolName, usize>) -> bool {
+        let Some(instance) = self.fleet.instances.get(name) else { return false };
+        let pool = &instance.record.pool;
+        let busy = self.pools.get(pool).map_or(0, |pool| pool.targets.len());
+        let taken = taken.entry(pool.clone()).or_default();
+        *taken += 1;
+        *taken <= busy.div_ceil(FREED_SHARE)
+    }
+
     /// Returns how much stands in the way of taking an instance: nothing, tasks that end by
     /// themselves, or tasks that last.
     fn burden(&self, name: &InstanceName) -> u8 {
-        let Some(target) = self.target_of(name).and_then(|key| self.targets.get(&key)) else {
+        if self.is_vacant(name) {
             return 0;
-        };
-        match (target.runs.is_empty(), target.runs.values().any(|run| run.is_long)) {
-            (true, _) => 0,
-            (false, false) => 1,
-            (false, true) => 2,
+        }
+        let target = self.target_of(name).and_then(|key| self.targets.get(&key));
+        let has_lasting = target.is_some_and(|target| target.runs.values().any(|run| run.is_long));
+        if has_lasting {
+            2
+        } else {
+            1
         }
     }
 
--- a/crates/magnoliapin_scheduler/src/leader/holds.rs
+++ b/crates/magnoliapin_scheduler/src/leader/holds.rs
@@ -25,6 +25,8 @@
 use crate::leader::Leader;
 use crate::leader::TargetCall;
 use crate::outbox::Outbox;
+use crate::times::LEASE_SLACK;
+use crate::times::TRUST_TIME;
 
 /// Pause after a hold that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(200);
@@ -137,6 +139,7 @@
         let Some(target) = self.targets.get_mut(&key) else { return };
         let was_silent = target.failed_holds > 0;
         target.failed_holds = 0;
+        target.held_at = target.held_at.max(sent_at);
         target.clock = Some(ClockReading { clock_ms: report.clock_ms, read_at: now });
         let is_first = !target.is_led;
         if is_first || was_silent {
@@ -151,8 +154,12 @@
         target.is_same_life = true;
         let pool = target.record.pool.clone();
         let name = target.record.name.clone();
+        let born_at = target.born_at();
         if self.old_lives.get(&name).is_some_and(|life| life.born_at <= report.born_at) {
-            self.old_lives.swap_remove(&name);
+            let life = self.old_lives.swap_remove(&name);
+            // The scheduler before has recorded this life already.
+            let version = life.filter(|life| life.born_at == born_at).and_then(|life| life.version);
+            target.led_version = target.led_version.or(version);
         }
         for ended in &report.ended {
             let seen = self.targets.get(&key).map_or(0, |target| target.seen_end);
@@ -165,7 +172,7 @@
             }
         }
         self.reconcile(key, sent_at, &report.running, out);
-        self.advance_stored(key);
+        self.advance_stored(key, now);
         if let Some(target) = self.targets.get_mut(&key) {
             let pause = if target.unstored.is_empty() { Duration::ZERO } else { UNSTORED_PAUSE };
             target.hold = HoldState::Pausing(now + pause);
@@ -277,7 +284,14 @@
     }
 
     /// Lets a target forget the ends that are stored.
-    pub(super) fn advance_stored(&mut self, key: TargetKey) {
+    ///
+    /// The scheduler before may still doubt that a task has run which ended here, and start it once
+    /// more where this scheduler has not reported yet. So nothing is forgotten until all targets
+    /// obey this scheduler, or the one before starts no such task any more.
+    pub(super) fn advance_stored(&mut self, key: TargetKey, now: Moment) {
+        if !self.is_accounted && now < self.taken_at + TRUST_TIME + LEASE_SLACK {
+            return;
+        }
         let Some(target) = self.targets.get_mut(&key) else { return };
         while let Some(end) = target.unstored.front() {
             let is_stored = end.change.is_none_or(|(job, change)| {
--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -5,14 +5,17 @@
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
 use magnoliapin_site::StoreTransaction;
+use magnoliapin_site::TaskName;
 
 use crate::leader::job::Task;
+use crate::leader::job::TaskState;
 use crate::leader::Leader;
 use crate::leader::LeaderCall;
 use crate::leader::LeaderPhase;
 use crate::outbox::Outbox;
 use crate::rows;
 use crate::rows::LeaseRow;
+use crate::times::TRUST_TIME;
 
 /// Where the renewal of the lease stands.
 #[derive(Debug)]
@@ -85,22 +88,46 @@
     /// Notes that the store confirmed this scheduler.
     pub(super) fn note_confirmed(&mut self, sent_at: Moment) {
         self.confirmed_at = self.confirmed_at.max(sent_at);
-        // What was lost since this call left waits for the next one.
-        if self.has_lost {
-            self.has_lost = self.has_lost_since(sent_at);
-            for pool in self.pools.values_mut() {
-                pool.is_stirred = true;
-            }
+        if self.unsure.is_empty() {
+            return;
+        }
+        let unsure = std::mem::take(&mut self.unsure);
+        let still_unsure = unsure.into_iter().filter(|name| {
+            let job = self.job_keys.get(&name.job).and_then(|key| self.jobs.get(key));
+            job.and_then(|job| job.task(*name)).is_some_and(|task| task.lost_at.is_some())
+        });
+        self.unsure = still_unsure.collect();
+        for pool in self.pools.values_mut() {
+            pool.is_stirred = true;
         }
     }
 
-    fn has_lost_since(&self, sent_at: Moment) -> bool {
-        let is_lost = |task: &Task| task.lost_at.is_some_and(|at| at >= sent_at);
-        self.jobs.values().any(|job| {
-            job.occurrences
-                .iter()
-                .any(|open| open.steps.iter().any(|step| step.tasks.iter().any(is_lost)))
-        })
+    /// Returns whether what became of a task's last run is open: it was taken for lost, and the
+    /// store has not confirmed this scheduler since, or not lately.
+    pub(super) fn is_unsure(&self, task: &Task, now: Moment) -> bool {
+        task.lost_at
+            .is_some_and(|at| self.confirmed_at <= at || now.since(self.confirmed_at) >= TRUST_TIME)
+    }
+
+    /// Doubts what became of all tasks of earlier schedulers: not all targets have told.
+    pub(super) fn doubt_inherited(&mut self, now: Moment) {
+        for job in self.jobs.values_mut().filter(|job| job.is_inherited) {
+            for occurrence in &mut job.occurrences {
+                for (number, step) in occurrence.steps.iter_mut().enumerate() {
+                    for (index, task) in step.tasks.iter_mut().enumerate() {
+                        if task.state == TaskState::Waiting {
+                            task.lost_at = Some(now);
+                            self.unsure.insert(TaskName {
+                                job: job.id,
+                                occurrence: occurrence.number,
+                                step: number as u16,
+                                index: index as u32,
+                            });
+                        }
+                    }
+                }
+            }
+        }
     }
 
     /// Counts the jobs of each queue none of whose tasks has started. Jobs that wait for their
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -148,8 +148,7 @@
         let before: Vec<Place> = places.to_vec();
         let mut choices: Vec<Choice> = Vec::new();
         for (index, task) in state.tasks.iter().enumerate() {
-            let is_unsure = task.lost_at.is_some_and(|at| self.confirmed_at <= at);
-            if task.state != TaskState::Waiting || is_unsure {
+            if task.state != TaskState::Waiting || self.is_unsure(task, now) {
                 continue;
             }
             if !spec.demand.fits(room) {
@@ -170,7 +169,6 @@
             places.copy_from_slice(&before);
             return Vec::new();
         }
-        let _ = now;
         choices
     }
 
@@ -236,7 +234,7 @@
     }
 
     /// Returns what a team may still start.
-    fn team_room(&self, team: Option<&TeamName>) -> Resources {
+    pub(super) fn team_room(&self, team: Option<&TeamName>) -> Resources {
         const NO_LIMIT: Resources =
             Resources { cpu_milli: u32::MAX, memory_mb: u32::MAX, accelerators: u32::MAX };
         let Some(team) = team else { return NO_LIMIT };
--- a/crates/magnoliapin_scheduler/src/leader/recovery.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery.rs
@@ -215,7 +215,11 @@
             let led: Option<LedRow> = row.value.as_deref().and_then(rows::decode);
             match led {
                 Some(led) => {
-                    let life = OldLife { born_at: led.born_at, instance: led.instance };
+                    let life = OldLife {
+                        born_at: led.born_at,
+                        instance: led.instance,
+                        version: Some(row.version),
+                    };
                     self.old_lives.insert(TargetName::new(&row.key), life);
                 }
                 None => log::error!("event=row_unreadable table={} key={}", rows::LED, row.key),
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -85,7 +85,14 @@
                 .get(&record.name)
                 .is_some_and(|key| self.targets.get(key).is_some_and(|target| target.is_led));
             if !is_led {
-                let life = OldLife { born_at: record.born_at, instance: record.instance.clone() };
+                let recorded = self.old_lives.get(&record.name);
+                let life = OldLife {
+                    born_at: record.born_at,
+                    instance: record.instance.clone(),
+                    version: recorded
+                        .filter(|life| life.born_at == record.born_at)
+                        .and_then(|life| life.version),
+                };
                 self.old_lives.insert(record.name.clone(), life);
             }
         }
@@ -230,10 +237,12 @@
         // A target that never reported may still run what the scheduler before started.
         let is_settled = why != TargetLoss::NeverHeard;
         let born_at = target.record.born_at;
+        let mut version = target.led_version;
         if is_settled && self.old_lives.get(&name).is_some_and(|life| life.born_at == born_at) {
-            self.old_lives.swap_remove(&name);
+            let life = self.old_lives.swap_remove(&name);
+            version = version.or(life.and_then(|life| life.version));
         }
-        if let Some(version) = target.led_version {
+        if let Some(version) = version {
             self.forget_target(&name, version);
         }
     }
@@ -294,20 +303,47 @@
 
     /// Has the store forget the lives that are over.
     pub(super) fn forget_targets(&mut self, out: &mut Outbox) {
-        let is_busy = self.calls.values().any(|call| matches!(call, LeaderCall::ForgetLed));
+        let is_busy = self.calls.values().any(|call| matches!(call, LeaderCall::ForgetLed(_)));
         if is_busy || self.forgotten.is_empty() {
             return;
         }
         let count = self.forgotten.len().min(ROWS_PER_CALL);
         let mut transaction =
             StoreTransaction::default().with_expected(rows::control_fence(), self.control_fence);
-        for (name, version) in self.forgotten.drain(..count) {
+        let lives: Vec<_> = self.forgotten.drain(..count).collect();
+        for (name, version) in &lives {
             // Another life under the same name may have been recorded since.
             transaction = transaction
-                .with_expected(rows::led_row(&name), version)
-                .with_removal(rows::led_row(&name));
+                .with_expected(rows::led_row(name), *version)
+                .with_removal(rows::led_row(name));
         }
-        self.call(LeaderCall::ForgetLed, StoreRequest::Commit(transaction), out);
+        self.call(LeaderCall::ForgetLed(lives), StoreRequest::Commit(transaction), out);
+    }
+
+    /// Takes the answer to the removal of rows of lives that are over.
+    pub(super) fn take_forgotten(
+        &mut self,
+        mut lives: Vec<(TargetName, RowVersion)>,
+        reply: &StoreReply,
+    ) {
+        match reply {
+            StoreReply::Committed(_) => return,
+            StoreReply::Conflict(rows) => {
+                let fence = rows::control_fence();
+                let is_fenced = rows
+                    .iter()
+                    .any(|row| row.key == fence.key && row.version != self.control_fence);
+                if is_fenced {
+                    return self.depose("the fence has changed");
+                }
+                // Those are left that are as they were expected.
+                lives.retain(|(name, version)| {
+                    rows.iter().any(|row| row.key == name.as_str() && row.version == *version)
+                });
+            }
+            _ => {}
+        }
+        self.forgotten.extend(lives);
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -54,6 +54,8 @@
     pub(crate) hold: HoldState,
     /// Holds that failed since the last one that was answered.
     pub(crate) failed_holds: u32,
+    /// When the last hold that it has answered was sent.
+    pub(crate) held_at: Moment,
     /// Ends up to this number are dealt with, though perhaps not stored.
     pub(crate) seen_end: u64,
     /// Ends up to this number are stored.
@@ -152,6 +154,7 @@
             lease_until_ms: 0,
             hold: HoldState::Pausing(now),
             failed_holds: 0,
+            held_at: now,
             seen_end: 0,
             stored_end: 0,
             unstored: VecDeque::new(),
@@ -179,10 +182,19 @@
             && !self.is_reserved
             && self.failed_holds == 0
             && is_registered
+            && self.is_held(now, times)
             && self.record.state == TargetState::Ready
             && self.health.shunned_until.is_none_or(|until| now >= until)
     }
 
+    /// Returns whether it has answered lately. After a pause of this process all targets must
+    /// answer anew: other schedulers may lead them now, or other lives run there.
+    pub(crate) fn is_held(&self, now: Moment, times: &NodeTimes) -> bool {
+        // A hold may have been answered at any moment since it was sent, and the next one may take
+        // its whole wait.
+        now.since(self.held_at) <= times.hold_wait * 2 + times.answer_slack
+    }
+
     /// Returns whether a label is one of its labels.
     pub(crate) fn has_label(&self, label: &str) -> bool {
         self.record.labels.iter().any(|own| own == label)
@@ -240,6 +252,17 @@
         Some(self.lease_until_ms)
     }
 
+    /// Returns whether nothing runs on it for certain. What the scheduler before started may run
+    /// there until the target reports, or until `is_accounted` says that every such lease is over.
+    pub(crate) fn is_vacant(&self, is_accounted: bool, confirmed_at: Moment) -> bool {
+        let is_known = if self.is_led {
+            self.failed_holds == 0 || self.is_lease_over(confirmed_at)
+        } else {
+            is_accounted
+        };
+        is_known && self.runs.is_empty()
+    }
+
     /// Returns whether every lease that was sent to it is over for certain.
     pub(crate) fn is_lease_over(&self, now: Moment) -> bool {
         let Some(reading) = self.clock else {
--- a/crates/magnoliapin_scheduler/src/times.rs
+++ b/crates/magnoliapin_scheduler/src/times.rs
@@ -62,3 +62,7 @@
 pub(crate) const CLOCK_DRIFT: f64 = 0.02;
 /// Time added to the end of a lease on a target whose clock is read from afar.
 pub(crate) const LEASE_SLACK: Duration = Duration::from_millis(100);
+/// How long after the store has confirmed it a scheduler takes decisions that another one might
+/// undo: longer than a slow store takes to answer, and short enough for the next scheduler to wait
+/// for.
+pub(crate) const TRUST_TIME: Duration = Duration::from_millis(1_500);
--- a/crates/magnoliapin_scheduler/tests/soak/clients.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/clients.rs
@@ -49,11 +49,48 @@
     Cancel(JobId),
 }
 
+impl ClientBook {
+    /// Returns whether an attempt to submit a job has had no answer yet.
+    fn has_open_submission(&self, job: JobId) -> bool {
+        self.open.values().any(|open| *open == (job, RequestKind::Submit))
+    }
+}
+
 impl World {
     pub(crate) fn plan_clients(&mut self) {
         self.at(Duration::from_secs(3), Event::Client(ClientStep::Arrive));
     }
 
+    /// Adds jobs whose tasks last, two for each pool.
+    pub(crate) fn plan_lasting(&mut self) {
+        for number in 0..site::POOLS * 2 {
+            let id = self.random.random::<u64>() / 2 * site::POOLS as u64;
+            let job = JobId(id.wrapping_add((number % site::POOLS) as u64));
+            let step = StepSpec {
+                tasks: self.random.random_range(3..8),
+                demand: Resources { cpu_milli: 3000, memory_mb: 4000, accelerators: 0 },
+                estimate_ms: 1000,
+                long_running: true,
+                anti_affinity: self.random.random_range(0..3),
+                max_unavailable: Some(1),
+                ..StepSpec::default()
+            };
+            let spec = JobSpec { payload: "payload".to_owned(), steps: vec![step], schedule: None };
+            let known = KnownJob {
+                spec,
+                team: 0,
+                accepted_at: None,
+                cancelled_at: None,
+                cancel_sent: false,
+                shown: None,
+                is_refused: false,
+            };
+            self.judge.jobs.insert(job, known);
+            self.at(Duration::from_secs(2), Event::Client(ClientStep::Submit(job)));
+            self.at(Duration::from_secs(55), Event::Client(ClientStep::Cancel(job)));
+        }
+    }
+
     pub(crate) fn client_step(&mut self, step: ClientStep) {
         match step {
             ClientStep::Arrive => self.arrive(),
@@ -179,7 +216,7 @@
                 let (tries, all_refused) = self.clients.tries[&job];
                 if tries <= RETRIES {
                     self.ask_again(job, kind, Duration::from_millis(200));
-                } else if all_refused {
+                } else if all_refused && !self.clients.has_open_submission(job) {
                     if let Some(known) = self.judge.jobs.get_mut(&job) {
                         known.is_refused = true;
                     }
--- a/crates/magnoliapin_scheduler/tests/soak/faults.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/faults.rs
@@ -5,6 +5,7 @@
 
 use magnoliapin_model::Moment;
 use magnoliapin_scheduler::NodeEvent;
+use magnoliapin_site::InstanceState;
 use magnoliapin_site::TargetState;
 use rand::Rng;
 
@@ -66,6 +67,18 @@
 }
 
 impl FaultState {
+    /// Returns whether nothing is wrong now.
+    pub(crate) fn is_calm(&self) -> bool {
+        self.store == StoreMode::Up
+            && self.lost_answers == 0.0
+            && self.late_orders == 0.0
+            && self.cut_zone.is_none()
+            && self.nodes_off_store.is_empty()
+            && self.nodes_off.is_empty()
+            && self.targets_off.is_empty()
+            && self.bad_target.is_none()
+    }
+
     pub(crate) fn is_cut_from_store(&self, node: usize, zone: usize) -> bool {
         self.nodes_off_store.contains(&node)
             || self.nodes_off.contains(&node)
@@ -191,8 +204,11 @@
             return;
         }
         self.targets[target].is_up = false;
+        if let Some(instance) = self.service.instances.get_mut(target) {
+            instance.state = InstanceState::Down;
+        }
         let born = self.targets[target].record.born_at.0;
-        self.judge.death(target, born);
+        self.judge.death(self.now, target, born);
         self.at(Duration::from_secs(8), Event::Fault(FaultStep::ReviveTarget(target)));
     }
 
@@ -200,6 +216,12 @@
         if self.targets[target].is_up {
             return;
         }
+        if let Some(instance) = self.service.instances.get_mut(target) {
+            if instance.state != InstanceState::Down {
+                return;
+            }
+            instance.state = InstanceState::Up;
+        }
         let wall = self.wall();
         let mut reborn = self.targets[target].reborn(self.now, wall);
         reborn.record.state = TargetState::Ready;
--- a/crates/magnoliapin_scheduler/tests/soak/judge.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/judge.rs
@@ -35,6 +35,10 @@
     target: usize,
     life: u64,
     attempt: u32,
+    started: Moment,
+    ended: Option<Moment>,
+    /// Whether an order ends it.
+    is_ordered: bool,
     end: Option<RunEnd>,
     /// Number of the end at the target.
     number: u64,
@@ -54,7 +58,7 @@
 }
 
 impl Judge {
-    fn fault(&mut self, now: Moment, text: &str) {
+    pub(crate) fn fault(&mut self, now: Moment, text: &str) {
         self.broken.push(format!("at {:.3} s: {text}", now.0 as f64 / 1e6));
     }
 
@@ -97,7 +101,16 @@
         if failures >= 3 {
             self.fault(now, &format!("{task}: started after {failures} failures"));
         }
-        let judged = JudgedRun { target, life, attempt: run.attempt, end: None, number: 0 };
+        let judged = JudgedRun {
+            target,
+            life,
+            attempt: run.attempt,
+            started: now,
+            ended: None,
+            is_ordered: false,
+            end: None,
+            number: 0,
+        };
         self.runs.entry(task).or_default().push(judged);
         self.check_cap(now, task);
     }
@@ -152,13 +165,22 @@
     }
 
     /// Takes an end.
-    pub(crate) fn end(&mut self, target: usize, life: u64, run: RunId, end: RunEnd, number: u64) {
+    pub(crate) fn end(
+        &mut self,
+        now: Moment,
+        target: usize,
+        life: u64,
+        run: RunId,
+        end: RunEnd,
+        number: u64,
+    ) {
         let runs = self.runs.entry(run.task).or_default();
         let found = runs.iter_mut().find(|judged| {
             judged.target == target && judged.life == life && judged.attempt == run.attempt
         });
         if let Some(judged) = found {
             judged.end = Some(end);
+            judged.ended = Some(now);
             judged.number = number;
         }
     }
@@ -169,8 +191,57 @@
     }
 
     /// Notes that a life of a target is over.
-    pub(crate) fn death(&mut self, target: usize, life: u64) {
+    pub(crate) fn death(&mut self, now: Moment, target: usize, life: u64) {
         self.dead.insert((target, life));
+        let of_life = |run: &&mut JudgedRun| run.target == target && run.life == life;
+        for run in self.runs.values_mut().flatten().filter(of_life) {
+            run.ended.get_or_insert(now);
+        }
+    }
+
+    /// Notes that an order ends a run.
+    pub(crate) fn note_ordered(&mut self, target: usize, life: u64, task: TaskName) {
+        let Some(run) = self.runs.get_mut(&task).and_then(|runs| runs.last_mut()) else { return };
+        run.is_ordered |= run.target == target && run.life == life;
+    }
+
+    /// Returns whether a task is at work: started long enough ago, and not to be ended.
+    pub(crate) fn is_at_work(&self, task: TaskName, now: Moment, start_time: Duration) -> bool {
+        let last = self.runs.get(&task).and_then(|runs| runs.last());
+        last.is_some_and(|run| {
+            run.ended.is_none() && !run.is_ordered && now.since(run.started) >= start_time
+        })
+    }
+
+    /// Returns whether a task counts as away.
+    pub(crate) fn is_away(
+        &self,
+        task: TaskName,
+        now: Moment,
+        start_time: Duration,
+        notice: Duration,
+    ) -> bool {
+        if self.is_at_work(task, now, start_time) {
+            return false;
+        }
+        let Some(runs) = self.runs.get(&task) else { return true };
+        // A run that is not at work yet stands for the one before it.
+        let ordered = runs.iter().rev().take(2).any(|run| run.is_ordered);
+        let at_work_until = runs
+            .iter()
+            .filter_map(|run| run.ended.filter(|ended| ended.since(run.started) >= start_time))
+            .max();
+        ordered || at_work_until.is_none_or(|until| now.since(until) >= notice)
+    }
+
+    /// Returns whether no run of a task is under way.
+    pub(crate) fn is_idle(&self, task: TaskName) -> bool {
+        self.runs.get(&task).is_none_or(|runs| runs.iter().all(|run| run.ended.is_some()))
+    }
+
+    /// Returns when the last run of a task ended.
+    pub(crate) fn idle_since(&self, task: TaskName) -> Option<Moment> {
+        self.runs.get(&task)?.iter().filter_map(|run| run.ended).max()
     }
 
     /// Takes a state that a client was shown.
@@ -223,10 +294,17 @@
         }
     }
 
+    /// Returns whether a task has failed as often as it may, or a gang: its members share their
+    /// attempts.
     fn has_failed(&self, job: JobId) -> bool {
-        self.runs.iter().any(|(task, runs)| {
+        let mut failed: BTreeMap<TaskName, BTreeSet<u32>> = BTreeMap::new();
+        let spec = &self.jobs[&job].spec;
+        for (task, runs) in self.runs.iter().filter(|(task, _)| task.job == job) {
+            let is_gang = spec.steps[usize::from(task.step)].gang;
+            let counted = if is_gang { TaskName { index: 0, ..*task } } else { *task };
             let failures = runs.iter().filter(|run| run.end == Some(RunEnd::Failed));
-            task.job == job && failures.count() >= 3
-        })
+            failed.entry(counted).or_default().extend(failures.map(|run| run.attempt));
+        }
+        failed.values().any(|attempts| attempts.len() >= 3)
     }
 }
--- a/crates/magnoliapin_scheduler/tests/soak/main.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/main.rs
@@ -3,8 +3,10 @@
 
 mod clients;
 mod faults;
+mod instances;
 mod journal;
 mod judge;
+mod lasting;
 mod network;
 mod site;
 mod store;
@@ -20,9 +22,9 @@
 const LONGEST_FAULT_MS: u64 = 14_000;
 
 /// Runs one seed and returns what was broken.
-fn run_seed(seed: u64, longest_fault_ms: u64) -> Vec<String> {
+fn run_seed(seed: u64, longest_fault_ms: u64, has_fleet: bool) -> Vec<String> {
     journal::start();
-    let mut world = World::new(seed, longest_fault_ms);
+    let mut world = World::new(seed, longest_fault_ms, has_fleet);
     world.run();
     world.verdict()
 }
@@ -37,7 +39,19 @@
 fn nothing_is_broken_under_random_faults() {
     let mut broken = Vec::new();
     for seed in seeds() {
-        for fault in run_seed(seed, LONGEST_FAULT_MS) {
+        for fault in run_seed(seed, LONGEST_FAULT_MS, false) {
+            broken.push(format!("seed {seed}: {fault}"));
+        }
+    }
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// The same while an operator has instances maintained and the pools' demand moves others.
+#[test]
+fn nothing_is_broken_while_instances_move() {
+    let mut broken = Vec::new();
+    for seed in seeds() {
+        for fault in run_seed(seed, LONGEST_FAULT_MS, true) {
             broken.push(format!("seed {seed}: {fault}"));
         }
     }
@@ -49,7 +63,7 @@
 fn seeds_that_failed_pass() {
     let mut broken = Vec::new();
     for (seed, longest_fault_ms, cause) in FAILED_SEEDS {
-        for fault in run_seed(*seed, *longest_fault_ms) {
+        for fault in run_seed(*seed, *longest_fault_ms, false) {
             broken.push(format!("seed {seed} ({cause}): {fault}"));
         }
     }
--- a/crates/magnoliapin_scheduler/tests/soak/network.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/network.rs
@@ -13,6 +13,7 @@
 use magnoliapin_site::StoreRequest;
 use magnoliapin_site::TargetReply;
 use magnoliapin_site::TargetRequest;
+use magnoliapin_site::WaveState;
 use rand::Rng;
 
 use crate::faults::StoreMode;
@@ -110,6 +111,9 @@
             | StoreRequest::WatchTargets { wait, .. } => Some(*wait),
             _ => None,
         };
+        if let StoreRequest::ReportWave { wave, state: WaveState::Completed } = &request {
+            self.take_completed_wave(*wave);
+        }
         match self.store.call(&request) {
             Some(reply) => self.store_answer(node, life, call, reply),
             None => {
@@ -184,7 +188,13 @@
                 }
                 reply
             }
-            TargetRequest::Stop { run, fence } => target.stop(*run, *fence, now),
+            TargetRequest::Stop { run, fence } => {
+                let is_exempt = is_late || !self.is_in_touch(node);
+                if self.has_fleet() && self.targets[number].would_stop(*run, *fence) && !is_exempt {
+                    self.judge_order(number, Some(run.task));
+                }
+                self.targets[number].stop(*run, *fence, now)
+            }
             TargetRequest::Hold { wait, .. } => {
                 if let Some(refusal) = target.take_hold(request, now) {
                     refusal
--- a/crates/magnoliapin_scheduler/tests/soak/site.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/site.rs
@@ -23,6 +23,10 @@
 pub(crate) const NODES: usize = 5;
 pub(crate) const POOLS: usize = 2;
 pub(crate) const TARGETS_PER_POOL: usize = 5;
+/// Instances on standby, in runs whose instances are moved.
+pub(crate) const STANDBYS: usize = 3;
+pub(crate) const MOVE_TIME: Duration = Duration::from_millis(1500);
+pub(crate) const MAINTENANCE_TIME: Duration = Duration::from_secs(2);
 pub(crate) const HOST: &str = "jobs.example";
 pub(crate) const MAX_LEASE: Duration = Duration::from_secs(10);
 pub(crate) const STOP_GRACE: Duration = Duration::from_millis(400);
@@ -58,8 +62,8 @@
             gang_wait: Duration::from_secs(3),
             stop_time: Duration::from_secs(6),
             order_spacing: Duration::from_secs(3),
-            move_time: Duration::from_millis(1500),
-            maintenance_time: Duration::from_secs(2),
+            move_time: MOVE_TIME,
+            maintenance_time: MAINTENANCE_TIME,
             outcome_retention: Duration::from_secs(120),
             early_start: Duration::from_millis(250),
             checkpoint_interval: Duration::from_secs(1),
@@ -80,6 +84,10 @@
     PoolName::new(&format!("pool-{pool}"))
 }
 
+pub(crate) fn standby_pool() -> PoolName {
+    PoolName::new("standby")
+}
+
 pub(crate) fn queue_prefix(pool: usize) -> String {
     format!("/queue-{pool}/")
 }
@@ -89,7 +97,7 @@
 }
 
 /// Returns the configuration of a version.
-pub(crate) fn config(version: u64) -> SiteConfig {
+pub(crate) fn config(version: u64, has_fleet: bool) -> SiteConfig {
     let queue = |pool: usize| QueueRule {
         name: QueueName::new(&format!("queue-{pool}")),
         host: HOST.to_owned(),
@@ -109,10 +117,12 @@
         cap: Resources { cpu_milli: if team == 1 { CAP_MILLI } else { 0 }, ..Resources::NONE },
     };
     let rule = PoolRule { enforces_capacity: true, is_standby: false };
+    let standby = (standby_pool(), PoolRule { is_standby: true, ..rule });
+    let pools = (0..POOLS).map(|pool| (pool_name(pool), rule));
     SiteConfig {
         version: ConfigVersion(version),
         queues: (0..POOLS).map(queue).collect(),
-        pools: (0..POOLS).map(|pool| (pool_name(pool), rule)).collect(),
+        pools: pools.chain(has_fleet.then_some(standby)).collect(),
         teams: (0..2).map(team).collect(),
         limits: RequestLimits::default(),
     }
--- a/crates/magnoliapin_scheduler/tests/soak/store.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/store.rs
@@ -1,9 +1,10 @@
 //! A store in memory, with versions, watches and a history that can be lost.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use magnoliapin_model::RowVersion;
-use magnoliapin_site::CallFailure;
+use magnoliapin_site::MaintenanceWave;
 use magnoliapin_site::RowId;
 use magnoliapin_site::RowRange;
 use magnoliapin_site::SiteChange;
@@ -15,6 +16,7 @@
 use magnoliapin_site::TargetChange;
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetRecord;
+use magnoliapin_site::WaveState;
 
 /// Rows of one answer.
 const PAGE: usize = 50;
@@ -31,6 +33,9 @@
     /// Oldest version after which the history is whole.
     history_from: u64,
     config: Option<(u64, SiteConfig)>,
+    wave: Option<(u64, MaintenanceWave)>,
+    /// Waves that are called completed.
+    completed: BTreeSet<u64>,
     registrations: BTreeMap<String, (u64, TargetRecord)>,
     registration_history: Vec<(u64, TargetName, Option<TargetRecord>)>,
 }
@@ -41,6 +46,15 @@
         self.config = Some((self.version, config));
     }
 
+    pub(crate) fn set_wave(&mut self, wave: MaintenanceWave) {
+        self.version += 1;
+        self.wave = Some((self.version, wave));
+    }
+
+    pub(crate) fn is_wave_completed(&self, wave: u64) -> bool {
+        self.completed.contains(&wave)
+    }
+
     pub(crate) fn register(&mut self, record: TargetRecord) {
         let known = self.registrations.get(record.name.as_str());
         if known.is_some_and(|(_, known)| *known == record) {
@@ -75,7 +89,12 @@
             StoreRequest::WatchSite { after, .. } => return self.site(after.0),
             StoreRequest::ReadTargets { .. } => self.all_targets(),
             StoreRequest::WatchTargets { after, .. } => return self.watch_targets(after.0),
-            StoreRequest::ReportWave { .. } => StoreReply::Failed(CallFailure::NotDone),
+            StoreRequest::ReportWave { wave, state } => {
+                if *state == WaveState::Completed {
+                    self.completed.insert(*wave);
+                }
+                StoreReply::Committed(RowVersion(self.version))
+            }
         })
     }
 
@@ -154,12 +173,15 @@
     }
 
     fn site(&self, after: u64) -> Option<StoreReply> {
-        let (version, config) = self.config.as_ref()?;
-        if after > 0 && *version <= after {
-            return None;
+        let mut changes = Vec::new();
+        if let Some((_, config)) = self.config.as_ref().filter(|(version, _)| *version > after) {
+            changes.push(SiteChange::Config(Box::new(config.clone())));
         }
-        let changes = vec![SiteChange::Config(Box::new(config.clone()))];
-        Some(StoreReply::Site { changes, version: RowVersion(self.version) })
+        if let Some((_, wave)) = self.wave.as_ref().filter(|(version, _)| *version > after) {
+            changes.push(SiteChange::Wave(wave.clone()));
+        }
+        let version = RowVersion(self.version);
+        (!changes.is_empty()).then_some(StoreReply::Site { changes, version })
     }
 
     fn all_targets(&self) -> StoreReply {
--- a/crates/magnoliapin_scheduler/tests/soak/target.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/target.rs
@@ -110,6 +110,21 @@
         Some(ended)
     }
 
+    pub(crate) fn running_tasks(&self) -> Vec<TaskName> {
+        self.running.keys().copied().collect()
+    }
+
+    pub(crate) fn used(&self) -> Resources {
+        self.used
+    }
+
+    /// Returns whether a stop would end a run that is not being stopped yet.
+    pub(crate) fn would_stop(&self, run: RunId, fence: u64) -> bool {
+        let known = self.running.get(&run.task);
+        fence >= self.fence
+            && known.is_some_and(|known| known.attempt == run.attempt && !known.is_stopping)
+    }
+
     /// Returns whether a hold has something to tell.
     pub(crate) fn has_ends(&self) -> bool {
         !self.ended.is_empty()
--- a/crates/magnoliapin_scheduler/tests/soak/world.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/world.rs
@@ -16,6 +16,8 @@
 use magnoliapin_site::ClientAnswer;
 use magnoliapin_site::EndedRun;
 use magnoliapin_site::InstanceName;
+use magnoliapin_site::InstanceReply;
+use magnoliapin_site::InstanceRequest;
 use magnoliapin_site::PeerReply;
 use magnoliapin_site::PeerRequest;
 use magnoliapin_site::RunEnd;
@@ -26,6 +28,7 @@
 use magnoliapin_site::TargetReply;
 use magnoliapin_site::TargetRequest;
 use magnoliapin_site::TargetState;
+use magnoliapin_site::TaskName;
 use magnoliapin_site::ZoneName;
 use rand::Rng;
 use rand::SeedableRng;
@@ -36,6 +39,7 @@
 use crate::faults::FaultState;
 use crate::faults::FaultStep;
 use crate::faults::StoreMode;
+use crate::instances::InstanceService;
 use crate::judge::Judge;
 use crate::site;
 use crate::store::FakeStore;
@@ -73,6 +77,10 @@
     PeerCall(usize, u64, CallId, usize, PeerRequest),
     PeerAnswer(PeerId, PeerReply),
     Timeout(usize, u64, CallId, CallKind),
+    InstanceCall(usize, u64, CallId, InstanceRequest),
+    InstanceBack(usize),
+    WaveBegins,
+    Check,
     Beat(usize),
     Client(ClientStep),
     Fault(FaultStep),
@@ -84,6 +92,7 @@
     Store,
     Target,
     Peer,
+    Instances,
 }
 
 pub(crate) struct WaitingWatch {
@@ -119,10 +128,13 @@
     pub(crate) faults: FaultState,
     pub(crate) clients: ClientBook,
     pub(crate) judge: Judge,
+    pub(crate) service: InstanceService,
+    /// Looks in a row at which a task that lasts did not run though there was room.
+    pub(crate) idle_checks: BTreeMap<TaskName, u32>,
 }
 
 impl World {
-    pub(crate) fn new(seed: u64, longest_fault_ms: u64) -> Self {
+    pub(crate) fn new(seed: u64, longest_fault_ms: u64, has_fleet: bool) -> Self {
         let mut world = Self {
             now: Moment::START,
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -138,8 +150,10 @@
             faults: FaultState::default(),
             clients: ClientBook::default(),
             judge: Judge::default(),
+            service: InstanceService::default(),
+            idle_checks: BTreeMap::new(),
         };
-        world.store.set_config(site::config(1));
+        world.store.set_config(site::config(1, has_fleet));
         for number in 0..site::POOLS * site::TARGETS_PER_POOL {
             world.add_target(number);
         }
@@ -154,6 +168,13 @@
             });
             world.start_node(node);
         }
+        if has_fleet {
+            for number in 0..site::STANDBYS {
+                world.add_target(site::POOLS * site::TARGETS_PER_POOL + number);
+            }
+            world.plan_instances();
+            world.plan_lasting();
+        }
         world.plan_clients();
         world.plan_faults(longest_fault_ms);
         world
@@ -173,7 +194,12 @@
             instance: Some(InstanceName::new(&format!("m-{number}"))),
         };
         let rate = 1.0 - self.random.random_range(0.0..0.02);
-        self.targets.push(FakeTarget::new(record, zone, self.now, rate));
+        let mut target = FakeTarget::new(record, zone, self.now, rate);
+        if number >= site::POOLS * site::TARGETS_PER_POOL {
+            target.record.pool = site::standby_pool();
+            target.is_up = false;
+        }
+        self.targets.push(target);
         self.beats.push(Moment::START);
         self.at(Duration::from_millis(number as u64), Event::Beat(number));
     }
@@ -223,6 +249,9 @@
                 ));
             }
         }
+        if self.has_fleet() && !self.is_wave_over() {
+            broken.push("the wave is not completed".to_owned());
+        }
         if self.judge.starts < 100 {
             broken.push(format!("only {} tasks were started", self.judge.starts));
         }
@@ -259,9 +288,18 @@
                     CallKind::Store => NodeEvent::Store(call, StoreReply::Failed(failure)),
                     CallKind::Target => NodeEvent::Target(call, TargetReply::Failed(failure)),
                     CallKind::Peer => NodeEvent::Peer(call, PeerReply::Failed(failure)),
+                    CallKind::Instances => {
+                        NodeEvent::Instances(call, InstanceReply::Failed(failure))
+                    }
                 };
                 self.tell_node(node, life, event);
             }
+            Event::InstanceCall(node, life, call, request) => {
+                self.instance_call(node, life, call, &request);
+            }
+            Event::InstanceBack(number) => self.instance_back(number),
+            Event::WaveBegins => self.begin_wave(),
+            Event::Check => self.check_lasting(),
             Event::Beat(target) => self.beat(target),
             Event::Client(step) => self.client_step(step),
             Event::Fault(step) => self.fault_step(step),
@@ -283,9 +321,10 @@
             return self.at(wait, Event::ToNode(node, life, event));
         }
         let call = match &event {
-            NodeEvent::Store(call, _) | NodeEvent::Target(call, _) | NodeEvent::Peer(call, _) => {
-                Some(*call)
-            }
+            NodeEvent::Store(call, _)
+            | NodeEvent::Target(call, _)
+            | NodeEvent::Peer(call, _)
+            | NodeEvent::Instances(call, _) => Some(*call),
             _ => None,
         };
         if call.is_some_and(|call| !slot.open.remove(&call)) {
@@ -316,9 +355,10 @@
                 self.at(timeout, Event::Timeout(node, life, call, CallKind::Target));
                 let number = self.targets.iter().position(|known| known.record.address == address);
                 let Some(number) = number else { return };
-                assert_eq!(self.targets[number].record.name, target, "the name fits the address");
                 let delay = self.delay();
-                let target_life = self.targets[number].record.born_at.0;
+                let record = &self.targets[number].record;
+                // An instance that was moved has another target at the same address.
+                let target_life = if record.name == target { record.born_at.0 } else { 0 };
                 let is_late = !matches!(request, TargetRequest::Hold { .. })
                     && self.random.random_bool(self.faults.late_orders);
                 let event =
@@ -342,11 +382,19 @@
                 let delay = self.delay();
                 self.at(delay, Event::PeerAnswer(peer, reply));
             }
-            NodeAction::Instances { .. } | NodeAction::Advice { .. } => {}
+            NodeAction::Instances { call, request, timeout } => {
+                if self.has_fleet() {
+                    self.nodes[node].open.insert(call);
+                    self.at(timeout, Event::Timeout(node, life, call, CallKind::Instances));
+                    let delay = self.delay();
+                    self.at(delay, Event::InstanceCall(node, life, call, request));
+                }
+            }
+            NodeAction::Advice { .. } => {}
         }
     }
 
-    pub(crate) fn plan(&mut self, task: magnoliapin_site::TaskName, target: usize) -> TaskPlan {
+    pub(crate) fn plan(&mut self, task: TaskName, target: usize) -> TaskPlan {
         let job = self.judge.jobs.get(&task.job);
         let spec = job.and_then(|job| job.spec.steps.get(usize::from(task.step)));
         let length = self.random.random_range(200..1500);
@@ -371,7 +419,7 @@
             let born = self.targets[number].record.born_at.0;
             let ends: Vec<EndedRun> = self.targets[number].advance(now);
             for end in &ends {
-                self.judge.end(number, born, end.run, end.end, end.number);
+                self.judge.end(now, number, born, end.run, end.end, end.number);
             }
             if !ends.is_empty() {
                 let waiting: Vec<u64> = self
