Record starts before they are sent, and let strong nodes schedule

Ruled out: the store itself; the takeover's own time (0.1 to 0.2 s). Change: the rows of targets say which runs they may hold and are written in batches before the starts leave; a batch row orders them. A new scheduler holds back just the tasks that such a row names on targets that have not answered. Tasks that last keep room on one target in eight, and none where their team's cap is used up. Weaker nodes wait for a released lease too, and a much stronger node replaces a weak scheduler after 0.5 s.

--- a/crates/magnoliapin_scheduler/src/election.rs
+++ b/crates/magnoliapin_scheduler/src/election.rs
@@ -32,8 +32,10 @@
 const LAG_FACTOR: u32 = 3;
 /// How much later a node takes over that has less processor than the holder had.
 const WEAKER_DELAY: Duration = Duration::from_millis(250);
-/// Schedulers of a new site that a much stronger node replaces.
-const MOST_EARLY_GENERATIONS: u64 = 3;
+/// How long a node has followed a scheduler before it replaces one that is much weaker.
+const STRONGER_DELAY: Duration = Duration::from_millis(500);
+/// Processor of a much stronger node, in percent of the holder's.
+const MUCH_STRONGER_PERCENT: u32 = 150;
 
 /// A lease that was taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +57,8 @@
     seen: Option<(LeaseRow, RowVersion)>,
     /// When it changed last, as seen from here; none before the first read.
     changed_at: Option<Moment>,
+    /// Since when the scheduler of the lease was followed.
+    followed_since: Option<Moment>,
     attempt: Option<Attempt>,
     /// No attempt before this.
     attempt_at: Moment,
@@ -75,6 +79,7 @@
             watch: Watch::new(WatchKind::Lease),
             seen: None,
             changed_at: None,
+            followed_since: None,
             attempt: None,
             attempt_at: Moment::START,
         }
@@ -160,6 +165,7 @@
                 lease.node,
                 row.version
             );
+            self.followed_since = Some(out.now);
         }
         self.changed_at = Some(out.now);
         self.attempt_at = out.now;
@@ -181,8 +187,11 @@
         // A process that was started again has nothing left of what it did before.
         let is_here = lease.node == self.identity.node;
         let is_own = is_here && lease.incarnation == self.identity.incarnation;
+        // A stronger node goes first.
+        let is_weaker = self.identity.power < lease.power;
+        let delay = if is_weaker { WEAKER_DELAY } else { Duration::ZERO };
         if lease.is_released || (is_here && !is_own) {
-            return true;
+            return out.now.since(changed_at) >= delay;
         }
         let silence = if is_own {
             times.silence * 2
@@ -192,22 +201,21 @@
         } else {
             times.silence
         };
-        // A stronger node goes first.
-        let is_weaker = self.identity.power < lease.power;
-        let silence = if is_weaker { silence + WEAKER_DELAY } else { silence };
+        let silence = silence + delay;
         // A slow store tells of a renewal only after the renewal and the watch have waited for it.
         let silence = silence + out.store_pace.lag() * LAG_FACTOR;
         // The store must have answered all the while, or its silence is taken for the holder's.
         let is_silent =
             out.now.since(changed_at) > silence && heard_at.since(changed_at) > silence / 2;
-        is_silent || self.is_much_stronger(lease)
+        is_silent || self.is_much_stronger(lease, out.now)
     }
 
-    /// Returns whether the holder should let this node schedule, as it has far more processor.
-    /// Only a node that has just started says so, before there is much to take over.
-    fn is_much_stronger(&self, lease: &LeaseRow) -> bool {
-        let is_stronger = self.identity.power > lease.power.saturating_mul(3) / 2;
-        is_stronger && lease.generation <= MOST_EARLY_GENERATIONS
+    /// Returns whether the holder should let this node schedule, as it has far more processor: a
+    /// weak one falls behind at the first surge, and a change costs less than that.
+    fn is_much_stronger(&self, lease: &LeaseRow, now: Moment) -> bool {
+        let least = lease.power.saturating_mul(MUCH_STRONGER_PERCENT) / 100;
+        let has_followed = self.followed_since.is_some_and(|at| now.since(at) >= STRONGER_DELAY);
+        self.identity.power > least && (has_followed || lease.generation == 1)
     }
 
     fn try_take(&mut self, out: &mut Outbox) {
--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -15,6 +15,7 @@
 mod orders;
 mod placement;
 mod queue_facts;
+mod records;
 mod recovery;
 mod registrations;
 mod submissions;
@@ -53,9 +54,10 @@
 use self::job::JobKey;
 use self::lease::Renewal;
 use self::queue_facts::QueueFacts;
+use self::records::RecordBatch;
+use self::records::RecordLog;
 use self::recovery::LedLoad;
 use self::recovery::PartLoad;
-use self::registrations::TargetLife;
 pub(crate) use self::submissions::Asker;
 use self::target::Target;
 use self::target::TargetKey;
@@ -96,8 +98,8 @@
     parts: Vec<Part>,
     /// Version of the fence of the partition that is not about jobs.
     control_fence: RowVersion,
-    /// Rows of lives that are over, which the store may forget.
-    forgotten: Vec<(TargetName, RowVersion)>,
+    /// Targets whose rows the store may forget.
+    forgotten: Vec<TargetName>,
     led_load: LedLoad,
     phase: LeaderPhase,
     calls: IndexMap<CallId, LeaderCall>,
@@ -116,8 +118,13 @@
     team_use: IndexMap<TeamName, Resources>,
     /// Lives of targets that may run what the scheduler before started, and have not told yet.
     old_lives: IndexMap<TargetName, OldLife>,
+    /// Tasks that may run there: their latest attempt, and where.
+    unheard: IndexMap<TaskName, (u32, TargetName)>,
     /// Whether all that the scheduler before started is accounted for.
     is_accounted: bool,
+    /// Targets with runs that the store does not know of yet.
+    unrecorded: IndexSet<TargetKey>,
+    records: RecordLog,
     intake: Option<Watch>,
     reload: Reload,
     registrations: Watch,
@@ -161,8 +168,10 @@
     born_at: UnixMillis,
     /// Instance that hosts it.
     instance: Option<InstanceName>,
-    /// Version of the row that tells of it, if there is one.
-    version: Option<RowVersion>,
+    /// What it may run.
+    runs: Vec<RunId>,
+    /// What runs of ended jobs take there from their teams' caps.
+    orphans: Vec<(TeamName, Resources)>,
 }
 
 /// How far the scheduler is.
@@ -185,8 +194,7 @@
     LoadProgress(u32),
     LoadLed,
     ReloadJobs(u32, String),
-    RecordLed(Vec<(TargetKey, TargetLife)>),
-    ForgetLed(Vec<(TargetName, RowVersion)>),
+    Record(RecordBatch),
     Commit(u32),
     Renew(Moment),
     ReadWave(u64),
@@ -252,7 +260,10 @@
             pools: IndexMap::new(),
             team_use: IndexMap::new(),
             old_lives: IndexMap::new(),
+            unheard: IndexMap::new(),
             is_accounted: false,
+            unrecorded: IndexSet::new(),
+            records: RecordLog::new(out.now),
             intake: None,
             reload: Reload::default(),
             registrations: Watch::new(crate::watch::WatchKind::Targets),
@@ -316,7 +327,6 @@
             self.dispatch(out);
             self.poll_orders(out);
             self.record_targets(out);
-            self.forget_targets(out);
             self.poll_commits(out);
         }
     }
@@ -341,8 +351,7 @@
             LeaderCall::LoadProgress(part) => self.take_progress(part, reply, out),
             LeaderCall::LoadLed => self.take_led(reply, out),
             LeaderCall::ReloadJobs(part, from) => self.take_reload(part, from, reply, out),
-            LeaderCall::RecordLed(targets) => self.take_recorded(&targets, reply),
-            LeaderCall::ForgetLed(lives) => self.take_forgotten(lives, reply),
+            LeaderCall::Record(batch) => self.take_recorded(batch, reply, out),
             LeaderCall::Commit(part) => self.take_commit(part, reply, out),
             LeaderCall::Renew(sent_at) => self.take_renewed(sent_at, reply, out),
             LeaderCall::ReadWave(wave) => self.take_wave(wave, reply, out),
@@ -407,10 +416,11 @@
                 self.generation,
                 self.old_lives.len()
             );
-            let lives = std::mem::take(&mut self.old_lives);
-            let rows = lives.into_iter().filter_map(|(name, life)| Some((name, life.version?)));
-            self.forgotten.extend(rows);
-            self.doubt_inherited(out.now);
+            self.doubt_unheard(out.now);
+            for name in self.old_lives.keys().cloned().collect::<Vec<_>>() {
+                self.settle_life(&name);
+                self.forgotten.push(name);
+            }
         }
         if self.old_lives.is_empty() && !self.registrations.is_reading() {
             log::info!(
@@ -419,9 +429,6 @@
                 out.now.since(self.taken_at).as_millis()
             );
             self.is_accounted = true;
-            for pool in self.pools.values_mut() {
-                pool.is_stirred = true;
-            }
         }
     }
 }
--- a/crates/magnoliapin_scheduler/src/leader/dispatch.rs
+++ b/crates/magnoliapin_scheduler/src/leader/dispatch.rs
@@ -74,8 +74,7 @@
         let mut ranked: Vec<(JobRank, JobKey)> = Vec::new();
         for key in &state.jobs {
             let Some(job) = self.jobs.get(key) else { continue };
-            let is_blocked = job.is_inherited && !self.is_accounted;
-            if !is_blocked && job.has_waiting() {
+            if job.has_waiting() {
                 ranked.push((self.rank(job, now), *key));
             }
         }
--- a/crates/magnoliapin_scheduler/src/leader/ends.rs
+++ b/crates/magnoliapin_scheduler/src/leader/ends.rs
@@ -248,6 +248,8 @@
         }
         for (target, task) in placed {
             self.stop_run(target, task);
+            // The next scheduler cannot ask the job what its runs take.
+            self.unrecorded.insert(target);
         }
         if let Some(pool) = self.pools.get_mut(&pool) {
             pool.jobs.swap_remove(&job_key);
--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -20,6 +20,7 @@
 use magnoliapin_site::OrderRefusal;
 use magnoliapin_site::OrderSender;
 use magnoliapin_site::PoolName;
+use magnoliapin_site::TargetName;
 
 use self::needs::PoolDemand;
 use self::waves::WaveProgress;
@@ -27,6 +28,7 @@
 use crate::leader::target::Target;
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
+use crate::leader::OldLife;
 use crate::outbox::Outbox;
 use crate::CallId;
 use crate::NodeAction;
@@ -157,10 +159,8 @@
     fn plan_fleet(&mut self, out: &mut Outbox) {
         let before = std::mem::take(&mut self.fleet.reserved);
         self.measure_demand(out.now);
-        if self.is_accounted {
-            self.empty_draining(out);
-            self.plan_waves(out);
-        }
+        self.empty_draining(out);
+        self.plan_waves(out);
         self.plan_moves(out);
         self.reserve_ordered();
         let reserved = self.fleet.reserved.clone();
@@ -263,16 +263,17 @@
             return;
         }
         let is_off = self.is_off(record);
-        let over: Vec<_> = self
-            .old_lives
-            .extract_if(.., |name, life| {
-                let is_here = life.instance.as_ref() == Some(&record.name);
-                let is_other = record.target.as_ref().is_some_and(|now| now != name);
-                is_here && (is_other || is_off)
-            })
-            .collect();
-        let rows = over.into_iter().filter_map(|(name, life)| Some((name, life.version?)));
-        self.forgotten.extend(rows);
+        let is_over = |(name, life): &(&TargetName, &OldLife)| {
+            let is_here = life.instance.as_ref() == Some(&record.name);
+            let is_other = record.target.as_ref().is_some_and(|now| now != *name);
+            is_here && (is_other || is_off)
+        };
+        let over: Vec<TargetName> =
+            self.old_lives.iter().filter(is_over).map(|(name, _)| name.clone()).collect();
+        for name in over {
+            self.settle_life(&name);
+            self.forgotten.push(name);
+        }
     }
 
     /// Returns whether an instance runs nothing: it is on its way, being maintained, out of service
@@ -385,13 +386,17 @@
     /// Returns whether nothing runs on an instance for certain.
     fn is_vacant(&self, name: &InstanceName) -> bool {
         match self.target_of(name).and_then(|key| self.targets.get(&key)) {
-            Some(target) => target.is_vacant(self.is_accounted, self.confirmed_at),
+            Some(target) => {
+                let is_clear = !self.old_lives.contains_key(&target.record.name);
+                target.is_vacant(is_clear, self.confirmed_at)
+            }
             // A target that has not registered yet may have had a start all the same.
             None => self
                 .fleet
                 .instances
                 .get(name)
-                .is_none_or(|instance| instance.record.target.is_none() || self.is_accounted),
+                .and_then(|instance| instance.record.target.as_ref())
+                .is_none_or(|target| !self.old_lives.contains_key(target)),
         }
     }
 
--- a/crates/magnoliapin_scheduler/src/leader/fleet/evacuation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/evacuation.rs
@@ -76,7 +76,9 @@
             return Preparation::Postponed;
         }
         self.fleet.reserved.insert(key);
-        let is_taken = is_urgent && lasting.is_empty() && self.targets[&key].failed_holds == 0;
+        let target = &self.targets[&key];
+        let has_told = target.is_led && target.failed_holds == 0;
+        let is_taken = is_urgent && lasting.is_empty() && has_told;
         if is_taken {
             Preparation::Done
         } else {
--- a/crates/magnoliapin_scheduler/src/leader/holds.rs
+++ b/crates/magnoliapin_scheduler/src/leader/holds.rs
@@ -154,12 +154,10 @@
         target.is_same_life = true;
         let pool = target.record.pool.clone();
         let name = target.record.name.clone();
-        let born_at = target.born_at();
-        if self.old_lives.get(&name).is_some_and(|life| life.born_at <= report.born_at) {
-            let life = self.old_lives.swap_remove(&name);
-            // The scheduler before has recorded this life already.
-            let version = life.filter(|life| life.born_at == born_at).and_then(|life| life.version);
-            target.led_version = target.led_version.or(version);
+        let old_life = self.old_lives.get(&name);
+        if old_life.is_some_and(|life| life.born_at <= report.born_at) {
+            target.has_row = true;
+            self.settle_life(&name);
         }
         for ended in &report.ended {
             let seen = self.targets.get(&key).map_or(0, |target| target.seen_end);
--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -5,7 +5,6 @@
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
 use magnoliapin_site::StoreTransaction;
-use magnoliapin_site::TaskName;
 
 use crate::leader::job::Task;
 use crate::leader::job::TaskState;
@@ -109,23 +108,14 @@
             .is_some_and(|at| self.confirmed_at <= at || now.since(self.confirmed_at) >= TRUST_TIME)
     }
 
-    /// Doubts what became of all tasks of earlier schedulers: not all targets have told.
-    pub(super) fn doubt_inherited(&mut self, now: Moment) {
-        for job in self.jobs.values_mut().filter(|job| job.is_inherited) {
-            for occurrence in &mut job.occurrences {
-                for (number, step) in occurrence.steps.iter_mut().enumerate() {
-                    for (index, task) in step.tasks.iter_mut().enumerate() {
-                        if task.state == TaskState::Waiting {
-                            task.lost_at = Some(now);
-                            self.unsure.insert(TaskName {
-                                job: job.id,
-                                occurrence: occurrence.number,
-                                step: number as u16,
-                                index: index as u32,
-                            });
-                        }
-                    }
-                }
+    /// Doubts what became of the tasks whose targets have not told.
+    pub(super) fn doubt_unheard(&mut self, now: Moment) {
+        for name in self.unheard.keys() {
+            let job = self.job_keys.get(&name.job).and_then(|key| self.jobs.get_mut(key));
+            let task = job.and_then(|job| job.task_mut(*name));
+            if let Some(task) = task.filter(|task| task.state == TaskState::Waiting) {
+                task.lost_at = Some(now);
+                self.unsure.insert(*name);
             }
         }
     }
--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -165,7 +165,7 @@
                     let timeout = self.identity.times.order_timeout;
                     self.call_target(key, TargetCall::Stop(key, id), request, timeout, out);
                 }
-                RunStage::Running => {}
+                RunStage::Planned | RunStage::Running => {}
             }
         }
     }
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -22,6 +22,10 @@
 /// scheduler before it has used on a target that does not answer.
 const ATTEMPTS_PER_GENERATION: u32 = 100;
 
+/// One in so many targets is kept free for the waiting tasks of a job that lasts: they follow each
+/// other there, and the other tasks of the pool need the rest.
+const KEPT_SHARE: usize = 8;
+
 /// Room on a target, while tasks are being placed.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Place {
@@ -80,29 +84,37 @@
                 self.start(key, choice.task, places[choice.place].target, out);
             }
         }
-        self.keep_room(key, places);
+        self.keep_room(key, places, out.now);
         places.retain(|place| place.free.cpu_milli > 0 && place.free.memory_mb > 0);
     }
 
     /// Keeps targets free of other tasks until those that last and found no room fit there;
     /// else smaller tasks would take all room that becomes free.
-    fn keep_room(&self, key: JobKey, places: &mut Vec<Place>) {
+    fn keep_room(&self, key: JobKey, places: &mut Vec<Place>, now: Moment) {
         let Some(job) = self.jobs.get(&key).filter(|job| job.spec.is_long_running()) else {
             return;
         };
+        let most = places.len().div_ceil(KEPT_SHARE);
+        let room = self.team_room(job.team.as_ref());
         for occurrence in &job.occurrences {
             for (number, step) in occurrence.steps.iter().enumerate() {
                 let spec = &job.spec.steps[number];
-                let waiting =
-                    step.tasks.iter().filter(|task| task.state == TaskState::Waiting).count();
-                for _ in 0..waiting {
-                    let name = TaskName {
-                        job: job.id,
-                        occurrence: occurrence.number,
-                        step: number as u16,
-                        index: 0,
-                    };
-                    let Some(place) = self.nearest_place(spec, name, places) else { break };
+                if !spec.demand.fits(room) {
+                    continue;
+                }
+                let name = |index| TaskName {
+                    job: job.id,
+                    occurrence: occurrence.number,
+                    step: number as u16,
+                    index,
+                };
+                let waiting = step.tasks.iter().zip(0..).filter(|(task, index)| {
+                    let is_free =
+                        !self.unheard.contains_key(&name(*index)) && !self.is_unsure(task, now);
+                    task.state == TaskState::Waiting && is_free
+                });
+                for (_, index) in waiting.take(most) {
+                    let Some(place) = self.nearest_place(spec, name(index), places) else { break };
                     places.swap_remove(place);
                 }
             }
@@ -148,13 +160,14 @@
         let before: Vec<Place> = places.to_vec();
         let mut choices: Vec<Choice> = Vec::new();
         for (index, task) in state.tasks.iter().enumerate() {
-            if task.state != TaskState::Waiting || self.is_unsure(task, now) {
+            let name = TaskName { job: job.id, occurrence, step, index: index as u32 };
+            let is_free = !self.unheard.contains_key(&name) && !self.is_unsure(task, now);
+            if task.state != TaskState::Waiting || !is_free {
                 continue;
             }
             if !spec.demand.fits(room) {
                 break;
             }
-            let name = TaskName { job: job.id, occurrence, step, index: index as u32 };
             let Some(place) = self.best_place(job, spec, name, task, places, &choices) else {
                 break;
             };
@@ -265,13 +278,15 @@
     /// Returns the most that a team may have running on targets that have not told what the
     /// scheduler before started there.
     fn unaccounted_use(&self, team: &TeamName) -> Resources {
-        if self.is_accounted {
-            return Resources::NONE;
-        }
-        let inherited = self.jobs.values().filter(|job| {
-            job.is_inherited && job.ending.is_none() && job.team.as_ref() == Some(team)
-        });
-        inherited.map(Job::most_unaccounted).fold(Resources::NONE, |sum, most| sum + most)
+        let demand = |task: &TaskName| {
+            let job = self.jobs.get(self.job_keys.get(&task.job)?)?;
+            let is_open = job.ending.is_none() && job.team.as_ref() == Some(team);
+            is_open.then(|| job.step_spec(*task)).flatten().map(|step| step.demand)
+        };
+        let orphans = self.old_lives.values().flat_map(|life| &life.orphans);
+        let orphans = orphans.filter(|(owner, _)| owner == team).map(|(_, demand)| *demand);
+        let open = self.unheard.keys().filter_map(demand);
+        open.chain(orphans).fold(Resources::NONE, |sum, demand| sum + demand)
     }
 
     /// Starts a task on a target.
@@ -287,7 +302,7 @@
             demand: spec.demand,
             is_long: spec.long_running,
             is_unknown: false,
-            stage: RunStage::Starting,
+            stage: RunStage::Planned,
             since: out.now,
             confirmed_at: None,
             percent: 0,
@@ -320,7 +335,7 @@
         if let Some(target) = self.targets.get_mut(&target_key) {
             target.add_run(name, run);
         }
-        self.send_start(target_key, id, out);
+        self.unrecorded.insert(target_key);
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/recovery.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery.rs
@@ -212,15 +212,20 @@
             return;
         };
         for row in rows {
+            if row.key == rows::BATCH_KEY {
+                self.records.set_version(row.version);
+                continue;
+            }
             let led: Option<LedRow> = row.value.as_deref().and_then(rows::decode);
             match led {
                 Some(led) => {
                     let life = OldLife {
                         born_at: led.born_at,
                         instance: led.instance,
-                        version: Some(row.version),
+                        runs: led.runs,
+                        orphans: led.orphans,
                     };
-                    self.old_lives.insert(TargetName::new(&row.key), life);
+                    self.expect_life(TargetName::new(&row.key), life);
                 }
                 None => log::error!("event=row_unreadable table={} key={}", rows::LED, row.key),
             }
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -1,10 +1,6 @@
 //! Learns which targets there are.
 
-use magnoliapin_model::RowVersion;
-use magnoliapin_model::UnixMillis;
 use magnoliapin_site::StoreReply;
-use magnoliapin_site::StoreRequest;
-use magnoliapin_site::StoreTransaction;
 use magnoliapin_site::TargetChange;
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetRecord;
@@ -13,19 +9,9 @@
 use crate::leader::target::Target;
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
-use crate::leader::LeaderCall;
-use crate::leader::OldLife;
 use crate::outbox::Outbox;
-use crate::rows;
-use crate::rows::LedRow;
 use crate::watch::WatchNews;
 
-/// Rows that one transaction about targets changes.
-const ROWS_PER_CALL: usize = 40;
-
-/// Name of a target and when its life began.
-pub(super) type TargetLife = (TargetName, UnixMillis);
-
 /// Why a life of a target is over for the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TargetLoss {
@@ -43,9 +29,6 @@
         match news {
             WatchNews::Read(StoreReply::Targets { changes, .. }) => {
                 self.listed.extend(changes.iter().filter_map(listed_name).cloned());
-                if !self.is_accounted {
-                    self.expect_reports(&changes);
-                }
                 self.take_target_changes(changes, out);
                 if !self.registrations.is_reading() {
                     self.drop_unlisted(out);
@@ -75,29 +58,6 @@
         }
     }
 
-    /// Waits for the reports of the targets that are registered: each may run what the scheduler
-    /// before started.
-    fn expect_reports(&mut self, changes: &[TargetChange]) {
-        for change in changes {
-            let TargetChange::Registered(record) = change else { continue };
-            let is_led = self
-                .target_keys
-                .get(&record.name)
-                .is_some_and(|key| self.targets.get(key).is_some_and(|target| target.is_led));
-            if !is_led {
-                let recorded = self.old_lives.get(&record.name);
-                let life = OldLife {
-                    born_at: record.born_at,
-                    instance: record.instance.clone(),
-                    version: recorded
-                        .filter(|life| life.born_at == record.born_at)
-                        .and_then(|life| life.version),
-                };
-                self.old_lives.insert(record.name.clone(), life);
-            }
-        }
-    }
-
     /// Notes that targets which a complete list leaves out are not registered any more.
     fn drop_unlisted(&mut self, out: &mut Outbox) {
         let listed = std::mem::take(&mut self.listed);
@@ -161,7 +121,8 @@
             record.born_at,
             target.runs.len()
         );
-        let next = Target::new(record, out.now);
+        let mut next = Target::new(record, out.now);
+        next.has_row = target.has_row;
         let before = std::mem::replace(target, next);
         if before.record.pool != target.record.pool {
             let pool = target.record.pool.clone();
@@ -173,13 +134,13 @@
         for (task, mut run) in before.runs {
             let may_be_here = last_report.is_none_or(|at| run.since >= at);
             if may_be_here && run.stage != RunStage::Stopping {
-                run.stage = RunStage::Starting;
+                run.unanswered = run.unanswered.max(u32::from(run.stage != RunStage::Planned));
+                run.stage = RunStage::Planned;
                 run.confirmed_at = None;
-                run.unanswered = run.unanswered.max(1);
                 if let Some(target) = self.targets.get_mut(&key) {
                     target.add_run(task, run);
                 }
-                self.due_orders.push((key, task));
+                self.unrecorded.insert(key);
             } else {
                 self.release_team(&run);
                 self.lose_run(key, task, run.attempt, out);
@@ -237,113 +198,13 @@
         // A target that never reported may still run what the scheduler before started.
         let is_settled = why != TargetLoss::NeverHeard;
         let born_at = target.record.born_at;
-        let mut version = target.led_version;
+        let mut has_row = target.has_row;
         if is_settled && self.old_lives.get(&name).is_some_and(|life| life.born_at == born_at) {
-            let life = self.old_lives.swap_remove(&name);
-            version = version.or(life.and_then(|life| life.version));
-        }
-        if let Some(version) = version {
-            self.forget_target(&name, version);
-        }
-    }
-
-    /// Tells the store which targets may run something, before anything is started there.
-    pub(super) fn record_targets(&mut self, out: &mut Outbox) {
-        if self.calls.values().any(|call| matches!(call, LeaderCall::RecordLed(_))) {
-            return;
-        }
-        let fence = self.control_fence;
-        let unrecorded = self.targets.iter().filter(|(_, target)| {
-            target.is_led && target.led_version.is_none() && target.missing_since.is_none()
-        });
-        let keys: Vec<TargetKey> = unrecorded.map(|(key, _)| *key).take(ROWS_PER_CALL).collect();
-        if keys.is_empty() {
-            return;
-        }
-        let mut transaction =
-            StoreTransaction::default().with_expected(rows::control_fence(), fence);
-        let mut lives = Vec::new();
-        for key in keys {
-            let record = &self.targets[&key].record;
-            let instance = record.instance.clone();
-            let value = rows::encode(&LedRow { born_at: record.born_at, instance });
-            transaction.writes.push((rows::led_row(&record.name), value));
-            lives.push((key, (record.name.clone(), record.born_at)));
-        }
-        let request = StoreRequest::Commit(transaction);
-        self.call(LeaderCall::RecordLed(lives), request, out);
-    }
-
-    /// Takes the answer to a record of targets.
-    pub(super) fn take_recorded(&mut self, keys: &[(TargetKey, TargetLife)], reply: &StoreReply) {
-        match reply {
-            StoreReply::Committed(version) => {
-                for (key, life) in keys {
-                    let target = self.targets.get_mut(key);
-                    match target.filter(|target| target.born_at() == life.1) {
-                        Some(target) => {
-                            target.led_version = Some(*version);
-                            let pool = target.record.pool.clone();
-                            self.stir(&pool);
-                        }
-                        // The life ended while it was being recorded.
-                        None => self.forget_target(&life.0, *version),
-                    }
-                }
-            }
-            StoreReply::Conflict(_) => self.depose("the fence has changed"),
-            _ => {}
+            has_row |= self.settle_life(&name).is_some();
         }
-    }
-
-    /// Has the store forget a life that is over, with the next transaction about targets.
-    fn forget_target(&mut self, name: &TargetName, version: RowVersion) {
-        self.forgotten.push((name.clone(), version));
-    }
-
-    /// Has the store forget the lives that are over.
-    pub(super) fn forget_targets(&mut self, out: &mut Outbox) {
-        let is_busy = self.calls.values().any(|call| matches!(call, LeaderCall::ForgetLed(_)));
-        if is_busy || self.forgotten.is_empty() {
-            return;
-        }
-        let count = self.forgotten.len().min(ROWS_PER_CALL);
-        let mut transaction =
-            StoreTransaction::default().with_expected(rows::control_fence(), self.control_fence);
-        let lives: Vec<_> = self.forgotten.drain(..count).collect();
-        for (name, version) in &lives {
-            // Another life under the same name may have been recorded since.
-            transaction = transaction
-                .with_expected(rows::led_row(name), *version)
-                .with_removal(rows::led_row(name));
-        }
-        self.call(LeaderCall::ForgetLed(lives), StoreRequest::Commit(transaction), out);
-    }
-
-    /// Takes the answer to the removal of rows of lives that are over.
-    pub(super) fn take_forgotten(
-        &mut self,
-        mut lives: Vec<(TargetName, RowVersion)>,
-        reply: &StoreReply,
-    ) {
-        match reply {
-            StoreReply::Committed(_) => return,
-            StoreReply::Conflict(rows) => {
-                let fence = rows::control_fence();
-                let is_fenced = rows
-                    .iter()
-                    .any(|row| row.key == fence.key && row.version != self.control_fence);
-                if is_fenced {
-                    return self.depose("the fence has changed");
-                }
-                // Those are left that are as they were expected.
-                lives.retain(|(name, version)| {
-                    rows.iter().any(|row| row.key == name.as_str() && row.version == *version)
-                });
-            }
-            _ => {}
+        if has_row {
+            self.forgotten.push(name);
         }
-        self.forgotten.extend(lives);
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -5,7 +5,6 @@
 
 use indexmap::IndexMap;
 use magnoliapin_model::Moment;
-use magnoliapin_model::RowVersion;
 use magnoliapin_model::UnixMillis;
 use magnoliapin_site::JobId;
 use magnoliapin_site::Resources;
@@ -33,8 +32,8 @@
     pub(crate) learned_at: Moment,
     /// When the registration went missing; none while it is there.
     pub(crate) missing_since: Option<Moment>,
-    /// Version of the row that tells the store that the target may run something.
-    pub(crate) led_version: Option<RowVersion>,
+    /// Whether the store may have a row that says what it may run.
+    pub(crate) has_row: bool,
     /// Whether it has reported under this scheduler's epoch.
     pub(crate) is_led: bool,
     /// Whether the life that reported last must still be the one that answers. If not, it must
@@ -129,6 +128,8 @@
 /// How far a run is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunStage {
+    /// It is to start once the store knows of it.
+    Planned,
     /// Its start was sent and is not confirmed.
     Starting,
     /// It runs.
@@ -144,7 +145,7 @@
             record,
             learned_at: now,
             missing_since: None,
-            led_version: None,
+            has_row: false,
             is_led: false,
             is_same_life: false,
             is_reserved: false,
@@ -178,7 +179,6 @@
             self.missing_since.is_none_or(|since| now.since(since) < times.registration_grace);
         self.is_led
             && self.is_same_life
-            && self.led_version.is_some()
             && !self.is_reserved
             && self.failed_holds == 0
             && is_registered
@@ -253,12 +253,12 @@
     }
 
     /// Returns whether nothing runs on it for certain. What the scheduler before started may run
-    /// there until the target reports, or until `is_accounted` says that every such lease is over.
-    pub(crate) fn is_vacant(&self, is_accounted: bool, confirmed_at: Moment) -> bool {
+    /// there until the target reports, unless `is_clear` says that it started nothing.
+    pub(crate) fn is_vacant(&self, is_clear: bool, confirmed_at: Moment) -> bool {
         let is_known = if self.is_led {
             self.failed_holds == 0 || self.is_lease_over(confirmed_at)
         } else {
-            is_accounted
+            is_clear
         };
         is_known && self.runs.is_empty()
     }
--- a/crates/magnoliapin_scheduler/src/outbox.rs
+++ b/crates/magnoliapin_scheduler/src/outbox.rs
@@ -88,6 +88,14 @@
         call
     }
 
+    /// Calls the store, and takes the call for failed after a time of its own.
+    pub(crate) fn call_store_within(&mut self, request: StoreRequest, timeout: Duration) -> CallId {
+        let call = self.next_call();
+        self.store_pace.begin_brief(call, self.now);
+        self.push(NodeAction::Store { call, request, timeout });
+        call
+    }
+
     /// Calls the node that schedules.
     pub(crate) fn call_peer(
         &mut self,
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -8,7 +8,8 @@
 //! | [`PROGRESS`] | a job | which tasks have ended |
 //! | [`OUTCOME`] | a job | how it ended |
 //! | [`LEASE`] | [`LEASE_KEY`] | who schedules |
-//! | [`LED`] | a target | a life of a target that may run something |
+//! | [`LED`] | [`BATCH_KEY`] | number of the last batch of changes in this table |
+//! | [`LED`] | a target | what a life of a target may run; written before anything starts there |
 //! | [`WAVE`] | a wave | instances whose maintenance has begun |
 //!
 //! Jobs are spread over partitions by their identifiers. A new scheduler fences one partition
@@ -30,7 +31,9 @@
 use magnoliapin_site::PoolName;
 use magnoliapin_site::QueueName;
 use magnoliapin_site::QueueRule;
+use magnoliapin_site::Resources;
 use magnoliapin_site::RowId;
+use magnoliapin_site::RunId;
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TeamName;
 
@@ -48,6 +51,9 @@
 /// Table of targets that may run something.
 pub(crate) const LED: &str = "led";
 
+/// Key of the number of the last batch of rows of [`LED`]; comes before any target.
+pub(crate) const BATCH_KEY: &str = "!batch";
+
 /// Table of what is done of the operator's waves.
 pub(crate) const WAVE: &str = "wave";
 
@@ -139,6 +145,15 @@
         pub(crate) generation: u64,
     }
 
+    /// The last batch of changes of the rows of targets.
+    #[derive(Copy, Eq)]
+    pub(crate) struct BatchRow {
+        /// Generation of the scheduler.
+        pub(crate) generation: u64,
+        /// Counts its batches.
+        pub(crate) number: u64,
+    }
+
     /// Who schedules.
     #[derive(Eq)]
     pub(crate) struct LeaseRow {
@@ -158,13 +173,17 @@
         pub(crate) waiting: Vec<(QueueName, u64)>,
     }
 
-    /// A life of a target that may run something.
+    /// What a life of a target may run. Ends are not noted here, so it may have ended.
     #[derive(Eq)]
     pub(crate) struct LedRow {
         /// When the life began.
         pub(crate) born_at: UnixMillis,
         /// Instance that hosts it.
         pub(crate) instance: Option<InstanceName>,
+        /// Runs that were there or about to be sent when the row was written.
+        pub(crate) runs: Vec<RunId>,
+        /// What those of them take from their teams' caps whose job has ended.
+        pub(crate) orphans: Vec<(TeamName, Resources)>,
     }
 }
 
@@ -212,6 +231,11 @@
     RowId::new(LEASE, CONTROL_PART, LEASE_KEY)
 }
 
+/// Returns the row of the last batch of changes of the rows of targets.
+pub(crate) fn batch_row() -> RowId {
+    RowId::new(LED, CONTROL_PART, BATCH_KEY)
+}
+
 /// Returns the row of a target that may run something.
 pub(crate) fn led_row(target: &TargetName) -> RowId {
     RowId::new(LED, CONTROL_PART, target.as_str())
--- a/crates/magnoliapin_scheduler/src/store_pace.rs
+++ b/crates/magnoliapin_scheduler/src/store_pace.rs
@@ -22,28 +22,45 @@
 /// How long the store takes to answer.
 #[derive(Debug, Default)]
 pub(crate) struct StorePace {
-    open: IndexMap<CallId, (Moment, Duration)>,
+    open: IndexMap<CallId, OpenCall>,
     lag: Duration,
 }
 
+/// A call that is not answered yet.
+#[derive(Clone, Copy, Debug)]
+struct OpenCall {
+    sent_at: Moment,
+    /// How long the store may wait before it answers.
+    wait: Duration,
+    /// Whether it is given up so early that this says nothing of the store.
+    is_brief: bool,
+}
+
 impl StorePace {
     /// Notes that a call leaves. Returns the time after which it has failed.
     pub(crate) fn begin(&mut self, call: CallId, request: &StoreRequest, now: Moment) -> Duration {
         let wait = wait_of(request);
-        self.open.insert(call, (now, wait));
+        self.open.insert(call, OpenCall { sent_at: now, wait, is_brief: false });
         let timeout = (self.lag * TIMEOUT_FACTOR).clamp(SHORTEST_TIMEOUT, LONGEST_TIMEOUT);
         wait + timeout
     }
 
+    /// Notes that a call leaves that is soon given up and made again.
+    pub(crate) fn begin_brief(&mut self, call: CallId, now: Moment) {
+        self.open.insert(call, OpenCall { sent_at: now, wait: Duration::ZERO, is_brief: true });
+    }
+
     /// Notes the answer to a call.
     pub(crate) fn end(&mut self, call: CallId, reply: &StoreReply, now: Moment) {
-        let Some((sent_at, wait)) = self.open.swap_remove(&call) else { return };
-        // A refusal says nothing of the time that others take.
-        if matches!(reply, StoreReply::Failed(CallFailure::NotDone)) {
-            return;
+        let Some(open) = self.open.swap_remove(&call) else { return };
+        match reply {
+            // A refusal says nothing of the time that others take.
+            StoreReply::Failed(CallFailure::NotDone) => return,
+            StoreReply::Failed(CallFailure::Unknown) if open.is_brief => return,
+            _ => {}
         }
         // A watch may have been answered at any moment of its wait.
-        let taken = now.since(sent_at).saturating_sub(wait);
+        let taken = now.since(open.sent_at).saturating_sub(open.wait);
         self.lag = self.lag.mul_f64(FADING).max(taken);
     }
 
--- a/crates/magnoliapin_site/src/target_message.rs
+++ b/crates/magnoliapin_site/src/target_message.rs
@@ -3,12 +3,16 @@
 use std::time::Duration;
 
 use magnoliapin_model::UnixMillis;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::CallFailure;
 use crate::TaskName;
 
 /// One run of a task.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct RunId {
     /// The task.
     pub task: TaskName,
