Record orders to instances, so that a new scheduler moves them at once

Ruled out: the rank of pools and the demand measured (seen right in the log, just not carried out). Change: the batch row names the instances with recent orders; an order leaves once it is recorded. A new scheduler leaves just those instances alone. The soak judges orders of two schedulers to one instance within the spacing.

--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -30,6 +30,7 @@
 use crate::leader::Leader;
 use crate::leader::OldLife;
 use crate::outbox::Outbox;
+use crate::rows::BatchRow;
 use crate::CallId;
 use crate::NodeAction;
 
@@ -43,8 +44,8 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a call of the service has failed.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-/// An order is given only this long after the store has confirmed the lease, so that the next
-/// scheduler knows when the last one can have arrived.
+/// An order is given only this long after the store has confirmed the lease: later ones would
+/// mostly be refused by the store, which records them first.
 const ORDER_VALIDITY: Duration = Duration::from_millis(900);
 /// Pause before an order is given again that was refused or had no answer.
 const ORDER_PAUSE: Duration = Duration::from_millis(400);
@@ -68,6 +69,15 @@
     next_plan_at: Moment,
     /// Moments of the orders of the last second.
     recent_orders: Vec<Moment>,
+    /// Orders that the store does not know of yet.
+    planned_orders: Vec<PlannedOrder>,
+    /// When instances were given their last orders.
+    ordered_at: IndexMap<InstanceName, Moment>,
+    /// Instances that the scheduler before may have given orders to, and until when they are left
+    /// alone.
+    held_until: IndexMap<InstanceName, Moment>,
+    /// No order at all before this.
+    first_order_at: Moment,
     waves: IndexMap<u64, WaveProgress>,
     demand: IndexMap<PoolName, PoolDemand>,
     /// Targets that get no new work, as their instances are to be moved or maintained.
@@ -93,6 +103,13 @@
     taken_at: Option<Moment>,
 }
 
+/// An order that is sent once the store knows of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct PlannedOrder {
+    instance: InstanceName,
+    request: InstanceRequest,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum OrderKind {
     Move(PoolName),
@@ -119,6 +136,10 @@
             pages: 0,
             next_plan_at: now,
             recent_orders: Vec::new(),
+            planned_orders: Vec::new(),
+            ordered_at: IndexMap::new(),
+            held_until: IndexMap::new(),
+            first_order_at: now,
             waves: IndexMap::new(),
             demand: IndexMap::new(),
             reserved: IndexSet::new(),
@@ -130,6 +151,16 @@
         self.next_list_at = self.next_list_at.min(now);
     }
 
+    /// Returns whether orders wait to be recorded.
+    pub(crate) fn has_planned_orders(&self) -> bool {
+        !self.planned_orders.is_empty()
+    }
+
+    /// Hands over the orders that wait to be recorded.
+    pub(crate) fn take_planned_orders(&mut self) -> Vec<PlannedOrder> {
+        std::mem::take(&mut self.planned_orders)
+    }
+
     fn has_orders(&self) -> bool {
         self.instances.values().any(|instance| instance.order.is_some())
     }
@@ -247,7 +278,9 @@
         let list = self.fleet.lists;
         for record in &page.instances {
             let instance = self.fleet.instances.entry(record.name.clone()).or_insert_with(|| {
-                FleetInstance { record: record.clone(), list, order: None, paused_until: out.now }
+                let held_until = self.fleet.held_until.get(&record.name).copied();
+                let paused_until = held_until.unwrap_or(out.now);
+                FleetInstance { record: record.clone(), list, order: None, paused_until }
             });
             instance.list = list;
             instance.record = record.clone();
@@ -310,13 +343,29 @@
         }
     }
 
-    /// Returns whether this scheduler may give orders: the one before can give none any more, and
-    /// the next one none yet.
+    /// Returns whether this scheduler may give orders.
     fn may_order(&self, now: Moment) -> bool {
-        let spacing = self.identity.times.order_spacing;
-        let first = self.taken_at + spacing + ORDER_VALIDITY + CALL_TIMEOUT;
-        let is_first_ever = self.generation == 1;
-        now.since(self.confirmed_at) < ORDER_VALIDITY && (is_first_ever || now >= first)
+        now.since(self.confirmed_at) < ORDER_VALIDITY && now >= self.fleet.first_order_at
+    }
+
+    /// Leaves the instances alone that the scheduler before may have given orders to: one whose
+    /// order has just been recorded may still be on its way.
+    pub(super) fn hold_ordered(&mut self, batch: Option<&BatchRow>) {
+        let until = self.taken_at + self.identity.times.order_spacing + CALL_TIMEOUT;
+        let Some(batch) = batch else {
+            self.fleet.first_order_at = until;
+            return;
+        };
+        for name in &batch.ordered {
+            self.fleet.held_until.insert(name.clone(), until);
+        }
+    }
+
+    /// Returns the instances that the next scheduler must leave alone for a while.
+    pub(super) fn recent_orders(&mut self, now: Moment) -> Vec<InstanceName> {
+        let spacing = self.identity.times.order_spacing + CALL_TIMEOUT;
+        self.fleet.ordered_at.retain(|_, at| now.since(*at) < spacing);
+        self.fleet.ordered_at.keys().cloned().collect()
     }
 
     /// Returns whether one more order may be given now.
@@ -339,13 +388,28 @@
         );
         instance.order = Some(FleetOrder { kind: kind.clone(), taken_at: None });
         self.fleet.recent_orders.push(out.now);
+        self.fleet.ordered_at.insert(name.clone(), out.now);
         let instance = name.clone();
         let request = match kind {
             OrderKind::Move(pool) => InstanceRequest::Move { instance, pool, sender },
             OrderKind::Maintain(wave) => InstanceRequest::Maintain { instance, wave, sender },
         };
         self.fleet.next_list_at = self.fleet.next_list_at.min(out.now + BUSY_LIST_INTERVAL);
-        self.call_instances(FleetCall::Order(name.clone()), request, out);
+        self.fleet.planned_orders.push(PlannedOrder { instance: name.clone(), request });
+    }
+
+    /// Sends an order that the store knows of now.
+    pub(super) fn send_order(&mut self, order: PlannedOrder, out: &mut Outbox) {
+        self.fleet.ordered_at.insert(order.instance.clone(), out.now);
+        self.call_instances(FleetCall::Order(order.instance), order.request, out);
+    }
+
+    /// Drops an order that could not be recorded; the next plan decides anew.
+    pub(super) fn drop_order(&mut self, order: &PlannedOrder, now: Moment) {
+        if let Some(instance) = self.fleet.instances.get_mut(&order.instance) {
+            instance.order = None;
+            instance.paused_until = now + ORDER_PAUSE;
+        }
     }
 
     fn take_order_reply(&mut self, name: &InstanceName, reply: &InstanceReply, out: &mut Outbox) {
--- a/crates/magnoliapin_scheduler/src/leader/records.rs
+++ b/crates/magnoliapin_scheduler/src/leader/records.rs
@@ -18,6 +18,7 @@
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TeamName;
 
+use crate::leader::fleet::PlannedOrder;
 use crate::leader::target::Run;
 use crate::leader::target::RunStage;
 use crate::leader::target::Target;
@@ -53,6 +54,7 @@
     row: BatchRow,
     lives: Vec<RecordedLife>,
     forgotten: Vec<TargetName>,
+    orders: Vec<PlannedOrder>,
 }
 
 /// A life of a target as it is being recorded.
@@ -109,7 +111,7 @@
     }
 
     /// Takes the last batch of the scheduler before.
-    pub(super) fn take_last(&mut self, version: RowVersion, batch: Option<BatchRow>) {
+    pub(super) fn take_last(&mut self, version: RowVersion, batch: Option<&BatchRow>) {
         self.version = version;
         // One that cannot be read says nothing of what was sent.
         self.was_open = batch.is_none_or(|batch| batch.is_open);
@@ -190,7 +192,9 @@
         let lag = out.store_pace.lag();
         let wants_open = lag > if self.records.is_open { CLOSE_LAG } else { OPEN_LAG };
         let is_due = out.now >= self.records.next_at && !self.records.is_in_flight;
-        let has_news = !self.unrecorded.is_empty() || !self.forgotten.is_empty();
+        let has_news = !self.unrecorded.is_empty()
+            || !self.forgotten.is_empty()
+            || self.fleet.has_planned_orders();
         if !is_due || !(has_news || wants_open != self.records.is_open) {
             return;
         }
@@ -201,7 +205,9 @@
         let has_open = wants_open || !is_covered || self.has_unrecorded();
         self.records.number += 1;
         let number = self.records.number;
-        let row = BatchRow { generation: self.generation, number, is_open: has_open };
+        let ordered = self.recent_orders(out.now);
+        let orders = self.fleet.take_planned_orders();
+        let row = BatchRow { generation: self.generation, number, is_open: has_open, ordered };
         let mut transaction = StoreTransaction::default()
             .with_expected(rows::control_fence(), self.control_fence)
             .with_expected(rows::batch_row(), self.records.version)
@@ -227,7 +233,7 @@
         records.timeout =
             records.timeout.max(out.store_pace.lag() * LAG_FACTOR).min(LONGEST_TIMEOUT);
         let call = out.call_store_within(StoreRequest::Commit(transaction), records.timeout);
-        self.calls.insert(call, LeaderCall::Record(RecordBatch { row, lives, forgotten }));
+        self.calls.insert(call, LeaderCall::Record(RecordBatch { row, lives, forgotten, orders }));
     }
 
     /// Takes the answer to a batch.
@@ -252,11 +258,11 @@
                 self.records.version = row.map_or(RowVersion(0), |row| row.version);
                 let last: Option<BatchRow> =
                     row.and_then(|row| row.value.as_deref()).and_then(rows::decode);
-                if last == Some(batch.row) {
+                if last.as_ref() == Some(&batch.row) {
                     self.end_batch(batch, out);
                 } else {
                     // An earlier one was carried out whose answer was lost.
-                    self.record_again(batch);
+                    self.record_again(batch, out);
                 }
             }
             failed => {
@@ -267,7 +273,7 @@
                 } else {
                     self.records.next_at = out.now + REFUSED_PAUSE;
                 }
-                self.record_again(batch);
+                self.record_again(batch, out);
             }
         }
     }
@@ -280,6 +286,9 @@
             self.records.is_open = true;
         }
         self.records.has_gaps = batch.row.is_open;
+        for order in batch.orders {
+            self.send_order(order, out);
+        }
         for life in batch.lives {
             let Some(target) = self.targets.get_mut(&life.key) else {
                 // The target was given up while it was being recorded.
@@ -324,7 +333,10 @@
         (rows::encode(&row), RecordedLife { key, name, born_at, runs })
     }
 
-    fn record_again(&mut self, batch: RecordBatch) {
+    fn record_again(&mut self, batch: RecordBatch, out: &Outbox) {
+        for order in batch.orders {
+            self.drop_order(&order, out.now);
+        }
         self.forgotten.extend(batch.forgotten);
         self.unrecorded.extend(batch.lives.into_iter().map(|life| life.key));
     }
--- a/crates/magnoliapin_scheduler/src/leader/recovery.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery.rs
@@ -215,7 +215,8 @@
         for row in rows {
             if row.key == rows::BATCH_KEY {
                 let batch: Option<BatchRow> = row.value.as_deref().and_then(rows::decode);
-                self.records.take_last(row.version, batch);
+                self.hold_ordered(batch.as_ref());
+                self.records.take_last(row.version, batch.as_ref());
                 continue;
             }
             let led: Option<LedRow> = row.value.as_deref().and_then(rows::decode);
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -8,7 +8,7 @@
 //! | [`PROGRESS`] | a job | which tasks have ended |
 //! | [`OUTCOME`] | a job | how it ended |
 //! | [`LEASE`] | [`LEASE_KEY`] | who schedules |
-//! | [`LED`] | [`BATCH_KEY`] | number of the last batch of changes in this table |
+//! | [`LED`] | [`BATCH_KEY`] | the last batch of changes in this table; recent orders to instances |
 //! | [`LED`] | a target | what a life of a target may run; written before anything starts there |
 //! | [`WAVE`] | a wave | instances whose maintenance has begun |
 //!
@@ -146,7 +146,7 @@
     }
 
     /// The last batch of changes of the rows of targets.
-    #[derive(Copy, Eq)]
+    #[derive(Eq)]
     pub(crate) struct BatchRow {
         /// Generation of the scheduler.
         pub(crate) generation: u64,
@@ -154,6 +154,8 @@
         pub(crate) number: u64,
         /// Whether targets may run what no row names.
         pub(crate) is_open: bool,
+        /// Instances that were given orders lately or are about to be.
+        pub(crate) ordered: Vec<InstanceName>,
     }
 
     /// Who schedules.
--- a/crates/magnoliapin_scheduler/tests/soak/instances.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/instances.rs
@@ -48,11 +48,19 @@
     begun: BTreeSet<u64>,
     /// Wave for which it is down.
     down_for: Option<u64>,
+    /// Who has given it the last order, and when.
+    last_order: Option<(u64, Moment)>,
 }
 
 impl FakeInstance {
     pub(crate) fn new(pool: PoolName) -> Self {
-        Self { pool, state: InstanceState::Up, begun: BTreeSet::new(), down_for: None }
+        Self {
+            pool,
+            state: InstanceState::Up,
+            begun: BTreeSet::new(),
+            down_for: None,
+            last_order: None,
+        }
     }
 }
 
@@ -148,6 +156,13 @@
         self.service.fence = fence;
         let number = (0..self.service.instances.len()).find(|one| instance_name(*one) == *name);
         let number = number.ok_or(OrderRefusal::Invalid)?;
+        let last = self.service.instances[number].last_order.replace((fence, self.now));
+        if let Some((other, at)) = last.filter(|(other, _)| *other != fence) {
+            if self.now.since(at) < site::ORDER_SPACING {
+                let text = format!("{name}: schedulers {other} and {fence} give orders in turn");
+                self.judge.fault(self.now, &text);
+            }
+        }
         match self.service.instances[number].state {
             InstanceState::Up => Ok(number),
             _ => Err(OrderRefusal::Busy),
--- a/crates/magnoliapin_scheduler/tests/soak/site.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/site.rs
@@ -19,6 +19,9 @@
 use magnoliapin_site::TeamRule;
 use magnoliapin_site::ZoneName;
 
+/// Least time between orders to one instance from different nodes.
+pub(crate) const ORDER_SPACING: Duration = Duration::from_secs(3);
+
 pub(crate) const ZONES: usize = 3;
 pub(crate) const NODES: usize = 5;
 pub(crate) const POOLS: usize = 2;
@@ -61,7 +64,7 @@
             stop_grace: STOP_GRACE,
             gang_wait: Duration::from_secs(3),
             stop_time: Duration::from_secs(6),
-            order_spacing: Duration::from_secs(3),
+            order_spacing: ORDER_SPACING,
             move_time: MOVE_TIME,
             maintenance_time: MAINTENANCE_TIME,
             outcome_retention: Duration::from_secs(120),
