--- a/crates/magnoliapin_scheduler/src/desk.rs
+++ b/crates/magnoliapin_scheduler/src/desk.rs
@@ -152,8 +152,8 @@
         out: &mut Outbox,
     ) {
         if !self.has_config {
-            let reason = RefusalReason::NoConfig;
-            out.answer(client, refusal(reason));
+            log::info!("event=request_refused path={:?} why=no_config", request.path);
+            out.answer(client, refusal(RefusalReason::NoConfig));
             return;
         }
         let patience = request.patience.unwrap_or(DEFAULT_PATIENCE);
--- a/crates/magnoliapin_scheduler/src/desk/submit.rs
+++ b/crates/magnoliapin_scheduler/src/desk/submit.rs
@@ -93,7 +93,10 @@
                 log::info!("event=job_known_already job={job} queue={}", submission.queue);
                 ClientAnswer::Accepted
             }
-            _ => refusal(RefusalReason::StoreUnavailable),
+            other => {
+                log::warn!("event=request_refused job={job} why=unexpected_reply reply={other:?}");
+                refusal(RefusalReason::StoreUnavailable)
+            }
         };
         out.answer(request.client, answer);
     }
