--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -365,7 +365,10 @@
     pub(super) fn recent_orders(&mut self, now: Moment) -> Vec<InstanceName> {
         let spacing = self.identity.times.order_spacing + CALL_TIMEOUT;
         self.fleet.ordered_at.retain(|_, at| now.since(*at) < spacing);
-        self.fleet.ordered_at.keys().cloned().collect()
+        self.fleet.held_until.retain(|_, until| now < *until);
+        let own = self.fleet.ordered_at.keys();
+        // What the scheduler before had ordered holds for the next one, too.
+        own.chain(self.fleet.held_until.keys()).cloned().collect()
     }
 
     /// Returns whether one more order may be given now.
