Look runs up, and send planned starts, in one place

Cause: the answers to starts and to stops looked a run up with the same lines that run_mut has, and a planned start was sent by two copies. Change: both use run_mut and start_planned; no behaviour changes.

--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -53,11 +53,7 @@
         reply: &TargetReply,
         out: &mut Outbox,
     ) {
-        let Some(target) = self.targets.get_mut(&key) else { return };
-        let Some(run) = target.runs.get_mut(&id.task).filter(|run| run.attempt == id.attempt)
-        else {
-            return;
-        };
+        let Some(run) = self.run_mut(key, id) else { return };
         match reply {
             TargetReply::Done { clock_ms } => {
                 run.confirmed_at = Some(out.now);
@@ -131,11 +127,7 @@
         reply: &TargetReply,
         out: &mut Outbox,
     ) {
-        let Some(target) = self.targets.get_mut(&key) else { return };
-        let Some(run) = target.runs.get_mut(&id.task).filter(|run| run.attempt == id.attempt)
-        else {
-            return;
-        };
+        let Some(run) = self.run_mut(key, id) else { return };
         match reply {
             // The next report lists it as ended, or it never ran and is missing there.
             TargetReply::Done { .. } => run.confirmed_at = Some(out.now),
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -340,10 +340,7 @@
         self.unrecorded.insert(target_key);
         let has_row = self.targets.get(&target_key).is_some_and(|target| target.has_row);
         if self.records.is_open() && has_row {
-            if let Some(run) = self.run_mut(target_key, id) {
-                run.stage = RunStage::Starting;
-            }
-            self.send_start(target_key, id, out);
+            self.start_planned(target_key, id, out);
         }
     }
 }
--- a/crates/magnoliapin_scheduler/src/leader/records.rs
+++ b/crates/magnoliapin_scheduler/src/leader/records.rs
@@ -176,7 +176,7 @@
         self.records.was_open && !self.is_accounted
     }
 
-    /// Returns whether the scheduler before has started nothing on a target that is still open.
+    /// Returns whether nothing that the scheduler before has started can run on a target unheard of.
     pub(super) fn is_clear(&self, name: &TargetName) -> bool {
         !self.has_unrecorded() && !self.old_lives.contains_key(name)
     }
@@ -299,21 +299,21 @@
             if target.born_at() != life.born_at {
                 continue;
             }
-            let mut due = Vec::new();
             for id in life.runs {
-                let run = target.runs.get_mut(&id.task);
-                let run = run.filter(|run| run.attempt == id.attempt);
-                if let Some(run) = run.filter(|run| run.stage == RunStage::Planned) {
-                    run.stage = RunStage::Starting;
-                    due.push(id);
-                }
-            }
-            for id in due {
-                self.send_start(life.key, id, out);
+                self.start_planned(life.key, id, out);
             }
         }
     }
 
+    /// Sends a start that has not been sent yet.
+    pub(super) fn start_planned(&mut self, key: TargetKey, id: RunId, out: &mut Outbox) {
+        let run = self.run_mut(key, id);
+        if let Some(run) = run.filter(|run| run.stage == RunStage::Planned) {
+            run.stage = RunStage::Starting;
+            self.send_start(key, id, out);
+        }
+    }
+
     /// Returns the row that says what a target may run, and what it holds.
     fn record_of(&self, key: TargetKey, target: &Target) -> (Vec<u8>, RecordedLife) {
         let record = &target.record;
