Let agents in the zones call the targets for the leader

Change: a leader with more targets than its processor and link can serve sends its calls in compact batches to other nodes, which make them. It keeps every decision. An agent makes a call once, only before it expires on the agent's clock, and none of a leader older than the newest that it has seen. Planning looks up the target of an instance in an index instead of searching all targets. Unused connections are closed after 8 s, and a call whose deadline has passed while the process was paused is no longer sent.

--- a/crates/magnoliapin_node/src/call_pool.rs
+++ b/crates/magnoliapin_node/src/call_pool.rs
@@ -1,9 +1,11 @@
 //! A pool of HTTP connections that are reused for further calls.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_channel::Sender;
 use futures_lite::FutureExt;
@@ -15,23 +17,32 @@
 use smol::LocalExecutor;
 
 use crate::call_deadlines::CallDeadlines;
+use crate::clock::NodeClock;
 use crate::connection::Connection;
 
 /// Maximum number of open connections to one address.
 const MAX_CONNECTIONS: usize = 8;
+/// Time after which an unused connection is closed; longer than the pause between two heartbeats
+/// of a target.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
+/// Time between two searches for unused connections.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Makes HTTP calls on pooled connections; clones share the pool.
 #[derive(Clone, Debug)]
 pub(crate) struct CallPool {
     executor: Rc<LocalExecutor<'static>>,
     deadlines: CallDeadlines,
+    clock: NodeClock,
     endpoints: Rc<RefCell<IndexMap<SocketAddr, Endpoint>>>,
+    next_idle_check_at: Rc<Cell<Moment>>,
 }
 
 /// Connections to one address.
 #[derive(Debug, Default)]
 struct Endpoint {
-    idle: Vec<Connection>,
+    /// Unused connections, each with the moment of its last use.
+    idle: Vec<(Moment, Connection)>,
     /// Permits that are in use.
     in_use: usize,
     /// Calls that wait for a permit, in the order of their arrival.
@@ -40,8 +51,30 @@
 
 impl CallPool {
     /// Creates a pool without connections.
-    pub(crate) fn new(executor: Rc<LocalExecutor<'static>>, deadlines: CallDeadlines) -> Self {
-        Self { executor, deadlines, endpoints: Rc::default() }
+    pub(crate) fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        deadlines: CallDeadlines,
+        clock: NodeClock,
+    ) -> Self {
+        Self {
+            executor,
+            deadlines,
+            clock,
+            endpoints: Rc::default(),
+            next_idle_check_at: Rc::default(),
+        }
+    }
+
+    /// Closes the connections that have not been used for a while.
+    pub(crate) fn close_idle(&self, now: Moment) {
+        if now < self.next_idle_check_at.get() {
+            return;
+        }
+        self.next_idle_check_at.set(now + IDLE_CHECK_INTERVAL);
+        self.endpoints.borrow_mut().retain(|_, endpoint| {
+            endpoint.idle.retain(|(used_at, _)| now.since(*used_at) < MAX_IDLE_TIME);
+            !endpoint.idle.is_empty() || endpoint.in_use > 0
+        });
     }
 
     /// Makes a call that fails at `deadline`.
@@ -55,6 +88,7 @@
         call: HttpCall,
         deadline: Moment,
     ) -> Result<HttpResponse, CallFailure> {
+        let expires_at = deadline;
         let deadline = self.deadlines.add(deadline);
         let is_sent = RefCell::new(false);
         let exchange = async {
@@ -65,6 +99,10 @@
                     .await
                     .map_err(|_| CallFailure::NotDone)?,
             };
+            // Read again, because the process may have been paused since the last tick.
+            if self.clock.now() >= expires_at {
+                return Err(CallFailure::NotDone);
+            }
             *is_sent.borrow_mut() = true;
             let response = connection.exchange(address, call).await?;
             permit.return_connection(connection);
@@ -105,7 +143,7 @@
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut endpoints = self.endpoints.borrow_mut();
         let endpoint = endpoints.get_mut(&address)?;
-        while let Some(connection) = endpoint.idle.pop() {
+        while let Some((_, connection)) = endpoint.idle.pop() {
             if connection.is_usable() {
                 return Some(connection);
             }
@@ -124,7 +162,7 @@
     /// Returns a usable connection to the pool.
     fn return_connection(&self, connection: Connection) {
         if let Some(endpoint) = self.pool.endpoints.borrow_mut().get_mut(&self.address) {
-            endpoint.idle.push(connection);
+            endpoint.idle.push((self.pool.clock.now(), connection));
         }
     }
 }
--- a/crates/magnoliapin_node/src/node_loop.rs
+++ b/crates/magnoliapin_node/src/node_loop.rs
@@ -73,6 +73,7 @@
                     let tick = if self.machine.is_leader() { LEADER_TICK } else { IDLE_TICK };
                     timer.set_after(tick);
                     self.deadlines.expire(now);
+                    self.pool.close_idle(now);
                     self.machine.handle(now, NodeEvent::WallClock(wall_clock()), &mut actions);
                     self.machine.handle(now, NodeEvent::Tick, &mut actions);
                 }
--- a/crates/magnoliapin_node/src/node_service.rs
+++ b/crates/magnoliapin_node/src/node_service.rs
@@ -67,7 +67,7 @@
     let deadlines = CallDeadlines::default();
     let node = NodeLoop {
         machine: NodeMachine::new(&settings, StdRng::from_os_rng().random()),
-        pool: CallPool::new(Rc::clone(&executor), deadlines.clone()),
+        pool: CallPool::new(Rc::clone(&executor), deadlines.clone(), clock),
         peers: PeerClient::new(Rc::clone(&executor), deadlines.clone()),
         peer_server,
         settings,
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/agent.rs
@@ -0,0 +1,225 @@
+//! Makes calls to targets for the leader on another node.
+//!
+//! The agent decides nothing: it makes each call at most once, and only while the call has not
+//! expired on this node's clock and no newer leader is known. A call that is lost on the way has
+//! the same effect as one that the target never answered, which the leader handles anyway.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use magnoliapin_model::Moment;
+use magnoliapin_site::AgentBatch;
+use magnoliapin_site::AgentCall;
+use magnoliapin_site::AgentReplies;
+use magnoliapin_site::AgentReply;
+use magnoliapin_site::AgentRequest;
+use magnoliapin_site::CallFailure;
+use magnoliapin_site::JobId;
+use magnoliapin_site::PeerReply;
+use magnoliapin_site::PeerRequest;
+use magnoliapin_site::TargetName;
+use magnoliapin_site::TargetReply;
+use magnoliapin_site::TargetRequest;
+
+use crate::known_report::KnownReport;
+use crate::outbox::Outbox;
+use crate::CallId;
+use crate::NodeAction;
+use crate::NodeTimes;
+
+#[cfg(test)]
+#[path = "agent_tests.rs"]
+mod tests;
+
+/// Maximum number of inputs of jobs that are kept; the leader sends one again if it is missing.
+const MAX_PAYLOADS: usize = 4_096;
+/// Time after which a batch of replies counts as lost; the leader repeats its calls then.
+const REPLIES_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Makes calls to targets for the leader.
+#[derive(Debug, Default)]
+pub(crate) struct Agent {
+    /// Highest generation of a leader that has sent a batch.
+    generation: u64,
+    session: Option<AgentSession>,
+    calls: IndexMap<CallId, PendingCall>,
+    replies: Vec<(u64, AgentReply)>,
+}
+
+/// State that the agent shares with the leader.
+#[derive(Debug)]
+struct AgentSession {
+    number: u64,
+    leader: SocketAddr,
+    targets: IndexMap<u32, SessionTarget>,
+    payloads: IndexMap<JobId, String>,
+}
+
+#[derive(Debug)]
+struct SessionTarget {
+    name: TargetName,
+    address: SocketAddr,
+    report: KnownReport,
+}
+
+/// A call to a target that has not been answered.
+#[derive(Debug)]
+struct PendingCall {
+    session: u64,
+    /// Identifies the call to the leader.
+    call: u64,
+    target: u32,
+    /// Number of the report that the leader has; for heartbeats.
+    base: u64,
+}
+
+impl Agent {
+    /// Makes the calls of a batch. `known_generation` is that of the newest leader that this node
+    /// has seen.
+    pub(crate) fn handle_batch(
+        &mut self,
+        batch: AgentBatch,
+        known_generation: u64,
+        times: &NodeTimes,
+        out: &mut Outbox,
+    ) -> PeerReply {
+        let newest = known_generation.max(self.generation);
+        if batch.generation < newest {
+            log::warn!(
+                "event=agent_calls_refused generation={} newest={newest} calls={}",
+                batch.generation,
+                batch.calls.len()
+            );
+            return PeerReply::Fenced { generation: newest };
+        }
+        let Some(leader) = batch.leader else { return PeerReply::Refused };
+        let is_same_leader = self.generation == batch.generation;
+        self.generation = batch.generation;
+        let session = match &mut self.session {
+            Some(session) if is_same_leader && session.number == batch.session => session,
+            // The leader has abandoned the session of a delayed batch.
+            Some(session) if is_same_leader && session.number > batch.session => {
+                return PeerReply::Refused;
+            }
+            _ => {
+                log::info!(
+                    "event=agent_session_began generation={} leader={leader}",
+                    batch.generation
+                );
+                self.replies.clear();
+                self.session.insert(AgentSession::new(batch.session, leader))
+            }
+        };
+        session.learn(&batch);
+        for call in batch.calls {
+            self.make_call(call, batch.generation, times, out);
+        }
+        PeerReply::Received
+    }
+
+    /// Makes a call, or adds the reply to one that cannot be made.
+    fn make_call(&mut self, call: AgentCall, generation: u64, times: &NodeTimes, out: &mut Outbox) {
+        let Some(session) = &self.session else { return };
+        let expires_at = Moment::from_millis(call.expires_at_ms);
+        if out.now >= expires_at {
+            log::info!("event=agent_call_expired call={}", call.call);
+            return self.replies.push((call.call, AgentReply::Failed(CallFailure::NotDone)));
+        }
+        let base = match &call.request {
+            AgentRequest::Heartbeat { report, .. } => *report,
+            _ => 0,
+        };
+        let target = session.targets.get(&call.target);
+        let request = session.target_request(call.request, generation);
+        let Some((target, request)) = target.zip(request) else {
+            return self.replies.push((call.call, AgentReply::Missing));
+        };
+        let timeout = match &request {
+            TargetRequest::Heartbeat { wait, .. } => *wait + times.reply_slack,
+            _ => times.order_timeout.min(expires_at.since(out.now)),
+        };
+        let id = out.next_call();
+        out.push(NodeAction::Target {
+            call: id,
+            target: target.name.clone(),
+            address: target.address,
+            request,
+            timeout,
+        });
+        let pending =
+            PendingCall { session: session.number, call: call.call, target: call.target, base };
+        self.calls.insert(id, pending);
+    }
+
+    /// Handles the reply of a target.
+    pub(crate) fn handle_target_reply(&mut self, call: CallId, reply: &TargetReply) {
+        let Some(pending) = self.calls.swap_remove(&call) else { return };
+        let session = self.session.as_mut().filter(|session| session.number == pending.session);
+        let Some(session) = session else { return };
+        let reply = match reply {
+            TargetReply::Done { clock_ms } => AgentReply::Done { clock_ms: *clock_ms },
+            TargetReply::Refused { clock_ms, reason } => {
+                AgentReply::Refused { clock_ms: *clock_ms, reason: *reason }
+            }
+            TargetReply::Report(report) => match session.targets.get_mut(&pending.target) {
+                Some(target) => AgentReply::Report(target.report.replace(report, pending.base)),
+                None => AgentReply::Missing,
+            },
+            TargetReply::OtherIncarnation => AgentReply::OtherIncarnation,
+            TargetReply::Failed(failure) => AgentReply::Failed(*failure),
+        };
+        self.replies.push((pending.call, reply));
+    }
+
+    /// Sends the replies that have been collected.
+    pub(crate) fn send_replies(&mut self, out: &mut Outbox) {
+        if self.replies.is_empty() {
+            return;
+        }
+        let Some(session) = &self.session else { return };
+        let replies = std::mem::take(&mut self.replies);
+        let batch = AgentReplies { session: session.number, replies };
+        out.call_peer(session.leader, PeerRequest::AgentReplies(batch), REPLIES_TIMEOUT);
+    }
+}
+
+impl AgentSession {
+    fn new(number: u64, leader: SocketAddr) -> Self {
+        Self { number, leader, targets: IndexMap::new(), payloads: IndexMap::new() }
+    }
+
+    /// Adds the targets and inputs of a batch.
+    fn learn(&mut self, batch: &AgentBatch) {
+        for target in &batch.targets {
+            let known = self.targets.entry(target.number).or_insert_with(|| SessionTarget {
+                name: target.name.clone(),
+                address: target.address,
+                report: KnownReport::default(),
+            });
+            known.address = target.address;
+        }
+        if self.payloads.len() > MAX_PAYLOADS {
+            self.payloads.drain(..MAX_PAYLOADS / 2);
+        }
+        for (job, payload) in &batch.payloads {
+            self.payloads.entry(*job).or_insert_with(|| payload.clone());
+        }
+    }
+
+    /// Returns the request to the target; `None` if the input of its job is not known.
+    fn target_request(&self, request: AgentRequest, fence: u64) -> Option<TargetRequest> {
+        Some(match request {
+            AgentRequest::Start { run, lease_until_ms, checkpoint, ticket } => {
+                let payload = self.payloads.get(&run.task.job)?.clone();
+                TargetRequest::Start { run, payload, lease_until_ms, fence, checkpoint, ticket }
+            }
+            AgentRequest::Stop { run } => TargetRequest::Stop { run, fence },
+            AgentRequest::Heartbeat { acked_completion, lease_until_ms, wait_ms, .. } => {
+                let wait = Duration::from_millis(wait_ms);
+                TargetRequest::Heartbeat { fence, acked_completion, lease_until_ms, wait }
+            }
+            AgentRequest::Pace { run, percent } => TargetRequest::Pace { run, percent, fence },
+        })
+    }
+}
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/agent_tests.rs
@@ -0,0 +1,161 @@
+//! Tests of the agent.
+
+use std::time::Duration;
+
+use magnoliapin_model::Moment;
+use magnoliapin_site::AgentBatch;
+use magnoliapin_site::AgentCall;
+use magnoliapin_site::AgentReply;
+use magnoliapin_site::AgentRequest;
+use magnoliapin_site::AgentTarget;
+use magnoliapin_site::CallFailure;
+use magnoliapin_site::JobId;
+use magnoliapin_site::PeerReply;
+use magnoliapin_site::PeerRequest;
+use magnoliapin_site::RunId;
+use magnoliapin_site::SiteBounds;
+use magnoliapin_site::TargetName;
+use magnoliapin_site::TargetReply;
+use magnoliapin_site::TaskName;
+
+use super::Agent;
+use crate::outbox::Outbox;
+use crate::CallId;
+use crate::NodeAction;
+use crate::NodeTimes;
+
+fn times() -> NodeTimes {
+    let second = Duration::from_secs(1);
+    NodeTimes::new(&SiteBounds {
+        max_lease: second * 10,
+        stop_grace: second,
+        gang_wait: second,
+        stop_time: second,
+        order_spacing: second * 3,
+        move_time: second,
+        maintenance_time: second,
+        outcome_retention: second,
+        early_start: second,
+        checkpoint_interval: second,
+        restore_time: second,
+        remote_penalty: 1.0,
+        notice_time: second,
+        heartbeat: second,
+        impact_time: second,
+    })
+}
+
+/// A batch with the start of a run, whose target and input it contains.
+fn batch(generation: u64, session: u64, call: u64) -> AgentBatch {
+    let task = TaskName { job: JobId(5), ..TaskName::default() };
+    let run = RunId { task, attempt: 1 };
+    AgentBatch {
+        session,
+        generation,
+        leader: Some("10.1.0.1:7000".parse().expect("an address")),
+        targets: vec![AgentTarget {
+            number: 4,
+            name: TargetName::new("i-4"),
+            address: "10.2.0.4:80".parse().expect("an address"),
+        }],
+        payloads: vec![(JobId(5), "input".to_owned())],
+        calls: vec![AgentCall {
+            call,
+            target: 4,
+            expires_at_ms: 400,
+            request: AgentRequest::Start { run, lease_until_ms: 9, checkpoint: None, ticket: None },
+        }],
+    }
+}
+
+fn handle(
+    agent: &mut Agent,
+    batch: AgentBatch,
+    known_generation: u64,
+    out: &mut Outbox,
+) -> PeerReply {
+    agent.handle_batch(batch, known_generation, &times(), out)
+}
+
+/// Returns the calls to targets among the pending actions.
+fn target_calls(out: &mut Outbox) -> Vec<CallId> {
+    let mut actions = Vec::new();
+    out.take_actions(&mut actions);
+    let calls = actions.into_iter().filter_map(|action| match action {
+        NodeAction::Target { call, .. } => Some(call),
+        _ => None,
+    });
+    calls.collect()
+}
+
+/// Returns the replies that the agent sends.
+fn replies(agent: &mut Agent, out: &mut Outbox) -> Vec<(u64, AgentReply)> {
+    agent.send_replies(out);
+    let mut actions = Vec::new();
+    out.take_actions(&mut actions);
+    match actions.pop() {
+        Some(NodeAction::Peer { request: PeerRequest::AgentReplies(batch), .. }) => batch.replies,
+        _ => Vec::new(),
+    }
+}
+
+#[test]
+fn a_call_is_made_and_its_reply_returned() {
+    let (mut agent, mut out) = (Agent::default(), Outbox::new(1));
+    assert_eq!(handle(&mut agent, batch(2, 1, 77), 2, &mut out), PeerReply::Received);
+    let calls = target_calls(&mut out);
+    assert_eq!(calls.len(), 1);
+    agent.handle_target_reply(calls[0], &TargetReply::Done { clock_ms: 12 });
+    assert_eq!(replies(&mut agent, &mut out), [(77, AgentReply::Done { clock_ms: 12 })]);
+    assert_eq!(replies(&mut agent, &mut out), []);
+}
+
+/// A batch that was delivered late, or handled after a pause of the process, starts nothing.
+#[test]
+fn an_expired_call_is_not_made() {
+    let (mut agent, mut out) = (Agent::default(), Outbox::new(1));
+    out.now = Moment::from_millis(400);
+    handle(&mut agent, batch(2, 1, 77), 2, &mut out);
+    assert_eq!(target_calls(&mut out), []);
+    let not_done = AgentReply::Failed(CallFailure::NotDone);
+    assert_eq!(replies(&mut agent, &mut out), [(77, not_done)]);
+}
+
+/// Neither a leader that another one has replaced at this agent nor one that this node knows to be
+/// replaced starts anything.
+#[test]
+fn calls_of_a_replaced_leader_are_not_made() {
+    let (mut agent, mut out) = (Agent::default(), Outbox::new(1));
+    let fenced = PeerReply::Fenced { generation: 3 };
+    assert_eq!(handle(&mut agent, batch(2, 1, 1), 3, &mut out), fenced);
+    assert_eq!(target_calls(&mut out), []);
+    assert_eq!(handle(&mut agent, batch(3, 1, 1), 0, &mut out), PeerReply::Received);
+    assert_eq!(target_calls(&mut out).len(), 1);
+    assert_eq!(handle(&mut agent, batch(2, 9, 1), 0, &mut out), fenced);
+    assert_eq!(target_calls(&mut out), []);
+}
+
+/// A delayed batch of a session that the leader has given up does not replace the current one.
+#[test]
+fn calls_of_an_earlier_session_are_not_made() {
+    let (mut agent, mut out) = (Agent::default(), Outbox::new(1));
+    handle(&mut agent, batch(2, 5, 1), 2, &mut out);
+    let calls = target_calls(&mut out);
+    assert_eq!(handle(&mut agent, batch(2, 4, 2), 2, &mut out), PeerReply::Refused);
+    assert_eq!(target_calls(&mut out), []);
+    handle(&mut agent, batch(2, 6, 3), 2, &mut out);
+    agent.handle_target_reply(calls[0], &TargetReply::Done { clock_ms: 12 });
+    assert_eq!(replies(&mut agent, &mut out), [], "the call belongs to an earlier session");
+}
+
+/// A restarted agent asks for what it has forgotten instead of making the call.
+#[test]
+fn a_call_without_target_or_input_is_not_made() {
+    let (mut agent, mut out) = (Agent::default(), Outbox::new(1));
+    let without_input = AgentBatch { payloads: Vec::new(), ..batch(2, 1, 1) };
+    handle(&mut agent, without_input, 2, &mut out);
+    let without_target = AgentBatch { targets: Vec::new(), ..batch(2, 2, 2) };
+    handle(&mut agent, without_target, 2, &mut out);
+    assert_eq!(target_calls(&mut out), []);
+    assert_eq!(replies(&mut agent, &mut out), [(2, AgentReply::Missing)]);
+}
--- a/crates/magnoliapin_scheduler/src/client_handler/forward.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler/forward.rs
@@ -107,7 +107,9 @@
                 self.send_to_store(request, out);
                 return Some(false);
             }
-            PeerReply::Pong { .. } => return Some(false),
+            PeerReply::Pong { .. } | PeerReply::Received | PeerReply::Fenced { .. } => {
+                return Some(false);
+            }
         };
         if matches!(client_reply, ClientReply::Accepted) {
             log::info!("event=job_accepted job={} by=scheduler", request.job);
--- a/crates/magnoliapin_scheduler/src/election.rs
+++ b/crates/magnoliapin_scheduler/src/election.rs
@@ -188,10 +188,11 @@
             return true;
         };
         // A restarted process has lost the state of the incarnation that held the lease.
-        let is_same_node = lease.node == self.identity.node;
-        let is_same_incarnation = is_same_node && lease.incarnation == self.identity.incarnation;
+        let is_same_node = lease.node == self.identity.profile.name;
+        let is_same_incarnation =
+            is_same_node && lease.incarnation == self.identity.profile.incarnation;
         // Stronger nodes go first.
-        let is_weaker = self.identity.cpu_milli < lease.cpu_milli;
+        let is_weaker = self.identity.profile.cpu_milli < lease.cpu_milli;
         let delay = if is_weaker { WEAKER_NODE_DELAY } else { Duration::ZERO };
         if lease.is_released || (is_same_node && !is_same_incarnation) {
             return out.now.since(changed_at) >= delay;
@@ -219,7 +220,7 @@
         let threshold = lease.cpu_milli.saturating_mul(STRONGER_NODE_PERCENT) / 100;
         let has_waited =
             self.generation_seen_at.is_some_and(|at| now.since(at) >= STRONGER_NODE_DELAY);
-        self.identity.cpu_milli > threshold && (has_waited || lease.generation == 1)
+        self.identity.profile.cpu_milli > threshold && (has_waited || lease.generation == 1)
     }
 
     fn try_acquire(&mut self, out: &mut Outbox) {
@@ -229,10 +230,10 @@
             .map_or((1, RowVersion(0)), |(lease, version)| (lease.generation + 1, *version));
         let lease = LeaseRow {
             generation,
-            node: self.identity.node.clone(),
-            incarnation: self.identity.incarnation,
-            address: self.identity.address,
-            cpu_milli: self.identity.cpu_milli,
+            node: self.identity.profile.name.clone(),
+            incarnation: self.identity.profile.incarnation,
+            address: self.identity.profile.address,
+            cpu_milli: self.identity.profile.cpu_milli,
             is_released: false,
             waiting_jobs: self.waiting_jobs().to_vec(),
         };
--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -5,11 +5,14 @@
 //! from the store, starts their tasks, and stores each completion before it acknowledges it to the
 //! target.
 
+mod agent_links;
 mod commit;
 mod completions;
+mod delegation;
 mod dispatch;
 mod fleet;
 mod heartbeats;
+mod host_index;
 mod intake;
 mod job;
 mod lease;
@@ -22,7 +25,6 @@
 mod submissions;
 mod target;
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use indexmap::IndexMap;
@@ -33,7 +35,7 @@
 use magnoliapin_site::InstanceName;
 use magnoliapin_site::JobId;
 use magnoliapin_site::JobState;
-use magnoliapin_site::NodeName;
+use magnoliapin_site::NodeProfile;
 use magnoliapin_site::PeerReply;
 use magnoliapin_site::PoolName;
 use magnoliapin_site::QueueName;
@@ -48,8 +50,10 @@
 use magnoliapin_site::TeamName;
 use magnoliapin_site::WaveState;
 
+use self::agent_links::AgentLinks;
 use self::commit::PartitionCommit;
 use self::fleet::Fleet;
+use self::host_index::HostIndex;
 use self::intake::Reload;
 use self::job::Job;
 use self::job::JobKey;
@@ -74,12 +78,7 @@
 /// Identity and limits of the leader.
 #[derive(Clone, Debug)]
 pub(crate) struct LeaderIdentity {
-    pub(crate) node: NodeName,
-    pub(crate) incarnation: u64,
-    /// Address at which other nodes reach it.
-    pub(crate) address: Option<SocketAddr>,
-    /// CPU capacity of the node, in thousandths of a core.
-    pub(crate) cpu_milli: u32,
+    pub(crate) profile: NodeProfile,
     pub(crate) partition_count: u32,
     pub(crate) times: NodeTimes,
     /// Rate limit of orders to instances, per second.
@@ -115,6 +114,7 @@
     pending_cancellations: IndexMap<JobId, Vec<Requester>>,
     targets: IndexMap<TargetKey, Target>,
     target_keys: IndexMap<TargetName, TargetKey>,
+    hosts: HostIndex,
     last_target_key: u64,
     pools: IndexMap<PoolName, Pool>,
     team_use: IndexMap<TeamName, Resources>,
@@ -143,6 +143,7 @@
     unconfirmed_losses: IndexSet<TaskName>,
     /// Starts and stops of runs that are retried at the given moments.
     delayed_orders: Vec<(Moment, TargetKey, TaskName)>,
+    agents: AgentLinks,
     /// Statistics of the jobs of each queue.
     queue_statistics: IndexMap<QueueName, QueueStatistics>,
     fleet: Fleet,
@@ -239,8 +240,10 @@
             config.version
         );
         let partitions = (0..identity.partition_count).map(|_| Partition::default()).collect();
+        let agents = AgentLinks::new(lease.generation, &identity.profile, out.now);
         let mut leader = Self {
             identity,
+            agents,
             generation: lease.generation,
             acquired_at: out.now,
             confirmed_at: lease.requested_at,
@@ -259,6 +262,7 @@
             pending_cancellations: IndexMap::new(),
             targets: IndexMap::new(),
             target_keys: IndexMap::new(),
+            hosts: HostIndex::default(),
             last_target_key: 0,
             pools: IndexMap::new(),
             team_use: IndexMap::new(),
@@ -316,6 +320,7 @@
             return;
         }
         self.poll_watches(out);
+        self.poll_agents(out);
         self.poll_occurrences(out);
         self.send_due_heartbeats(out);
         self.check_targets(out);
@@ -331,6 +336,7 @@
             self.poll_orders(out);
             self.record_assignments(out);
             self.poll_commits(out);
+            self.agents.send_batches(out);
         }
     }
 
--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -70,6 +70,8 @@
     next_plan_at: Moment,
     /// Times of the orders within the last second.
     recent_orders: Vec<Moment>,
+    /// Orders that the service had not accepted at the last plan, and those planned since.
+    unaccepted_orders: usize,
     /// Orders that are not recorded in the store yet.
     planned_orders: Vec<PlannedOrder>,
     /// When each instance was given its last order.
@@ -137,6 +139,7 @@
             pages: 0,
             next_plan_at: now,
             recent_orders: Vec::new(),
+            unaccepted_orders: 0,
             planned_orders: Vec::new(),
             ordered_at: IndexMap::new(),
             inherited_pauses: IndexMap::new(),
@@ -190,6 +193,9 @@
 
     fn plan_fleet(&mut self, out: &mut Outbox) {
         let before = std::mem::take(&mut self.fleet.reserved);
+        let unaccepted =
+            self.fleet.instances.values().filter(|instance| instance.has_unaccepted_order());
+        self.fleet.unaccepted_orders = unaccepted.count();
         self.measure_demand(out.now);
         self.evacuate_draining(out);
         self.plan_waves(out);
@@ -296,7 +302,7 @@
     /// Resolves the previous incarnations on an instance that have ended: those of other targets
     /// than the one that it hosts now, as it hosts one at a time, and all if it runs nothing.
     fn resolve_ended_incarnations(&mut self, record: &InstanceRecord) {
-        if self.fleet.list_started_at < self.acquired_at {
+        if self.previous_incarnations.is_empty() || self.fleet.list_started_at < self.acquired_at {
             return;
         }
         let runs_nothing = self.runs_nothing(record);
@@ -334,19 +340,15 @@
     fn check_host(&mut self, record: &InstanceRecord, out: &mut Outbox) {
         let runs_nothing = self.runs_nothing(record);
         let has_ended = |target: &Target| {
-            let is_here = target.record.instance.as_ref() == Some(&record.name);
             let hosts_other =
                 record.target.as_ref().is_some_and(|hosted| *hosted != target.record.name);
             // A list that was requested before the target registered may not show it yet.
             let is_newer_than_list = target.discovered_at >= self.fleet.list_started_at;
-            is_here && !is_newer_than_list && (hosts_other || runs_nothing)
+            !is_newer_than_list && (hosts_other || runs_nothing)
         };
-        let ended: Vec<TargetKey> = self
-            .targets
-            .iter()
-            .filter(|(_, target)| has_ended(target))
-            .map(|(key, _)| *key)
-            .collect();
+        let hosted = self.hosts.targets_of(&record.name).iter().copied();
+        let ended: Vec<TargetKey> =
+            hosted.filter(|key| self.targets.get(key).is_some_and(has_ended)).collect();
         for key in ended {
             self.remove_target(key, TargetLoss::OtherLife, out);
         }
@@ -385,18 +387,14 @@
     fn has_order_budget(&mut self, now: Moment) -> bool {
         self.fleet.recent_orders.retain(|at| now.since(*at) < Duration::from_secs(1));
         let rate = self.identity.instance_orders_per_s;
-        let unaccepted = self
-            .fleet
-            .instances
-            .values()
-            .filter(|instance| instance.has_unaccepted_order())
-            .count();
-        (self.fleet.recent_orders.len() as f64) < rate && unaccepted < MAX_UNACCEPTED_ORDERS
+        (self.fleet.recent_orders.len() as f64) < rate
+            && self.fleet.unaccepted_orders < MAX_UNACCEPTED_ORDERS
     }
 
     /// Plans an order, which is sent once it is recorded in the store.
     fn plan_order(&mut self, name: &InstanceName, kind: OrderKind, out: &mut Outbox) {
-        let sender = OrderSender { node: self.identity.node.clone(), fence: self.generation };
+        let sender =
+            OrderSender { node: self.identity.profile.name.clone(), fence: self.generation };
         let Some(instance) = self.fleet.instances.get_mut(name) else { return };
         log::info!(
             "event=instance_ordered instance={name} kind={kind:?} pool={} state={:?}",
@@ -404,6 +402,7 @@
             instance.record.state
         );
         instance.order = Some(FleetOrder { kind: kind.clone(), accepted_at: None });
+        self.fleet.unaccepted_orders += 1;
         self.fleet.recent_orders.push(out.now);
         self.fleet.ordered_at.insert(name.clone(), out.now);
         let instance = name.clone();
@@ -484,9 +483,8 @@
 
     /// Returns the target that an instance hosts: the one that started last.
     fn hosted_target(&self, name: &InstanceName) -> Option<TargetKey> {
-        let hosted =
-            self.targets.iter().filter(|(_, target)| target.record.instance.as_ref() == Some(name));
-        hosted.max_by_key(|(_, target)| target.started_at()).map(|(key, _)| *key)
+        let hosted = self.hosts.targets_of(name).iter().copied();
+        hosted.max_by_key(|key| self.targets.get(key).map(Target::started_at))
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -36,6 +36,9 @@
 impl Leader {
     /// Sends the heartbeats that are due.
     pub(super) fn send_due_heartbeats(&mut self, out: &mut Outbox) {
+        if self.is_waiting_for_agents(out.now) {
+            return;
+        }
         let due: Vec<TargetKey> = self
             .targets
             .iter()
@@ -363,28 +366,6 @@
             self.drop_run(key, task, out);
         }
     }
-
-    /// Sends a request to a target. Returns `None` if the target is not known.
-    pub(super) fn call_target(
-        &mut self,
-        key: TargetKey,
-        kind: TargetCall,
-        request: TargetRequest,
-        timeout: Duration,
-        out: &mut Outbox,
-    ) -> Option<crate::CallId> {
-        let target = self.targets.get(&key)?;
-        let call = out.next_call();
-        out.push(crate::NodeAction::Target {
-            call,
-            target: target.record.name.clone(),
-            address: target.record.address,
-            request,
-            timeout,
-        });
-        self.target_calls.insert(call, kind);
-        Some(call)
-    }
 }
 
 impl Target {
@@ -408,7 +389,6 @@
             placed_at: now,
             confirmed_at: Some(now),
             percent: reported.percent,
-            progressed_at: now,
             unconfirmed_starts: 0,
             estimate_ms: 0,
         }
@@ -420,10 +400,7 @@
             self.stage = RunStage::Running;
         }
         self.confirmed_at.get_or_insert(now);
-        if reported.percent != self.percent {
-            self.percent = reported.percent;
-            self.progressed_at = now;
-        }
+        self.percent = reported.percent;
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -55,10 +55,10 @@
         }
         let lease = LeaseRow {
             generation: self.generation,
-            node: self.identity.node.clone(),
-            incarnation: self.identity.incarnation,
-            address: self.identity.address,
-            cpu_milli: self.identity.cpu_milli,
+            node: self.identity.profile.name.clone(),
+            incarnation: self.identity.profile.incarnation,
+            address: self.identity.profile.address,
+            cpu_milli: self.identity.profile.cpu_milli,
             is_released: self.renewal.is_releasing,
             waiting_jobs: self.waiting_jobs.clone(),
         };
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -337,7 +337,6 @@
             placed_at: out.now,
             confirmed_at: None,
             percent: 0,
-            progressed_at: out.now,
             unconfirmed_starts: 0,
             estimate_ms: spec.estimate_ms,
         };
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -109,6 +109,8 @@
             );
         }
         target.missing_since = None;
+        self.hosts.remove(target.record.instance.as_ref(), key);
+        self.hosts.add(record.instance.as_ref(), key);
         target.record = record;
         let pool = target.record.pool.clone();
         self.mark_for_dispatch(&pool);
@@ -137,6 +139,8 @@
         let mut next = Target::new(record, out.now);
         next.has_row = target.has_row;
         let before = std::mem::replace(target, next);
+        self.hosts.remove(before.record.instance.as_ref(), key);
+        self.hosts.add(target.record.instance.as_ref(), key);
         if before.record.pool != target.record.pool {
             let pool = target.record.pool.clone();
             if let Some(pool) = self.pools.get_mut(&before.record.pool) {
@@ -176,21 +180,18 @@
         let key = TargetKey(self.last_target_key);
         self.target_keys.insert(record.name.clone(), key);
         self.pools.entry(record.pool.clone()).or_default().targets.insert(key);
+        self.hosts.add(record.instance.as_ref(), key);
         self.targets.insert(key, Target::new(record, out.now));
     }
 
     /// Removes the targets that an instance hosted before the one in `record`.
     fn remove_predecessors(&mut self, record: &TargetRecord, out: &mut Outbox) {
         let Some(instance) = &record.instance else { return };
-        let earlier: Vec<TargetKey> = self
-            .targets
-            .iter()
-            .filter(|(_, target)| {
-                target.record.instance.as_ref() == Some(instance)
-                    && target.started_at() < record.started_at
-            })
-            .map(|(key, _)| *key)
-            .collect();
+        let is_earlier = |key: &TargetKey| {
+            self.targets.get(key).is_some_and(|target| target.started_at() < record.started_at)
+        };
+        let hosted = self.hosts.targets_of(instance).iter().copied();
+        let earlier: Vec<TargetKey> = hosted.filter(is_earlier).collect();
         for key in earlier {
             self.remove_target(key, TargetLoss::OtherLife, out);
         }
@@ -200,6 +201,7 @@
     pub(super) fn remove_target(&mut self, key: TargetKey, loss: TargetLoss, out: &mut Outbox) {
         let Some(target) = self.targets.swap_remove(&key) else { return };
         let name = target.record.name.clone();
+        self.hosts.remove(target.record.instance.as_ref(), key);
         log::info!("event=target_gone target={name} runs={} why={loss:?}", target.runs.len());
         self.target_keys.swap_remove(&name);
         if let Some(pool) = self.pools.get_mut(&target.record.pool) {
--- a/crates/magnoliapin_scheduler/src/leader/submissions.rs
+++ b/crates/magnoliapin_scheduler/src/leader/submissions.rs
@@ -53,7 +53,8 @@
         request: PeerRequest,
         out: &mut Outbox,
     ) {
-        if matches!(request, PeerRequest::Ping) {
+        if let PeerRequest::Ping { profile, clock_ms } = request {
+            self.record_ping(profile, clock_ms, out);
             let generation = self.generation;
             return self.send_reply(requester, PeerReply::Pong { generation }, out);
         }
@@ -61,7 +62,11 @@
             return self.send_reply(requester, PeerReply::NotLeader, out);
         }
         match request {
-            PeerRequest::Ping => {}
+            PeerRequest::AgentReplies(replies) => {
+                self.handle_agent_replies(replies, out);
+                self.send_reply(requester, PeerReply::Received, out);
+            }
+            PeerRequest::Ping { .. } | PeerRequest::AgentCalls(_) => {}
             PeerRequest::Submit { job, row, timeout_ms } => {
                 let deadline = out.now + Duration::from_millis(timeout_ms);
                 self.handle_submit_request(requester, job, row, deadline, out);
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -125,8 +125,6 @@
     /// When the target confirmed an order about it, or reported it.
     pub(crate) confirmed_at: Option<Moment>,
     pub(crate) percent: u32,
-    /// When its progress last changed.
-    pub(crate) progressed_at: Moment,
     /// Starts of it that may have been executed without confirmation.
     pub(crate) unconfirmed_starts: u32,
     /// Run time that the client estimated, in milliseconds; 0 if there is no estimate.
--- a/crates/magnoliapin_scheduler/src/lib.rs
+++ b/crates/magnoliapin_scheduler/src/lib.rs
@@ -4,9 +4,11 @@
 //! carries them out: over sockets in production, over fakes in virtual time in tests. Every node
 //! serves clients; the node that holds the lease in the store is the leader and also schedules.
 
+mod agent;
 mod client_handler;
 mod election;
 mod event;
+mod known_report;
 mod leader;
 mod machine;
 mod outbox;
--- a/crates/magnoliapin_scheduler/src/machine.rs
+++ b/crates/magnoliapin_scheduler/src/machine.rs
@@ -4,6 +4,7 @@
 use magnoliapin_model::Moment;
 use magnoliapin_site::ClientRequest;
 use magnoliapin_site::InstanceReply;
+use magnoliapin_site::NodeProfile;
 use magnoliapin_site::NodeSettings;
 use magnoliapin_site::PeerReply;
 use magnoliapin_site::PeerRequest;
@@ -11,6 +12,7 @@
 use magnoliapin_site::TargetReply;
 use rand::Rng;
 
+use crate::agent::Agent;
 use crate::client_handler::ClientHandler;
 use crate::client_handler::LeaderLocation;
 use crate::election::AcquiredLease;
@@ -38,6 +40,7 @@
     client_handler: ClientHandler,
     peer_link: PeerLink,
     leader: Option<Box<Leader>>,
+    agent: Agent,
     is_stopping: bool,
     was_ready: bool,
 }
@@ -48,10 +51,14 @@
         let mut out = Outbox::new(seed);
         let times = NodeTimes::new(&settings.bounds);
         let identity = LeaderIdentity {
-            node: settings.name.clone(),
-            address: settings.peer_listen,
-            cpu_milli: settings.cpu_milli,
-            incarnation: out.random.random(),
+            profile: NodeProfile {
+                name: settings.name.clone(),
+                zone: settings.zone.clone(),
+                address: settings.peer_listen,
+                incarnation: out.random.random(),
+                cpu_milli: settings.cpu_milli,
+                link_kbps: settings.link_kbps,
+            },
             partition_count: settings.store_limits.partition_count(),
             times,
             instance_orders_per_s: settings.instance_orders_per_s,
@@ -63,6 +70,7 @@
             peer_link: PeerLink::default(),
             client_handler: ClientHandler::new(identity.partition_count),
             leader: None,
+            agent: Agent::default(),
             is_stopping: false,
             was_ready: false,
             identity,
@@ -123,6 +131,7 @@
         if let Some(leader) = &mut self.leader {
             leader.finish_batch(&mut self.out);
         }
+        self.agent.send_replies(&mut self.out);
         self.apply_leader_update();
         self.out.take_actions(actions);
     }
@@ -139,7 +148,7 @@
                 // The previous leader may never answer.
                 self.client_handler.resend_to_store(&mut self.out);
             }
-            self.peer_link.poll(&mut self.out);
+            self.peer_link.poll(&self.identity.profile, &mut self.out);
         }
         self.update_leader_location();
         self.client_handler.tick(&mut self.out);
@@ -190,8 +199,12 @@
     }
 
     fn handle_target_reply(&mut self, call: CallId, reply: &TargetReply) {
-        if let Some(leader) = &mut self.leader {
-            leader.handle_target_reply(call, reply, &mut self.out);
+        let is_handled = self
+            .leader
+            .as_mut()
+            .is_some_and(|leader| leader.handle_target_reply(call, reply, &mut self.out));
+        if !is_handled {
+            self.agent.handle_target_reply(call, reply);
         }
         self.step_down_if_deposed();
     }
@@ -274,6 +287,13 @@
             }
             return;
         }
+        let is_handled = self
+            .leader
+            .as_mut()
+            .is_some_and(|leader| leader.handle_agent_reply(call, &reply, &mut self.out));
+        if is_handled {
+            return self.step_down_if_deposed();
+        }
         if self.client_handler.handle_peer_reply(call, reply, &mut self.out) == Some(false) {
             self.peer_link.record_failure();
             self.update_leader_location();
@@ -281,9 +301,17 @@
     }
 
     fn handle_peer_request(&mut self, peer: PeerId, request: PeerRequest) {
+        if let PeerRequest::AgentCalls(batch) = request {
+            let times = self.identity.times;
+            let own_generation = self.leader.as_ref().map_or(0, |leader| leader.generation());
+            let generation = self.election.generation().max(own_generation);
+            let reply = self.agent.handle_batch(batch, generation, &times, &mut self.out);
+            return self.out.push(NodeAction::ReplyToPeer(peer, reply));
+        }
         match &mut self.leader {
             Some(leader) => {
                 leader.handle_peer_request(Requester::Peer(peer), request, &mut self.out);
+                self.step_down_if_deposed();
             }
             None => self.out.push(NodeAction::ReplyToPeer(peer, PeerReply::NotLeader)),
         }
--- a/crates/magnoliapin_scheduler/src/peer_link.rs
+++ b/crates/magnoliapin_scheduler/src/peer_link.rs
@@ -5,6 +5,7 @@
 
 use magnoliapin_model::Moment;
 use magnoliapin_site::CallFailure;
+use magnoliapin_site::NodeProfile;
 use magnoliapin_site::PeerReply;
 use magnoliapin_site::PeerRequest;
 
@@ -61,14 +62,15 @@
         self.failed_pings >= UNRESPONSIVE_AFTER_PINGS
     }
 
-    /// Sends a ping when one is due.
-    pub(crate) fn poll(&mut self, out: &mut Outbox) {
+    /// Sends a ping when one is due, with the profile of this node.
+    pub(crate) fn poll(&mut self, profile: &NodeProfile, out: &mut Outbox) {
         let Some(address) = self.address else { return };
         if self.ping_call.is_some() || out.now < self.next_ping_at {
             return;
         }
         self.next_ping_at = out.now + PING_INTERVAL;
-        self.ping_call = Some(out.call_peer(address, PeerRequest::Ping, PING_TIMEOUT));
+        let ping = PeerRequest::Ping { profile: profile.clone(), clock_ms: out.now.0 / 1000 };
+        self.ping_call = Some(out.call_peer(address, ping, PING_TIMEOUT));
     }
 
     /// Handles a reply. Returns whether it answers a ping.
--- a/crates/magnoliapin_scheduler/tests/soak/main.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/main.rs
@@ -23,8 +23,16 @@
 
 /// Simulates one seed and returns the violated invariants.
 fn run_seed(seed: u64, longest_fault_ms: u64, has_fleet: bool) -> Vec<String> {
+    run_world(World::new(seed, longest_fault_ms, has_fleet, false))
+}
+
+/// Simulates one seed in which the leader has other nodes call the targets.
+fn run_seed_with_agents(seed: u64, has_fleet: bool) -> Vec<String> {
+    run_world(World::new(seed, LONGEST_FAULT_MS, has_fleet, true))
+}
+
+fn run_world(mut world: World) -> Vec<String> {
     log_printer::install();
-    let mut world = World::new(seed, longest_fault_ms, has_fleet);
     world.run();
     world.take_violations()
 }
@@ -58,6 +66,30 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// The same where agents make the leader's calls to targets.
+#[test]
+fn invariants_hold_with_agents() {
+    let mut violations = Vec::new();
+    for seed in seeds() {
+        for violation in run_seed_with_agents(seed, false) {
+            violations.push(format!("seed {seed}: {violation}"));
+        }
+    }
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
+/// The same with agents, a maintenance wave, and instances that move.
+#[test]
+fn invariants_hold_with_agents_while_instances_move() {
+    let mut violations = Vec::new();
+    for seed in seeds() {
+        for violation in run_seed_with_agents(seed, true) {
+            violations.push(format!("seed {seed}: {violation}"));
+        }
+    }
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 /// Guards against the bugs that these seeds have found.
 #[test]
 fn previously_failed_seeds_pass() {
--- a/crates/magnoliapin_scheduler/tests/soak/site.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/site.rs
@@ -42,14 +42,21 @@
     Resources { cpu_milli: 16_000, memory_mb: 32_768, accelerators: 0 }
 }
 
-pub(crate) fn settings(node: usize) -> NodeSettings {
+/// CPU of a node that can call all targets itself, in thousandths of a core.
+const STRONG_NODE_CPU_MILLI: u32 = 250;
+/// CPU of a node that needs agents to call the targets.
+const WEAK_NODE_CPU_MILLI: u32 = 12;
+
+/// Returns the settings of a node; with `has_agents`, the leader has other nodes call the targets.
+pub(crate) fn settings(node: usize, has_agents: bool) -> NodeSettings {
     NodeSettings {
         name: NodeName::new(&format!("node-{node}")),
         zone: ZoneName::new(&format!("zone-{}", node % ZONES)),
         client_listen: "127.0.0.1:1".parse().expect("an address"),
         ready_listen: "127.0.0.1:2".parse().expect("an address"),
         peer_listen: Some(node_address(node)),
-        cpu_milli: 250,
+        cpu_milli: if has_agents { WEAK_NODE_CPU_MILLI } else { STRONG_NODE_CPU_MILLI },
+        link_kbps: 1_000_000,
         store: "127.0.0.1:3".parse().expect("an address"),
         instances: None,
         advice: None,
--- a/crates/magnoliapin_scheduler/tests/soak/world.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/world.rs
@@ -120,6 +120,10 @@
     /// Last number given to an event, a watch, a heartbeat or a peer call.
     pub(crate) last_id: u64,
     pub(crate) nodes: Vec<SimulatedNode>,
+    /// Whether the leader has other nodes call the targets.
+    has_agents: bool,
+    /// Calls to targets that leaders have passed to agents.
+    agent_calls: usize,
     pub(crate) store: FakeStore,
     pub(crate) targets: Vec<FakeTarget>,
     /// When each target last reached the store.
@@ -137,13 +141,15 @@
 }
 
 impl World {
-    pub(crate) fn new(seed: u64, longest_fault_ms: u64, has_fleet: bool) -> Self {
+    pub(crate) fn new(seed: u64, longest_fault_ms: u64, has_fleet: bool, has_agents: bool) -> Self {
         let mut world = Self {
             now: Moment::START,
             random: Pcg64Mcg::seed_from_u64(seed),
             event_queue: BTreeMap::new(),
             last_id: 0,
             nodes: Vec::new(),
+            has_agents,
+            agent_calls: 0,
             store: FakeStore::default(),
             targets: Vec::new(),
             last_renewals: Vec::new(),
@@ -213,7 +219,8 @@
         simulated_node.incarnation += 1;
         simulated_node.started_at = self.now;
         simulated_node.pending_calls.clear();
-        simulated_node.machine = Some(NodeMachine::new(&site::settings(node), seed));
+        simulated_node.machine =
+            Some(NodeMachine::new(&site::settings(node, self.has_agents), seed));
         let incarnation = simulated_node.incarnation;
         self.schedule_after(Duration::ZERO, Event::Tick(node, incarnation));
     }
@@ -258,6 +265,9 @@
         if self.checker.starts < 100 {
             violations.push(format!("only {} runs were started", self.checker.starts));
         }
+        if self.has_agents != (self.agent_calls > 0) {
+            violations.push(format!("agents were passed {} calls", self.agent_calls));
+        }
         violations.truncate(5);
         violations
     }
@@ -409,6 +419,9 @@
                 }
             }
             NodeAction::Peer { call, address, request, timeout } => {
+                if let PeerRequest::AgentCalls(batch) = &request {
+                    self.agent_calls += batch.calls.len();
+                }
                 self.nodes[node].pending_calls.insert(call);
                 self.schedule_after(
                     timeout,
--- a/crates/magnoliapin_site/src/lib.rs
+++ b/crates/magnoliapin_site/src/lib.rs
@@ -8,6 +8,7 @@
 //! and from the HTTP interface of the platform that the site runs on.
 
 mod advice_message;
+mod agent_message;
 mod client_message;
 mod instance_message;
 mod job_id;
@@ -26,6 +27,15 @@
 pub use advice_message::AdviceReply;
 pub use advice_message::AdviceRequest;
 pub use advice_message::AllowedTargets;
+pub use agent_message::AgentBatch;
+pub use agent_message::AgentCall;
+pub use agent_message::AgentReplies;
+pub use agent_message::AgentReply;
+pub use agent_message::AgentRequest;
+pub use agent_message::AgentTarget;
+pub use agent_message::NodeProfile;
+pub use agent_message::ReportUpdate;
+pub use agent_message::RunChange;
 pub use client_message::ClientAction;
 pub use client_message::ClientReply;
 pub use client_message::ClientRequest;
--- a/crates/magnoliapin_site/src/node_settings.rs
+++ b/crates/magnoliapin_site/src/node_settings.rs
@@ -21,6 +21,8 @@
     pub peer_listen: Option<SocketAddr>,
     /// CPU capacity, in thousandths of a core.
     pub cpu_milli: u32,
+    /// Bandwidth of its network link, in kilobits per second.
+    pub link_kbps: u64,
     /// Address of the store.
     pub store: SocketAddr,
     /// Address of the instance service, which moves and maintains instances; `None` if the site has
--- a/crates/magnoliapin_site/src/peer_message.rs
+++ b/crates/magnoliapin_site/src/peer_message.rs
@@ -1,16 +1,24 @@
-//! Requests of other nodes to the leader, and its replies.
+//! Requests between nodes, and their replies.
 
 use magnoliapin_model::plain_data;
 
+use crate::AgentBatch;
+use crate::AgentReplies;
 use crate::CallFailure;
 use crate::JobId;
 use crate::JobState;
+use crate::NodeProfile;
 
 plain_data! {
-    /// A request to the leader.
+    /// A request to the leader, or of the leader to an agent.
     pub enum PeerRequest {
-        /// Checks that the leader is reachable.
-        Ping,
+        /// Checks that the leader is reachable, and offers the node as an agent.
+        Ping {
+            /// The node that sends it.
+            profile: NodeProfile,
+            /// Its clock, in milliseconds since the start of its process.
+            clock_ms: u64,
+        },
         /// Stores a job.
         Submit {
             /// The job.
@@ -24,9 +32,13 @@
         Read(JobId),
         /// Cancels a job.
         Cancel(JobId),
+        /// Asks an agent to make calls to targets.
+        AgentCalls(AgentBatch),
+        /// Returns the replies of targets to the leader.
+        AgentReplies(AgentReplies),
     }
 
-    /// A reply to a request to the leader.
+    /// A reply to a request of another node.
     #[derive(Copy, Eq)]
     pub enum PeerReply {
         /// The node is the leader.
@@ -34,6 +46,13 @@
             /// Generation of its lease.
             generation: u64,
         },
+        /// The batch was received.
+        Received,
+        /// The agent obeys a newer leader and has made no call.
+        Fenced {
+            /// Generation of that leader.
+            generation: u64,
+        },
         /// The job is stored.
         Accepted,
         /// State of the job; a final one is stored.
--- a/crates/magnoliapin_site/src/target_message.rs
+++ b/crates/magnoliapin_site/src/target_message.rs
@@ -91,7 +91,7 @@
 }
 
 /// Why a target refused a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartRefusal {
     /// The target has accepted a leader with a higher generation.
     Fenced,
@@ -123,7 +123,7 @@
 }
 
 /// A run in progress.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningTask {
     /// The run.
     pub run: RunId,
@@ -136,7 +136,7 @@
 }
 
 /// Completion of a run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunCompletion {
     /// Number of the completion, from 1 in each incarnation of the target.
     pub number: u64,
@@ -149,7 +149,7 @@
 }
 
 /// Outcome of a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunOutcome {
     /// The run succeeded.
     Done,
