Expect run times by regression on the clients' estimates

Cause: the average ratio of run time to estimate is twice too high where estimates are off by factors (trial: the pool of seat-hold expected 487 instances of work, 217 were in use), so pools took twice the instances. Change: the expected run time is a power of the estimate, fitted per queue, and scaled so that expected and observed times add up to the same.

--- a/crates/magnoliapin_scheduler/src/leader/queue_statistics.rs
+++ b/crates/magnoliapin_scheduler/src/leader/queue_statistics.rs
@@ -5,18 +5,40 @@
 use magnoliapin_site::JobSpec;
 use magnoliapin_site::StepSpec;
 
+#[cfg(test)]
+#[path = "queue_statistics_tests.rs"]
+mod tests;
+
 /// Weight of a new observation in the exponential moving averages.
 const SMOOTHING_FACTOR: f64 = 0.05;
 /// Expected run time of a task whose client gave no estimate.
 const DEFAULT_RUN_TIME: Duration = Duration::from_secs(1);
-/// Bounds of an observed ratio of run time to estimate, which limit the influence of outliers.
-const RATIO_BOUNDS: (f64, f64) = (0.2, 5.0);
+/// Upper bound of an expected run time, in seconds.
+const MAX_RUN_SECONDS: f64 = 86_400.0;
+/// Number of observations whose weight the initial assumption, that estimates are exact, has.
+const PRIOR_RUNS: f64 = 20.0;
+/// Variance of the logarithm of the estimates in the initial assumption.
+const PRIOR_VARIANCE: f64 = 0.25;
 
 /// Moving averages of the jobs of a queue.
+///
+/// Load pattern: clients' estimates are off by factors, in both directions. A run that was
+/// estimated as long is then, on average, shorter than estimated, and one that was estimated as
+/// short is longer. So the expected run time is a power of the estimate, whose exponent is the
+/// regression of the logarithms, and it is scaled so that the expected times of all runs add up to
+/// the observed ones: the size of a pool follows that sum.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct QueueStatistics {
-    /// Moving average of the ratio of run times to their estimates.
-    run_time_ratio: f64,
+    /// Number of observed runs.
+    runs: f64,
+    /// Averages of the logarithms of estimate and run time, and of their products.
+    log_estimate: f64,
+    log_run_time: f64,
+    log_estimate_square: f64,
+    log_product: f64,
+    /// Averages of run times, and of the expected run times before they are scaled, in seconds.
+    run_time: f64,
+    unscaled_run_time: f64,
     /// Moving average of the work of a job, in core-seconds by its estimates; 0 before the first
     /// job.
     mean_work: f64,
@@ -24,19 +46,64 @@
 
 impl Default for QueueStatistics {
     fn default() -> Self {
-        Self { run_time_ratio: 1.0, mean_work: 0.0 }
+        Self {
+            runs: 0.0,
+            log_estimate: 0.0,
+            log_run_time: 0.0,
+            log_estimate_square: PRIOR_VARIANCE,
+            log_product: PRIOR_VARIANCE,
+            run_time: 1.0,
+            unscaled_run_time: 1.0,
+            mean_work: 0.0,
+        }
     }
 }
 
 impl QueueStatistics {
     /// Records the run time of a run that has succeeded.
     pub(crate) fn record_run(&mut self, estimate_ms: u64, run_time: Duration) {
+        /// Shortest run time that is told apart, in seconds.
+        const MIN_SECONDS: f64 = 0.01;
         if estimate_ms == 0 {
             return;
         }
-        let ratio = run_time.as_secs_f64() * 1000.0 / estimate_ms as f64;
-        let ratio = ratio.clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1);
-        self.run_time_ratio += SMOOTHING_FACTOR * (ratio - self.run_time_ratio);
+        let estimate = estimate_ms as f64 / 1000.0;
+        let seconds = run_time.as_secs_f64().max(MIN_SECONDS);
+        let (log_estimate, log_run_time) = (estimate.ln(), seconds.ln());
+        if self.runs == 0.0 {
+            // Centres the initial assumption on the first run.
+            self.log_estimate = log_estimate;
+            self.log_run_time = log_estimate;
+            self.log_estimate_square = log_estimate * log_estimate + PRIOR_VARIANCE;
+            self.log_product = self.log_estimate_square;
+            self.run_time = estimate;
+            self.unscaled_run_time = estimate;
+        }
+        self.runs += 1.0;
+        let weight = (1.0 / (self.runs + PRIOR_RUNS)).max(SMOOTHING_FACTOR / 10.0);
+        let unscaled = self.unscaled(estimate);
+        let average = |average: &mut f64, value: f64| *average += weight * (value - *average);
+        average(&mut self.log_estimate, log_estimate);
+        average(&mut self.log_run_time, log_run_time);
+        average(&mut self.log_estimate_square, log_estimate * log_estimate);
+        average(&mut self.log_product, log_estimate * log_run_time);
+        average(&mut self.run_time, seconds);
+        average(&mut self.unscaled_run_time, unscaled);
+    }
+
+    /// Returns the exponent of the estimate in the expected run time: 1 if estimates are exact, 0 if
+    /// they say nothing.
+    fn exponent(&self) -> f64 {
+        let variance = self.log_estimate_square - self.log_estimate * self.log_estimate;
+        let covariance = self.log_product - self.log_estimate * self.log_run_time;
+        if variance <= f64::EPSILON {
+            return 1.0;
+        }
+        (covariance / variance).clamp(0.0, 1.0)
+    }
+
+    fn unscaled(&self, estimate: f64) -> f64 {
+        (self.log_run_time + self.exponent() * (estimate.ln() - self.log_estimate)).exp()
     }
 
     /// Records the work of an accepted job.
@@ -54,7 +121,12 @@
         if step.estimate_ms == 0 {
             return DEFAULT_RUN_TIME;
         }
-        Duration::from_millis(step.estimate_ms).mul_f64(self.run_time_ratio)
+        let estimate = step.estimate_ms as f64 / 1000.0;
+        if self.runs == 0.0 {
+            return Duration::from_secs_f64(estimate);
+        }
+        let scale = self.run_time / self.unscaled_run_time;
+        Duration::from_secs_f64((self.unscaled(estimate) * scale).min(MAX_RUN_SECONDS))
     }
 
     /// Returns the expected work of steps, in core-seconds.
