Give instances to work that can be in time before backlog

Change: the planner of moves is a function of the pools' states. Pools are filled for work that can be in time first; a pool that holds instances only for backlog stops giving some of them new work while others lack instances; backlog gets what no pool needs.

--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/decisions.rs
@@ -0,0 +1,5 @@
+//! Decisions about load as functions of plain inputs, without calls, clocks or stored state.
+//!
+//! Each module states the load pattern that it answers; its tests replay that pattern.
+
+pub(crate) mod pool_moves;
--- a/crates/magnoliapin_scheduler/src/leader/dispatch.rs
+++ b/crates/magnoliapin_scheduler/src/leader/dispatch.rs
@@ -118,6 +118,11 @@
         rank
     }
 
+    /// Returns whether a job can still finish in time, or is long-running.
+    pub(super) fn can_be_in_time(&self, job: &Job, now: Moment) -> bool {
+        self.rank(job, now).class <= RankClass::InTime
+    }
+
     /// Updates the run time estimate of a queue from a successful run.
     pub(super) fn record_run_time(&mut self, run: &Run, out: &Outbox) {
         let Some(started_at) = run.confirmed_at else { return };
--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -85,6 +85,8 @@
     demand: IndexMap<PoolName, PoolDemand>,
     /// Targets that get no new work because their instances are to be moved or maintained.
     reserved: IndexSet<TargetKey>,
+    /// Instances that get no new work because another pool needs them.
+    released: IndexSet<InstanceName>,
 }
 
 /// An instance and its order in progress.
@@ -147,6 +149,7 @@
             waves: IndexMap::new(),
             demand: IndexMap::new(),
             reserved: IndexSet::new(),
+            released: IndexSet::new(),
         }
     }
 
--- a/crates/magnoliapin_scheduler/src/leader/fleet/moves.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/moves.rs
@@ -3,13 +3,18 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use magnoliapin_model::Moment;
 use magnoliapin_site::InstanceName;
 use magnoliapin_site::InstanceState;
 use magnoliapin_site::PoolName;
 use magnoliapin_site::Resources;
+use magnoliapin_site::TargetState;
 
 use super::OrderKind;
+use super::MAX_UNACCEPTED_ORDERS;
+use crate::decisions::pool_moves::plan_pool_moves;
+use crate::decisions::pool_moves::PoolState;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
 
@@ -21,132 +26,99 @@
 /// an instance on standby saves the cost of a move.
 const SURPLUS_TIME: Duration = Duration::from_millis(1_500);
 
-/// Instances that a pool has and needs.
-#[derive(Clone, Debug, Default)]
-struct PoolBalance {
-    /// Number of instances that it has or that are moving to it.
-    instances: usize,
-    desired: usize,
-    /// Instances without runs, which can be moved at once.
-    idle: Vec<InstanceName>,
-}
-
 impl Leader {
     /// Orders moves of instances to pools that lack them, and of surplus instances to standby.
     pub(super) fn plan_moves(&mut self, out: &mut Outbox) {
-        let Some(standby) = self.standby_pool() else { return };
-        let mut balances = self.pool_balances(out.now);
-        let neediest_pool = |balances: &IndexMap<PoolName, PoolBalance>| {
-            let lacking = balances
-                .iter()
-                .filter(|(name, balance)| **name != standby && balance.desired > balance.instances);
-            // The pool that lacks the largest share of its need comes first.
-            lacking
-                .max_by(|(_, left), (_, right)| left.shortage().total_cmp(&right.shortage()))
-                .map(|(name, _)| name.clone())
-        };
-        while let Some(pool) = neediest_pool(&balances) {
-            if !self.may_order(out.now) || !self.has_order_budget(out.now) {
-                return;
-            }
-            let Some((from, instance)) = take_idle_instance(&mut balances, &standby) else { break };
-            self.plan_order(&instance, OrderKind::Move(pool.clone()), out);
-            if let Some(balance) = balances.get_mut(&from) {
-                balance.instances -= 1;
-            }
-            if let Some(balance) = balances.get_mut(&pool) {
-                balance.instances += 1;
-            }
+        if !self.config.pools.values().any(|rule| rule.is_standby) || !self.may_order(out.now) {
+            return;
         }
-        self.move_surplus_to_standby(&balances, &standby, out);
-    }
-
-    /// Orders moves to standby of idle instances that their pools have not needed for
-    /// [`SURPLUS_TIME`].
-    fn move_surplus_to_standby(
-        &mut self,
-        balances: &IndexMap<PoolName, PoolBalance>,
-        standby: &PoolName,
-        out: &mut Outbox,
-    ) {
-        for (pool, balance) in balances {
-            if pool == standby {
-                continue;
-            }
-            let surplus = balance.instances.saturating_sub(balance.desired);
-            let now = out.now;
-            let since =
-                self.fleet.demand.entry(pool.clone()).or_default().update_surplus(surplus > 0, now);
-            if surplus == 0 || since.is_none_or(|since| now.since(since) < SURPLUS_TIME) {
-                continue;
-            }
-            for instance in balance.idle.iter().take(surplus) {
-                if !self.may_order(now) || !self.has_order_budget(now) {
-                    return;
-                }
-                self.plan_order(instance, OrderKind::Move(standby.clone()), out);
+        let states = self.pool_states(out.now);
+        let plan = plan_pool_moves(states, self.order_budget(out.now));
+        for moved in plan.moves {
+            self.plan_order(&moved.instance, OrderKind::Move(moved.pool), out);
+        }
+        let released: IndexSet<InstanceName> = plan.released.into_iter().collect();
+        for name in &released {
+            if let Some(key) = self.hosted_target(name) {
+                self.fleet.reserved.insert(key);
             }
         }
+        self.fleet.released = released;
     }
 
-    fn standby_pool(&self) -> Option<PoolName> {
-        let mut pools = self.config.pools.iter();
-        pools.find(|(_, rule)| rule.is_standby).map(|(name, _)| name.clone())
-    }
-
-    fn pool_balances(&self, now: Moment) -> IndexMap<PoolName, PoolBalance> {
-        let mut balances: IndexMap<PoolName, PoolBalance> = IndexMap::new();
-        for pool in self.config.pools.keys() {
-            balances.insert(pool.clone(), PoolBalance::default());
+    fn pool_states(&mut self, now: Moment) -> Vec<PoolState> {
+        let mut states: IndexMap<PoolName, PoolState> = IndexMap::new();
+        for (name, rule) in &self.config.pools {
+            let state = PoolState {
+                name: name.clone(),
+                is_standby: rule.is_standby,
+                ..PoolState::default()
+            };
+            states.insert(name.clone(), state);
         }
         let mut capacity = Resources::NONE;
+        let mut busy: IndexMap<&PoolName, Vec<(bool, u32, &InstanceName)>> = IndexMap::new();
         for (name, instance) in &self.fleet.instances {
             capacity = capacity.component_max(instance.record.capacity);
             let pool = match instance.order.as_ref().map(|order| &order.kind) {
                 Some(OrderKind::Move(pool)) => pool,
                 _ => &instance.record.pool,
             };
-            let Some(balance) = balances.get_mut(pool) else { continue };
+            let Some(state) = states.get_mut(pool) else { continue };
             if instance.record.state == InstanceState::Down && instance.order.is_none() {
                 continue;
             }
-            balance.instances += 1;
-            if instance.accepts_orders(now) && self.is_vacant(name) {
-                balance.idle.push(name.clone());
+            state.instances += 1;
+            if !instance.accepts_orders(now) {
+                continue;
+            }
+            if self.is_vacant(name) {
+                state.idle.push(name.clone());
+            } else if let Some(used) = self.releasable_use(name) {
+                // Those that were released before stay so, as they will be idle soonest.
+                let is_new = !self.fleet.released.contains(name);
+                busy.entry(pool).or_default().push((is_new, used, name));
             }
         }
-        for (pool, balance) in &mut balances {
-            let demand = self.fleet.demand.get(pool).copied().unwrap_or_default();
-            let needed = demand.needed().instances(capacity) / USABLE_SHARE;
-            let needed = needed.max(f64::from(demand.min_instances)) + f64::from(demand.evacuating);
-            balance.desired = (needed + SPARE_INSTANCES).ceil() as usize;
+        for (pool, mut instances) in busy {
+            instances.sort_unstable();
+            let names = instances.into_iter().map(|(_, _, name)| name.clone());
+            states[pool].releasable = names.collect();
+        }
+        for (name, state) in &mut states {
+            let demand = self.fleet.demand.entry(name.clone()).or_default();
+            let evacuating = f64::from(demand.evacuating);
+            let min_instances = f64::from(demand.min_instances);
+            let instances = |amount: f64| {
+                let needed = (amount / USABLE_SHARE).max(min_instances);
+                (needed + evacuating + SPARE_INSTANCES).ceil() as usize
+            };
+            state.needed = instances(demand.needed_in_time().instances(capacity));
+            state.needed_with_backlog = instances(demand.needed().instances(capacity));
+            let has_surplus = state.instances > state.needed_with_backlog;
+            let since = demand.update_surplus(has_surplus, now);
+            state.has_lasting_surplus = since.is_some_and(|at| now.since(at) >= SURPLUS_TIME);
         }
-        balances
+        states.into_values().collect()
     }
-}
 
-impl PoolBalance {
-    fn shortage(&self) -> f64 {
-        let missing = self.desired.saturating_sub(self.instances) as f64;
-        missing / self.desired.max(1) as f64
+    /// Returns the CPU in use on an instance that can be kept from new work until it is idle; `None`
+    /// if its tasks do not end by themselves or it is leaving anyway.
+    fn releasable_use(&self, name: &InstanceName) -> Option<u32> {
+        let key = self.hosted_target(name)?;
+        let target = self.targets.get(&key)?;
+        let ends_by_itself = !target.runs.values().any(|run| run.is_long_running);
+        let is_free = target.record.state == TargetState::Ready
+            && !self.fleet.reserved.contains(&key)
+            && target.has_reported;
+        (ends_by_itself && is_free).then_some(target.used.cpu_milli)
     }
-}
 
-/// Removes and returns an idle instance from standby, or else from the pool with the largest
-/// surplus.
-fn take_idle_instance(
-    balances: &mut IndexMap<PoolName, PoolBalance>,
-    standby: &PoolName,
-) -> Option<(PoolName, InstanceName)> {
-    if let Some(instance) = balances.get_mut(standby).and_then(|balance| balance.idle.pop()) {
-        return Some((standby.clone(), instance));
+    /// Returns how many orders may be given now.
+    fn order_budget(&mut self, now: Moment) -> usize {
+        self.fleet.recent_orders.retain(|at| now.since(*at) < Duration::from_secs(1));
+        let rate = self.identity.instance_orders_per_s as usize;
+        let by_rate = rate.saturating_sub(self.fleet.recent_orders.len());
+        by_rate.min(MAX_UNACCEPTED_ORDERS.saturating_sub(self.fleet.unaccepted_orders))
     }
-    let surplus = |balance: &PoolBalance| balance.instances.saturating_sub(balance.desired);
-    let (name, balance) = balances
-        .iter_mut()
-        .filter(|(name, balance)| {
-            *name != standby && surplus(balance) > 0 && !balance.idle.is_empty()
-        })
-        .max_by_key(|(_, balance)| surplus(balance))?;
-    balance.idle.pop().map(|instance| (name.clone(), instance))
 }
--- a/crates/magnoliapin_scheduler/src/leader/fleet/pool_demand.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/pool_demand.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use magnoliapin_model::Moment;
 use magnoliapin_site::JobSpec;
 use magnoliapin_site::PoolName;
 use magnoliapin_site::Resources;
 
+use crate::leader::job::JobKey;
 use crate::leader::queue_statistics::QueueStatistics;
 use crate::leader::Leader;
 
@@ -23,6 +25,8 @@
     decayed_at: Moment,
     /// Resources of all running and waiting tasks.
     current: Amount,
+    /// Share of `current` that can be in time, long-running tasks included.
+    in_time: Amount,
     /// Share of `current` that belongs to long-running tasks.
     long_running: Amount,
     /// Number of instances that the anti-affinity of the tasks requires.
@@ -88,14 +92,23 @@
         self.surplus_since
     }
 
-    /// Returns the need of the pool: the larger of the current demand and the demand expected if
-    /// jobs keep arriving at the same rate.
+    /// Returns the need of the pool for all work: the larger of the current demand and the demand
+    /// expected if jobs keep arriving at the same rate.
     pub(super) fn needed(&self) -> Amount {
-        let future = Amount {
+        self.expected().component_max(self.current)
+    }
+
+    /// Returns the need of the pool for work that can be in time.
+    pub(super) fn needed_in_time(&self) -> Amount {
+        self.expected().component_max(self.in_time)
+    }
+
+    /// Returns the demand that is expected if jobs keep arriving at the same rate.
+    fn expected(&self) -> Amount {
+        Amount {
             cpu_milli: self.arriving.cpu_milli + self.long_running.cpu_milli,
             memory_mb: self.arriving.memory_mb + self.long_running.memory_mb,
-        };
-        future.component_max(self.current)
+        }
     }
 }
 
@@ -103,6 +116,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct CurrentDemand {
     all: Amount,
+    in_time: Amount,
     long_running: Amount,
     min_instances: u32,
     evacuating: u32,
@@ -124,11 +138,17 @@
 
     /// Measures the running and waiting tasks of each pool.
     pub(super) fn measure_demand(&mut self, now: Moment) {
+        let open = self.jobs.iter().filter(|(_, job)| job.final_state.is_none());
+        let can_be_in_time: IndexSet<JobKey> =
+            open.filter(|(_, job)| self.can_be_in_time(job, now)).map(|(key, _)| *key).collect();
         let mut current: IndexMap<PoolName, CurrentDemand> = IndexMap::new();
         for target in self.targets.values() {
             let pool = current.entry(target.record.pool.clone()).or_default();
             for run in target.runs.values() {
                 pool.all.add(run.demand, 1.0);
+                if run.job.is_some_and(|job| can_be_in_time.contains(&job)) {
+                    pool.in_time.add(run.demand, 1.0);
+                }
                 if run.is_long_running {
                     pool.long_running.add(run.demand, 1.0);
                 }
@@ -136,12 +156,16 @@
             let has_long_running = target.runs.values().any(|run| run.is_long_running);
             pool.evacuating += u32::from(target.is_reserved && has_long_running);
         }
-        for job in self.jobs.values().filter(|job| job.final_state.is_none()) {
+        for (key, job) in self.jobs.iter().filter(|(_, job)| job.final_state.is_none()) {
+            let is_in_time = can_be_in_time.contains(key);
             let pool = current.entry(job.pool.clone()).or_default();
             for occurrence in &job.occurrences {
                 for (spec, step) in job.spec.steps.iter().zip(&occurrence.steps) {
                     if step.is_open && step.waiting > 0 {
                         pool.all.add(spec.demand, f64::from(step.waiting));
+                        if is_in_time {
+                            pool.in_time.add(spec.demand, f64::from(step.waiting));
+                        }
                         if spec.long_running {
                             pool.long_running.add(spec.demand, f64::from(step.waiting));
                         }
@@ -155,10 +179,12 @@
         }
         for demand in self.fleet.demand.values_mut() {
             (demand.min_instances, demand.evacuating) = (0, 0);
+            (demand.current, demand.in_time, demand.long_running) = Default::default();
         }
         for (pool, current) in current {
             let demand = self.fleet.demand.entry(pool).or_default();
             demand.current = current.all;
+            demand.in_time = current.in_time;
             demand.long_running = current.long_running;
             demand.min_instances = current.min_instances;
             demand.evacuating = current.evacuating;
--- a/crates/magnoliapin_scheduler/src/lib.rs
+++ b/crates/magnoliapin_scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod agent;
 mod client_handler;
+mod decisions;
 mod election;
 mod event;
 mod known_report;
