Detect lost replies of busy targets sooner

Change: a heartbeat of a target with tasks that end by themselves waits 400 ms and times out 300 ms later (2 s and 700 ms), the first repetition follows at once, and the first try of a start times out after 150 ms. Repeating either has no effect at the target if the first call was carried out.

--- a/crates/magnoliapin_scheduler/src/agent.rs
+++ b/crates/magnoliapin_scheduler/src/agent.rs
@@ -26,7 +26,6 @@
 use crate::outbox::Outbox;
 use crate::CallId;
 use crate::NodeAction;
-use crate::NodeTimes;
 
 #[cfg(test)]
 #[path = "agent_tests.rs"]
@@ -81,7 +80,6 @@
         &mut self,
         batch: AgentBatch,
         known_generation: u64,
-        times: &NodeTimes,
         out: &mut Outbox,
     ) -> PeerReply {
         let newest = known_generation.max(self.generation);
@@ -113,13 +111,13 @@
         };
         session.learn(&batch);
         for call in batch.calls {
-            self.make_call(call, batch.generation, times, out);
+            self.make_call(call, batch.generation, out);
         }
         PeerReply::Received
     }
 
     /// Makes a call, or adds the reply to one that cannot be made.
-    fn make_call(&mut self, call: AgentCall, generation: u64, times: &NodeTimes, out: &mut Outbox) {
+    fn make_call(&mut self, call: AgentCall, generation: u64, out: &mut Outbox) {
         let Some(session) = &self.session else { return };
         let expires_at = Moment::from_millis(call.expires_at_ms);
         if out.now >= expires_at {
@@ -136,8 +134,8 @@
             return self.replies.push((call.call, AgentReply::Missing));
         };
         let timeout = match &request {
-            TargetRequest::Heartbeat { wait, .. } => *wait + times.reply_slack,
-            _ => times.order_timeout.min(expires_at.since(out.now)),
+            TargetRequest::Heartbeat { .. } => Duration::from_millis(call.timeout_ms),
+            _ => Duration::from_millis(call.timeout_ms).min(expires_at.since(out.now)),
         };
         let id = out.next_call();
         out.push(NodeAction::Target {
--- a/crates/magnoliapin_scheduler/src/agent_tests.rs
+++ b/crates/magnoliapin_scheduler/src/agent_tests.rs
@@ -1,7 +1,5 @@
 //! Tests of the agent.
 
-use std::time::Duration;
-
 use magnoliapin_model::Moment;
 use magnoliapin_site::AgentBatch;
 use magnoliapin_site::AgentCall;
@@ -13,7 +11,6 @@
 use magnoliapin_site::PeerReply;
 use magnoliapin_site::PeerRequest;
 use magnoliapin_site::RunId;
-use magnoliapin_site::SiteBounds;
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetReply;
 use magnoliapin_site::TaskName;
@@ -22,28 +19,6 @@
 use crate::outbox::Outbox;
 use crate::CallId;
 use crate::NodeAction;
-use crate::NodeTimes;
-
-fn times() -> NodeTimes {
-    let second = Duration::from_secs(1);
-    NodeTimes::new(&SiteBounds {
-        max_lease: second * 10,
-        stop_grace: second,
-        gang_wait: second,
-        stop_time: second,
-        order_spacing: second * 3,
-        move_time: second,
-        maintenance_time: second,
-        outcome_retention: second,
-        early_start: second,
-        checkpoint_interval: second,
-        restore_time: second,
-        remote_penalty: 1.0,
-        notice_time: second,
-        heartbeat: second,
-        impact_time: second,
-    })
-}
 
 /// A batch with the start of a run, whose target and input it contains.
 fn batch(generation: u64, session: u64, call: u64) -> AgentBatch {
@@ -63,6 +38,7 @@
             call,
             target: 4,
             expires_at_ms: 400,
+            timeout_ms: 200,
             request: AgentRequest::Start { run, lease_until_ms: 9, checkpoint: None, ticket: None },
         }],
     }
@@ -74,7 +50,7 @@
     known_generation: u64,
     out: &mut Outbox,
 ) -> PeerReply {
-    agent.handle_batch(batch, known_generation, &times(), out)
+    agent.handle_batch(batch, known_generation, out)
 }
 
 /// Returns the calls to targets among the pending actions.
--- a/crates/magnoliapin_scheduler/src/leader/agent_links.rs
+++ b/crates/magnoliapin_scheduler/src/leader/agent_links.rs
@@ -459,6 +459,7 @@
             call: call.call.0,
             target: number,
             expires_at_ms,
+            timeout_ms: u64::try_from(call.timeout.as_millis()).unwrap_or(u64::MAX),
             request,
         });
         let outstanding = OutstandingCall {
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -65,13 +65,18 @@
             && target.is_same_incarnation
             && target.unstored.is_empty()
             && target.failed_heartbeats == 0;
-        let wait = if may_wait { times.heartbeat_wait } else { Duration::ZERO };
+        let is_busy = target.runs.values().any(|run| !run.is_long_running);
+        let (longest_wait, slack) = match is_busy {
+            true => (times.busy_heartbeat_wait, times.busy_reply_slack),
+            false => (times.heartbeat_wait, times.reply_slack),
+        };
+        let wait = if may_wait { longest_wait } else { Duration::ZERO };
         let may_extend = target.failed_heartbeats == 0;
         let lease_until_ms =
             if may_extend { target.next_lease(out.now, confirmed_at, &times) } else { None };
         let acked_completion = if target.is_same_incarnation { target.acked_completion } else { 0 };
         let request = TargetRequest::Heartbeat { fence, acked_completion, lease_until_ms, wait };
-        let timeout = wait + times.reply_slack;
+        let timeout = wait + slack;
         let call =
             self.call_target(key, TargetCall::Heartbeat(key, out.now), request, timeout, out);
         if let Some((target, call)) = self.targets.get_mut(&key).zip(call) {
@@ -108,7 +113,10 @@
                 }
                 target.failed_heartbeats += 1;
                 target.is_same_incarnation = false;
-                target.heartbeat = HeartbeatState::Pausing(out.now + FAILED_HEARTBEAT_PAUSE);
+                // A single lost reply is made up for at once.
+                let is_first = target.failed_heartbeats == 1;
+                let pause = if is_first { Duration::ZERO } else { FAILED_HEARTBEAT_PAUSE };
+                target.heartbeat = HeartbeatState::Pausing(out.now + pause);
                 if target.failed_heartbeats == 1 {
                     // The instance list may show that its instance is out of service.
                     self.fleet.list_soon(out.now);
--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -41,7 +41,10 @@
         };
         let request =
             TargetRequest::Start { run, payload, lease_until_ms, fence, checkpoint, ticket: None };
-        self.call_target(key, TargetCall::Start(key, run), request, times.order_timeout, out);
+        let state = target.runs.get(&run.task);
+        let is_first = state.is_some_and(|state| state.unconfirmed_starts == 0);
+        let timeout = if is_first { times.first_start_timeout } else { times.order_timeout };
+        self.call_target(key, TargetCall::Start(key, run), request, timeout, out);
     }
 
     /// Handles the reply to a start.
--- a/crates/magnoliapin_scheduler/src/machine.rs
+++ b/crates/magnoliapin_scheduler/src/machine.rs
@@ -302,10 +302,9 @@
 
     fn handle_peer_request(&mut self, peer: PeerId, request: PeerRequest) {
         if let PeerRequest::AgentCalls(batch) = request {
-            let times = self.identity.times;
             let own_generation = self.leader.as_ref().map_or(0, |leader| leader.generation());
             let generation = self.election.generation().max(own_generation);
-            let reply = self.agent.handle_batch(batch, generation, &times, &mut self.out);
+            let reply = self.agent.handle_batch(batch, generation, &mut self.out);
             return self.out.push(NodeAction::ReplyToPeer(peer, reply));
         }
         match &mut self.leader {
--- a/crates/magnoliapin_scheduler/src/times.rs
+++ b/crates/magnoliapin_scheduler/src/times.rs
@@ -23,8 +23,15 @@
     pub max_lease: Duration,
     /// How long a target may wait for a completion before it replies to a heartbeat.
     pub heartbeat_wait: Duration,
+    /// The same while it has tasks that end by themselves. It is shorter, because their
+    /// completions are only learned from the next heartbeat if this one is lost.
+    pub busy_heartbeat_wait: Duration,
+    /// Time that a reply to a heartbeat of such a target may take beyond the requested wait.
+    pub busy_reply_slack: Duration,
     /// Time after which an order to a target fails.
     pub order_timeout: Duration,
+    /// The same for the first try of a start, which can be repeated without effect.
+    pub first_start_timeout: Duration,
     /// Maximum time that a target takes to stop a run.
     pub stop_grace: Duration,
     /// How long a registration may be missing while its target still replies.
@@ -49,7 +56,10 @@
             task_lease: (bounds.heartbeat * 4).min(bounds.max_lease),
             max_lease: bounds.max_lease,
             heartbeat_wait: Duration::from_millis(2_000).min(bounds.max_lease / 4),
+            busy_heartbeat_wait: Duration::from_millis(400),
+            busy_reply_slack: Duration::from_millis(300),
             order_timeout: Duration::from_millis(400),
+            first_start_timeout: Duration::from_millis(150),
             stop_grace: bounds.stop_grace,
             registration_grace: Duration::from_millis(2_500),
             order_spacing: bounds.order_spacing,
--- a/crates/magnoliapin_site/src/agent_message.rs
+++ b/crates/magnoliapin_site/src/agent_message.rs
@@ -77,6 +77,8 @@
         /// Time on the agent's clock after which the call must not be made, in milliseconds since
         /// the start of its process.
         pub expires_at_ms: u64,
+        /// Time within which the target must answer, in milliseconds.
+        pub timeout_ms: u64,
         /// The request.
         pub request: AgentRequest,
     }
