Follow the rise of a queue with a forecast of its arrivals

Cause: an average over one second shows 39 % of a new rate after half a second, and an instance takes another 1.5 s to join, so the first seconds of each peak were late. Only 24 orders could wait to be accepted at a time, at a service that takes 310 a second. Change: a fast average counts as far as enough jobs support it, and its rise over the slow one is taken to go on. The number of waiting orders follows the rate of the service.

--- a/crates/magnoliapin_scheduler/src/decisions.rs
+++ b/crates/magnoliapin_scheduler/src/decisions.rs
@@ -2,4 +2,6 @@
 //!
 //! Each module states the load pattern that it answers; its tests replay that pattern.
 
+pub(crate) mod amount;
+pub(crate) mod arrival_forecast;
 pub(crate) mod pool_moves;
--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -50,8 +50,10 @@
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(900);
 /// Pause of an instance after an order that was refused or got no reply.
 const ORDER_PAUSE: Duration = Duration::from_millis(400);
-/// Orders that may wait for the service to accept them at the same time.
-const MAX_UNACCEPTED_ORDERS: usize = 24;
+/// Orders that may always wait for the service to accept them at the same time.
+const MIN_UNACCEPTED_ORDERS: usize = 24;
+/// Time for which orders at the full rate may wait for the service to accept them.
+const UNACCEPTED_ORDERS_TIME: Duration = Duration::from_millis(200);
 
 /// The instances, their orders and the maintenance waves.
 #[derive(Debug)]
@@ -391,7 +393,7 @@
         self.fleet.recent_orders.retain(|at| now.since(*at) < Duration::from_secs(1));
         let rate = self.identity.instance_orders_per_s;
         (self.fleet.recent_orders.len() as f64) < rate
-            && self.fleet.unaccepted_orders < MAX_UNACCEPTED_ORDERS
+            && self.fleet.unaccepted_orders < max_unaccepted_orders(rate)
     }
 
     /// Plans an order, which is sent once it is recorded in the store.
@@ -491,6 +493,11 @@
     }
 }
 
+/// Returns how many orders may wait to be accepted by a service that takes `rate` of them a second.
+fn max_unaccepted_orders(rate: f64) -> usize {
+    ((rate * UNACCEPTED_ORDERS_TIME.as_secs_f64()) as usize).max(MIN_UNACCEPTED_ORDERS)
+}
+
 impl FleetInstance {
     fn has_unaccepted_order(&self) -> bool {
         self.order.as_ref().is_some_and(|order| order.accepted_at.is_none())
--- a/crates/magnoliapin_scheduler/src/leader/fleet/moves.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/moves.rs
@@ -11,8 +11,9 @@
 use magnoliapin_site::Resources;
 use magnoliapin_site::TargetState;
 
+use super::max_unaccepted_orders;
 use super::OrderKind;
-use super::MAX_UNACCEPTED_ORDERS;
+
 use crate::decisions::pool_moves::plan_pool_moves;
 use crate::decisions::pool_moves::PoolState;
 use crate::leader::Leader;
@@ -117,8 +118,8 @@
     /// Returns how many orders may be given now.
     fn order_budget(&mut self, now: Moment) -> usize {
         self.fleet.recent_orders.retain(|at| now.since(*at) < Duration::from_secs(1));
-        let rate = self.identity.instance_orders_per_s as usize;
-        let by_rate = rate.saturating_sub(self.fleet.recent_orders.len());
-        by_rate.min(MAX_UNACCEPTED_ORDERS.saturating_sub(self.fleet.unaccepted_orders))
+        let rate = self.identity.instance_orders_per_s;
+        let by_rate = (rate as usize).saturating_sub(self.fleet.recent_orders.len());
+        by_rate.min(max_unaccepted_orders(rate).saturating_sub(self.fleet.unaccepted_orders))
     }
 }
--- a/crates/magnoliapin_scheduler/src/leader/fleet/pool_demand.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/pool_demand.rs
@@ -1,28 +1,21 @@
 //! Measures the demand of the pools.
 
-use std::time::Duration;
-
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use magnoliapin_model::Moment;
 use magnoliapin_site::JobSpec;
 use magnoliapin_site::PoolName;
-use magnoliapin_site::Resources;
 
+use crate::decisions::amount::Amount;
+use crate::decisions::arrival_forecast::ArrivalForecast;
 use crate::leader::job::JobKey;
 use crate::leader::queue_statistics::QueueStatistics;
 use crate::leader::Leader;
 
-/// Time constant of the average of arriving work: long enough for several jobs, and shorter than
-/// the time in which a surge must be served.
-const ARRIVAL_TIME_CONSTANT: Duration = Duration::from_millis(1_000);
-
 /// Demand of a pool.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct PoolDemand {
-    /// Exponential average of the resources that arriving work will occupy.
-    arriving: Amount,
-    decayed_at: Moment,
+    arriving: ArrivalForecast,
     /// Resources of all running and waiting tasks.
     current: Amount,
     /// Share of `current` that can be in time, long-running tasks included.
@@ -37,52 +30,15 @@
     surplus_since: Option<Moment>,
 }
 
-/// Processor, in thousandths of a core, and memory, in mebibytes, as fractional numbers.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Amount {
-    pub(super) cpu_milli: f64,
-    pub(super) memory_mb: f64,
-}
-
-impl Amount {
-    fn add(&mut self, demand: Resources, times: f64) {
-        self.cpu_milli += f64::from(demand.cpu_milli) * times;
-        self.memory_mb += f64::from(demand.memory_mb) * times;
-    }
-
-    fn component_max(self, other: Self) -> Self {
-        Self {
-            cpu_milli: self.cpu_milli.max(other.cpu_milli),
-            memory_mb: self.memory_mb.max(other.memory_mb),
-        }
-    }
-
-    /// Returns how many instances of a capacity the amount fills.
-    pub(super) fn instances(self, capacity: Resources) -> f64 {
-        let cpu = self.cpu_milli / f64::from(capacity.cpu_milli.max(1));
-        let memory = self.memory_mb / f64::from(capacity.memory_mb.max(1));
-        cpu.max(memory)
-    }
-}
-
 impl PoolDemand {
     /// Adds the work of an arriving job.
     fn add_arrival(&mut self, spec: &JobSpec, statistics: &QueueStatistics, now: Moment) {
-        self.decay(now);
+        let mut work = Amount::default();
         for step in &spec.steps {
             let seconds = statistics.run_time(step).as_secs_f64();
-            let times = f64::from(step.tasks) * seconds / ARRIVAL_TIME_CONSTANT.as_secs_f64();
-            self.arriving.add(step.demand, times);
+            work.add(step.demand, f64::from(step.tasks) * seconds);
         }
-    }
-
-    fn decay(&mut self, now: Moment) {
-        let elapsed =
-            now.since(self.decayed_at).as_secs_f64() / ARRIVAL_TIME_CONSTANT.as_secs_f64();
-        let factor = (-elapsed).exp();
-        self.arriving.cpu_milli *= factor;
-        self.arriving.memory_mb *= factor;
-        self.decayed_at = now;
+        self.arriving.add(work, now);
     }
 
     /// Records whether the pool has more instances than it needs. Returns since when it has.
@@ -105,10 +61,7 @@
 
     /// Returns the demand that is expected if jobs keep arriving at the same rate.
     fn expected(&self) -> Amount {
-        Amount {
-            cpu_milli: self.arriving.cpu_milli + self.long_running.cpu_milli,
-            memory_mb: self.arriving.memory_mb + self.long_running.memory_mb,
-        }
+        self.arriving.expected().plus(self.long_running)
     }
 }
 
@@ -190,7 +143,7 @@
             demand.evacuating = current.evacuating;
         }
         for demand in self.fleet.demand.values_mut() {
-            demand.decay(now);
+            demand.arriving.update(now);
         }
     }
 }
