Bound run times and factors of clients and operators, and test the node's connections

Cause: a job of 256 steps with the longest possible estimate, or a factor that is negative or not a number, overflowed a duration. The panic would have ended the leader and each of its successors. Change: expected run times, factors and their products are bounded. The node's frames, its pool of connections and the peer server get tests: damaged frames, calls past their deadline after a pause, unused connections.

--- a/crates/magnoliapin_node/src/call_pool.rs
+++ b/crates/magnoliapin_node/src/call_pool.rs
@@ -20,6 +20,10 @@
 use crate::clock::NodeClock;
 use crate::connection::Connection;
 
+#[cfg(test)]
+#[path = "call_pool_tests.rs"]
+mod tests;
+
 /// Maximum number of open connections to one address.
 const MAX_CONNECTIONS: usize = 8;
 /// Time after which an unused connection is closed; longer than the pause between two heartbeats
--- /dev/null
+++ b/crates/magnoliapin_node/src/call_pool_tests.rs
@@ -0,0 +1,80 @@
+//! Tests of the pool of connections.
+
+use std::io::Read;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use magnoliapin_model::Moment;
+use magnoliapin_site::CallFailure;
+use magnoliapin_site::HttpCall;
+use smol::LocalExecutor;
+use smol::Timer;
+
+use super::CallPool;
+use crate::call_deadlines::CallDeadlines;
+use crate::clock::NodeClock;
+
+/// Longest time that a test waits for a call.
+const TEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A process that was paused between the decision and the call must not send an order whose time
+/// has passed: the tick that expires the call's deadline runs only afterwards.
+#[test]
+fn a_call_past_its_deadline_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let executor = Rc::new(LocalExecutor::new());
+    let pool = CallPool::new(Rc::clone(&executor), CallDeadlines::default(), NodeClock::new());
+    let call = HttpCall { method: "POST", path: "/start".to_owned(), ..HttpCall::default() };
+    let result = smol::block_on(executor.run(async {
+        let call = async { Some(pool.call(address, call, Moment::START).await) };
+        let timeout = async {
+            Timer::after(TEST_TIMEOUT).await;
+            None
+        };
+        call.or(timeout).await
+    }));
+    assert_eq!(result, Some(Err(CallFailure::NotDone)));
+    drop(pool);
+    let (mut stream, _) = listener.accept().expect("the connection of the call");
+    stream.set_read_timeout(Some(Duration::from_millis(200))).expect("a timeout");
+    let mut received = Vec::new();
+    // Ends with a reset, an end of the stream or a timeout.
+    let _ = stream.read_to_end(&mut received);
+    assert_eq!(received, []);
+}
+
+#[test]
+fn unused_connections_are_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the connection of the call");
+        let mut request = [0; 1024];
+        let _ = stream.read(&mut request);
+        let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        std::io::Write::write_all(&mut stream, response).expect("the response is sent");
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a timeout");
+        let mut rest = Vec::new();
+        // The connection is reset, as its linger time is zero.
+        stream.read_to_end(&mut rest).map_err(|error| error.kind())
+    });
+    let executor = Rc::new(LocalExecutor::new());
+    let clock = NodeClock::new();
+    let pool = CallPool::new(Rc::clone(&executor), CallDeadlines::default(), clock);
+    let call = HttpCall { method: "GET", path: "/".to_owned(), ..HttpCall::default() };
+    smol::block_on(executor.run(async {
+        let deadline = clock.now() + TEST_TIMEOUT;
+        assert!(pool.call(address, call, deadline).await.is_ok());
+        pool.close_idle(clock.now() + Duration::from_secs(1));
+        assert_eq!(pool.endpoints.borrow()[&address].idle.len(), 1);
+        pool.close_idle(clock.now() + Duration::from_secs(20));
+        assert!(pool.endpoints.borrow().is_empty());
+        // Lets the task of the connection end.
+        Timer::after(Duration::from_millis(50)).await;
+    }));
+    let end = server.join().expect("the server ends");
+    assert!(!matches!(end, Err(std::io::ErrorKind::WouldBlock)), "the connection stayed open");
+}
--- a/crates/magnoliapin_node/src/peer_server.rs
+++ b/crates/magnoliapin_node/src/peer_server.rs
@@ -20,6 +20,10 @@
 
 use crate::frame;
 
+#[cfg(test)]
+#[path = "peer_server_tests.rs"]
+mod tests;
+
 /// Delay after an accept error, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum number of replies queued on a connection; further replies are dropped.
--- a/crates/magnoliapin_scheduler/src/agent_tests.rs
+++ b/crates/magnoliapin_scheduler/src/agent_tests.rs
@@ -14,6 +14,9 @@
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetReply;
 use magnoliapin_site::TaskName;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 
 use super::Agent;
 use crate::outbox::Outbox;
@@ -135,3 +138,28 @@
     assert_eq!(target_calls(&mut out), []);
     assert_eq!(replies(&mut agent, &mut out), [(2, AgentReply::Missing)]);
 }
+
+/// Whatever a damaged frame decodes to, it costs no more than its own calls.
+#[test]
+fn damaged_batches_do_no_harm() {
+    let mut random = Pcg64Mcg::seed_from_u64(9);
+    let good = postcard::to_allocvec(&batch(2, 1, 77)).expect("a batch can be encoded");
+    let mut decoded = 0;
+    for _ in 0..20_000 {
+        let mut bytes = good.clone();
+        for _ in 0..random.random_range(1..4) {
+            let position = random.random_range(0..bytes.len());
+            bytes[position] = random.random();
+        }
+        bytes.truncate(random.random_range(bytes.len() / 2..=bytes.len()));
+        let Ok(damaged) = postcard::from_bytes::<AgentBatch>(&bytes) else { continue };
+        decoded += 1;
+        let (mut agent, mut out) = (Agent::default(), Outbox::new(1));
+        handle(&mut agent, damaged, 2, &mut out);
+        for call in target_calls(&mut out) {
+            agent.handle_target_reply(call, &TargetReply::OtherIncarnation);
+        }
+        replies(&mut agent, &mut out);
+    }
+    assert!(decoded > 100, "{decoded} damaged batches were decoded");
+}
--- a/crates/magnoliapin_scheduler/src/known_report_tests.rs
+++ b/crates/magnoliapin_scheduler/src/known_report_tests.rs
@@ -2,6 +2,7 @@
 
 use magnoliapin_model::UnixMillis;
 use magnoliapin_site::JobId;
+use magnoliapin_site::RunChange;
 use magnoliapin_site::RunCompletion;
 use magnoliapin_site::RunId;
 use magnoliapin_site::RunOutcome;
@@ -124,3 +125,20 @@
     let update = sender.replace(&report(100), 2);
     assert_eq!(update.changed.len(), 1);
 }
+
+/// Updates that do not fit the report are rejected or applied without a panic.
+#[test]
+fn damaged_updates_do_no_harm() {
+    let mut random = Pcg64Mcg::seed_from_u64(5);
+    for _ in 0..5_000 {
+        let mut receiver = KnownReport::default();
+        let mut sender = KnownReport::default();
+        let mut last = 0;
+        receiver.apply(sender.replace(&random_report(&mut random, &mut last), 0));
+        let mut update = sender.replace(&random_report(&mut random, &mut last), 1);
+        update.base = random.random_range(0..3);
+        update.removed.push(random.random());
+        update.changed.push((random.random_range(0..20), RunChange::default()));
+        receiver.apply(update);
+    }
+}
--- a/crates/magnoliapin_scheduler/src/leader/dispatch.rs
+++ b/crates/magnoliapin_scheduler/src/leader/dispatch.rs
@@ -18,6 +18,11 @@
 use crate::leader::target::Run;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
+use crate::rows::JobRule;
+
+#[cfg(test)]
+#[path = "dispatch_tests.rs"]
+mod tests;
 
 /// Order in which jobs get their tasks started.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -142,19 +147,25 @@
     now: Moment,
 ) -> RankClass {
     let ideal = critical_path(&job.spec, statistics, |_| true);
-    let allowed =
-        ideal.mul_f64(job.rule.stretch_factor) + Duration::from_millis(job.rule.target_latency_ms);
+    let allowed = allowed_time(ideal, &job.rule);
     let remaining = critical_path(&job.spec, statistics, |step| !occurrence.steps[step].is_done());
     let finish_at = now + remaining;
     if finish_at <= occurrence.due_at + allowed {
         RankClass::InTime
-    } else if finish_at <= occurrence.due_at + allowed * LATE_FACTOR {
+    } else if finish_at <= occurrence.due_at + allowed.saturating_mul(LATE_FACTOR) {
         RankClass::Late
     } else {
         RankClass::Worthless
     }
 }
 
+/// Returns the time within which a job with this ideal run time is on time.
+fn allowed_time(ideal: Duration, rule: &JobRule) -> Duration {
+    let stretched = Duration::try_from_secs_f64(ideal.as_secs_f64() * rule.stretch_factor);
+    let target_latency = Duration::from_millis(rule.target_latency_ms);
+    stretched.unwrap_or(Duration::MAX).saturating_add(target_latency)
+}
+
 /// Returns the length of the critical path through the steps of a job. Steps for which
 /// `is_included` returns false take no time.
 pub(super) fn critical_path(
--- a/crates/magnoliapin_scheduler/src/leader/queue_statistics.rs
+++ b/crates/magnoliapin_scheduler/src/leader/queue_statistics.rs
@@ -13,7 +13,8 @@
 const SMOOTHING_FACTOR: f64 = 0.05;
 /// Expected run time of a task whose client gave no estimate.
 const DEFAULT_RUN_TIME: Duration = Duration::from_secs(1);
-/// Upper bound of an expected run time, in seconds.
+/// Upper bound of an expected run time, in seconds. Clients may send any estimate, and the sum of
+/// several must not overflow.
 const MAX_RUN_SECONDS: f64 = 86_400.0;
 /// Number of observations whose weight the initial assumption, that estimates are exact, has.
 const PRIOR_RUNS: f64 = 20.0;
@@ -123,7 +124,7 @@
         }
         let estimate = step.estimate_ms as f64 / 1000.0;
         if self.runs == 0.0 {
-            return Duration::from_secs_f64(estimate);
+            return Duration::from_secs_f64(estimate.min(MAX_RUN_SECONDS));
         }
         let scale = self.run_time / self.unscaled_run_time;
         Duration::from_secs_f64((self.unscaled(estimate) * scale).min(MAX_RUN_SECONDS))
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -196,10 +196,16 @@
 impl JobRule {
     /// Creates the rule of a queue.
     pub(crate) fn new(queue: &QueueRule) -> Self {
+        /// Larger factors are as good as no limit, and overflow when multiplied with a run time.
+        const MAX_STRETCH_FACTOR: f64 = 1e6;
+        let is_usable = queue.stretch_factor.is_finite() && queue.stretch_factor >= 0.0;
         Self {
             priority: queue.priority,
             max_attempts: queue.max_attempts.max(1),
-            stretch_factor: queue.stretch_factor,
+            stretch_factor: match is_usable {
+                true => queue.stretch_factor.min(MAX_STRETCH_FACTOR),
+                false => 1.0,
+            },
             target_latency_ms: u64::try_from(queue.target_latency.as_millis()).unwrap_or(u64::MAX),
         }
     }
