--- a/crates/magnoliapin_node/src/peer_server_tests.rs
+++ b/crates/magnoliapin_node/src/peer_server_tests.rs
@@ -10,6 +10,7 @@
 use magnoliapin_model::Moment;
 use magnoliapin_scheduler::NodeEvent;
 use magnoliapin_site::AgentReplies;
+use magnoliapin_site::CallFailure;
 use magnoliapin_site::JobId;
 use magnoliapin_site::JobState;
 use magnoliapin_site::PeerReply;
@@ -58,6 +59,31 @@
     }
 }
 
+/// Nodes of two versions exchange messages while a site is being updated, so the numbers of the
+/// variants must not change: a reply would be taken for another one.
+#[test]
+fn encoded_variants_keep_their_numbers() {
+    let variant = |bytes: Vec<u8>| bytes[5];
+    let requests = [PeerRequest::Ping, PeerRequest::Read(JobId(1)), PeerRequest::Cancel(JobId(1))];
+    let numbers = requests.map(|request| variant(frame::encode(&(0_u64, request))));
+    assert_eq!(numbers, [0, 2, 3]);
+    let replies = [
+        PeerReply::Pong { generation: 1 },
+        PeerReply::Accepted,
+        PeerReply::State(JobState::Running),
+        PeerReply::Cancelled,
+        PeerReply::UnknownJob,
+        PeerReply::NotLeader,
+        PeerReply::Refused,
+        PeerReply::OutcomeUnknown,
+        PeerReply::Failed(CallFailure::Unknown),
+        PeerReply::Received,
+        PeerReply::Fenced { generation: 1 },
+    ];
+    let numbers = replies.map(|reply| variant(frame::encode(&(0_u64, reply))));
+    assert_eq!(numbers, [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10]);
+}
+
 #[test]
 fn a_frame_that_claims_to_be_too_long_is_refused() {
     let mut bytes = u32::MAX.to_le_bytes().to_vec();
--- a/crates/magnoliapin_scheduler/src/leader/submissions.rs
+++ b/crates/magnoliapin_scheduler/src/leader/submissions.rs
@@ -53,10 +53,14 @@
         request: PeerRequest,
         out: &mut Outbox,
     ) {
-        if let PeerRequest::Ping { profile, clock_ms } = request {
-            self.record_ping(profile, clock_ms, out);
-            let generation = self.generation;
-            return self.send_reply(requester, PeerReply::Pong { generation }, out);
+        let pong = PeerReply::Pong { generation: self.generation };
+        match request {
+            PeerRequest::Ping => return self.send_reply(requester, pong, out),
+            PeerRequest::Offer { profile, clock_ms } => {
+                self.record_ping(profile, clock_ms, out);
+                return self.send_reply(requester, pong, out);
+            }
+            _ => {}
         }
         if self.phase != LeaderPhase::Active {
             return self.send_reply(requester, PeerReply::NotLeader, out);
@@ -66,7 +70,7 @@
                 self.handle_agent_replies(replies, out);
                 self.send_reply(requester, PeerReply::Received, out);
             }
-            PeerRequest::Ping { .. } | PeerRequest::AgentCalls(_) => {}
+            PeerRequest::Ping | PeerRequest::Offer { .. } | PeerRequest::AgentCalls(_) => {}
             PeerRequest::Submit { job, row, timeout_ms } => {
                 let deadline = out.now + Duration::from_millis(timeout_ms);
                 self.handle_submit_request(requester, job, row, deadline, out);
--- a/crates/magnoliapin_scheduler/src/peer_link.rs
+++ b/crates/magnoliapin_scheduler/src/peer_link.rs
@@ -69,7 +69,7 @@
             return;
         }
         self.next_ping_at = out.now + PING_INTERVAL;
-        let ping = PeerRequest::Ping { profile: profile.clone(), clock_ms: out.now.0 / 1000 };
+        let ping = PeerRequest::Offer { profile: profile.clone(), clock_ms: out.now.0 / 1000 };
         self.ping_call = Some(out.call_peer(address, ping, PING_TIMEOUT));
     }
 
--- a/crates/magnoliapin_site/src/peer_message.rs
+++ b/crates/magnoliapin_site/src/peer_message.rs
@@ -1,4 +1,7 @@
 //! Requests between nodes, and their replies.
+//!
+//! New variants are added at the end: the encoding numbers them, and nodes of two versions exchange
+//! messages while a site is being updated.
 
 use magnoliapin_model::plain_data;
 
@@ -12,13 +15,8 @@
 plain_data! {
     /// A request to the leader, or of the leader to an agent.
     pub enum PeerRequest {
-        /// Checks that the leader is reachable, and offers the node as an agent.
-        Ping {
-            /// The node that sends it.
-            profile: NodeProfile,
-            /// Its clock, in milliseconds since the start of its process.
-            clock_ms: u64,
-        },
+        /// Checks that the leader is reachable; sent by nodes that cannot be agents.
+        Ping,
         /// Stores a job.
         Submit {
             /// The job.
@@ -36,6 +34,13 @@
         AgentCalls(AgentBatch),
         /// Returns the replies of targets to the leader.
         AgentReplies(AgentReplies),
+        /// Checks that the leader is reachable, and offers the node as an agent.
+        Offer {
+            /// The node that sends it.
+            profile: NodeProfile,
+            /// Its clock, in milliseconds since the start of its process.
+            clock_ms: u64,
+        },
     }
 
     /// A reply to a request of another node.
@@ -46,13 +51,6 @@
             /// Generation of its lease.
             generation: u64,
         },
-        /// The batch was received.
-        Received,
-        /// The agent obeys a newer leader and has made no call.
-        Fenced {
-            /// Generation of that leader.
-            generation: u64,
-        },
         /// The job is stored.
         Accepted,
         /// State of the job; a final one is stored.
@@ -69,5 +67,12 @@
         OutcomeUnknown,
         /// The call failed.
         Failed(CallFailure),
+        /// The batch was received.
+        Received,
+        /// The agent obeys a newer leader and has made no call.
+        Fenced {
+            /// Generation of that leader.
+            generation: u64,
+        },
     }
 }
