Repeat lost calls sooner while a new leader loads

Change: the first try of a call times out after 200 ms or four times the store's recent latency, and the time doubles with each failure. The new test fails with a timeout of a second on the first try.

--- a/crates/magnoliapin_scheduler/src/leader/recovery.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery.rs
@@ -25,7 +25,18 @@
 use crate::watch::Watch;
 use crate::watch::WatchKind;
 
+#[cfg(test)]
+#[path = "recovery_tests.rs"]
+mod tests;
+
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Timeout of the first try of a call; many times its usual duration. It is short because nothing
+/// starts before all rows are loaded, and repeating a call is harmless.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(200);
+/// Timeout of the first try as a multiple of the store's latency.
+const LATENCY_FACTOR: u32 = 4;
+/// Longest timeout of a call, while the store is slow; doubled up to here with each failure.
+const MAX_TIMEOUT: Duration = Duration::from_millis(2_400);
 
 /// Progress of loading a partition.
 #[derive(Debug, Default)]
@@ -39,6 +50,8 @@
     version: Option<RowVersion>,
     stage: LoadStage,
     retry_at: Option<Moment>,
+    /// Number of calls that have failed.
+    failures: u32,
 }
 
 /// Progress of loading the assignment rows.
@@ -47,6 +60,8 @@
     /// Key at which the next page starts.
     from: String,
     retry_at: Option<Moment>,
+    /// Number of calls that have failed.
+    failures: u32,
     is_done: bool,
 }
 
@@ -93,7 +108,22 @@
             from,
             ..RowRange::whole_partition(rows::ASSIGNMENTS, rows::CONTROL_PARTITION)
         };
-        self.call(LeaderCall::LoadAssignments, StoreRequest::Read(range), out);
+        let failures = self.assignment_load.failures;
+        self.call_to_load(LeaderCall::LoadAssignments, StoreRequest::Read(range), failures, out);
+    }
+
+    /// Sends a call of which `failures` tries have failed.
+    fn call_to_load(
+        &mut self,
+        kind: LeaderCall,
+        request: StoreRequest,
+        failures: u32,
+        out: &mut Outbox,
+    ) {
+        let first = FIRST_TIMEOUT.max(out.store_latency.recent_max() * LATENCY_FACTOR);
+        let timeout = first.saturating_mul(2_u32.saturating_pow(failures)).min(MAX_TIMEOUT);
+        let call = out.call_store_with_timeout(request, timeout);
+        self.calls.insert(call, kind);
     }
 
     /// Retries failed calls.
@@ -138,11 +168,14 @@
             ),
             LoadStage::Done => return,
         };
-        self.call(kind, request, out);
+        let failures = self.partitions[partition as usize].load.failures;
+        self.call_to_load(kind, request, failures, out);
     }
 
     fn schedule_load_retry(&mut self, partition: u32, out: &Outbox) {
-        self.partitions[partition as usize].load.retry_at = Some(out.now + RETRY_PAUSE);
+        let load = &mut self.partitions[partition as usize].load;
+        load.failures += 1;
+        load.retry_at = Some(out.now + RETRY_PAUSE);
     }
 
     fn set_fence(&mut self, partition: u32, version: RowVersion, out: &mut Outbox) {
@@ -236,6 +269,7 @@
     /// Handles a page of assignment rows.
     pub(super) fn handle_assignments_reply(&mut self, reply: &StoreReply, out: &mut Outbox) {
         let StoreReply::Rows { rows, has_more, .. } = reply else {
+            self.assignment_load.failures += 1;
             self.assignment_load.retry_at = Some(out.now + RETRY_PAUSE);
             return;
         };
