--- a/crates/magnoliapin_scheduler/src/leader/queue_statistics.rs
+++ b/crates/magnoliapin_scheduler/src/leader/queue_statistics.rs
@@ -9,8 +9,10 @@
 #[path = "queue_statistics_tests.rs"]
 mod tests;
 
-/// Weight of a new observation in the exponential moving averages.
-const SMOOTHING_FACTOR: f64 = 0.05;
+/// Weight of a new job in the moving average of the work of a job.
+const JOB_WEIGHT: f64 = 0.05;
+/// Least weight of a new run in the averages of run times, which many runs enter.
+const MIN_RUN_WEIGHT: f64 = 0.005;
 /// Expected run time of a task whose client gave no estimate.
 const DEFAULT_RUN_TIME: Duration = Duration::from_secs(1);
 /// Upper bound of an expected run time, in seconds. Clients may send any estimate, and the sum of
@@ -81,7 +83,7 @@
             self.unscaled_run_time = estimate;
         }
         self.runs += 1.0;
-        let weight = (1.0 / (self.runs + PRIOR_RUNS)).max(SMOOTHING_FACTOR / 10.0);
+        let weight = (1.0 / (self.runs + PRIOR_RUNS)).max(MIN_RUN_WEIGHT);
         let unscaled = self.unscaled(estimate);
         let average = |average: &mut f64, value: f64| *average += weight * (value - *average);
         average(&mut self.log_estimate, log_estimate);
@@ -113,7 +115,7 @@
         if self.mean_work == 0.0 {
             self.mean_work = work;
         } else {
-            self.mean_work += SMOOTHING_FACTOR * (work - self.mean_work);
+            self.mean_work += JOB_WEIGHT * (work - self.mean_work);
         }
     }
 
--- a/crates/magnoliapin_scheduler/tests/soak/main.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/main.rs
@@ -43,51 +43,37 @@
     from.parse().expect("seed must be a number")..to.parse().expect("seed must be a number")
 }
 
+/// Simulates the seeds and asserts that none violates an invariant.
+fn assert_no_violations(run: impl Fn(u64) -> Vec<String>) {
+    let violations: Vec<String> = seeds()
+        .flat_map(|seed| {
+            run(seed).into_iter().map(move |violation| format!("seed {seed}: {violation}"))
+        })
+        .collect();
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 #[test]
 fn invariants_hold_under_random_faults() {
-    let mut violations = Vec::new();
-    for seed in seeds() {
-        for violation in run_seed(seed, LONGEST_FAULT_MS, false) {
-            violations.push(format!("seed {seed}: {violation}"));
-        }
-    }
-    assert!(violations.is_empty(), "{}", violations.join("\n"));
+    assert_no_violations(|seed| run_seed(seed, LONGEST_FAULT_MS, false));
 }
 
 /// The same with a maintenance wave, and with instances that move as the pools' demand changes.
 #[test]
 fn invariants_hold_while_instances_move() {
-    let mut violations = Vec::new();
-    for seed in seeds() {
-        for violation in run_seed(seed, LONGEST_FAULT_MS, true) {
-            violations.push(format!("seed {seed}: {violation}"));
-        }
-    }
-    assert!(violations.is_empty(), "{}", violations.join("\n"));
+    assert_no_violations(|seed| run_seed(seed, LONGEST_FAULT_MS, true));
 }
 
 /// The same where agents make the leader's calls to targets.
 #[test]
 fn invariants_hold_with_agents() {
-    let mut violations = Vec::new();
-    for seed in seeds() {
-        for violation in run_seed_with_agents(seed, false) {
-            violations.push(format!("seed {seed}: {violation}"));
-        }
-    }
-    assert!(violations.is_empty(), "{}", violations.join("\n"));
+    assert_no_violations(|seed| run_seed_with_agents(seed, false));
 }
 
 /// The same with agents, a maintenance wave, and instances that move.
 #[test]
 fn invariants_hold_with_agents_while_instances_move() {
-    let mut violations = Vec::new();
-    for seed in seeds() {
-        for violation in run_seed_with_agents(seed, true) {
-            violations.push(format!("seed {seed}: {violation}"));
-        }
-    }
-    assert!(violations.is_empty(), "{}", violations.join("\n"));
+    assert_no_violations(|seed| run_seed_with_agents(seed, true));
 }
 
 /// Guards against the bugs that these seeds have found.
