--- a/crates/magnoliapin_scheduler/tests/soak/main.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/main.rs
@@ -103,6 +103,15 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Guards against a start of a replaced leader that takes effect after a later run of the same task
+/// has ended and was acknowledged.
+#[test]
+#[ignore = "known red, see KNOWN-RED.txt"]
+fn late_starts_after_acknowledged_completions_have_no_effect() {
+    let violations = run_seed(1358, LONGEST_FAULT_MS, true);
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 /// Seeds that have failed, each with its longest fault in milliseconds and the cause.
 const FAILED_SEEDS: &[(u64, u64, &str)] = &[
     (57, 7_000, "after a takeover, runs of finished jobs were not counted against a team's cap"),
