Log the failed calls of watches, and calls that got no connection

After the incident no log said what the watch of the configuration had done for ten seconds: whether its calls were lost, for how long it waited for each, or whether they waited for a connection to the store.

Change: watch_call_failed with the wait, the number of failures and the age of the last contact; watch_resumed with the same; call_without_connection, at most once a second for an address. No decision changes.

--- a/crates/magnoliapin_node/src/call_pool.rs
+++ b/crates/magnoliapin_node/src/call_pool.rs
@@ -32,6 +32,9 @@
 /// Time between two searches for unused connections.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Minimum time between two log lines about calls that waited in vain for a connection.
+const STARVATION_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Makes HTTP calls on pooled connections; clones share the pool.
 #[derive(Clone, Debug)]
 pub(crate) struct CallPool {
@@ -51,6 +54,22 @@
     in_use: usize,
     /// Calls that wait for a permit, in the order of their arrival.
     waiters: VecDeque<Sender<()>>,
+    /// Earliest time of the next log line about calls that waited in vain.
+    next_log_at: Moment,
+}
+
+impl Endpoint {
+    /// Logs that a call has expired while it waited for a connection, at most once a second.
+    fn log_starvation(&mut self, address: SocketAddr, now: Moment) {
+        if now >= self.next_log_at {
+            self.next_log_at = now + STARVATION_LOG_INTERVAL;
+            log::warn!(
+                "event=call_without_connection address={address} in_use={} waiting={}",
+                self.in_use,
+                self.waiters.len()
+            );
+        }
+    }
 }
 
 impl CallPool {
@@ -94,9 +113,11 @@
     ) -> Result<HttpResponse, CallFailure> {
         let expires_at = deadline;
         let deadline = self.deadlines.add(deadline);
+        let has_permit = RefCell::new(false);
         let is_sent = RefCell::new(false);
         let exchange = async {
             let permit = self.acquire_permit(address).await;
+            *has_permit.borrow_mut() = true;
             let mut connection = match self.take_idle(address) {
                 Some(connection) => connection,
                 None => Connection::open(address, &self.executor)
@@ -117,6 +138,9 @@
             // Other connections to the address may be unresponsive too.
             if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(&address) {
                 endpoint.idle.clear();
+                if !*has_permit.borrow() {
+                    endpoint.log_starvation(address, self.clock.now());
+                }
             }
             Err(if *is_sent.borrow() { CallFailure::Unknown } else { CallFailure::NotDone })
         };
--- a/crates/magnoliapin_scheduler/src/watch.rs
+++ b/crates/magnoliapin_scheduler/src/watch.rs
@@ -59,6 +59,8 @@
     page: Option<(String, RowVersion)>,
     retry_at: Moment,
     retry_delay: Duration,
+    /// Consecutive calls that failed.
+    failed_calls: u32,
     /// When the last answered call was sent.
     last_contact_at: Option<Moment>,
     sent_at: Moment,
@@ -74,6 +76,7 @@
             page: None,
             retry_at: Moment::START,
             retry_delay: INITIAL_RETRY_DELAY,
+            failed_calls: 0,
             last_contact_at: None,
             sent_at: Moment::START,
         }
@@ -119,8 +122,25 @@
         if let StoreReply::Failed(failure) = reply {
             self.retry_at = out.now + self.retry_delay;
             self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
+            self.failed_calls += 1;
+            log::warn!(
+                "event=watch_call_failed watch={:?} failure={failure:?} waited_ms={} \
+                 consecutive={} contact_age_ms={}",
+                self.kind,
+                out.now.since(self.sent_at).as_millis(),
+                self.failed_calls,
+                self.contact_age_ms(out.now)
+            );
             return Some(WatchUpdate::Failed(*failure));
         }
+        if std::mem::take(&mut self.failed_calls) > 0 {
+            log::info!(
+                "event=watch_resumed watch={:?} waited_ms={} contact_age_ms={}",
+                self.kind,
+                out.now.since(self.sent_at).as_millis(),
+                self.contact_age_ms(out.now)
+            );
+        }
         self.retry_delay = INITIAL_RETRY_DELAY;
         if self.kind == WatchKind::Intake {
             // Most jobs are submitted through the leader; the others can be delayed slightly.
@@ -155,6 +175,11 @@
         self.after.is_none()
     }
 
+    /// Returns the time since the last answered call was sent, or since the start of the process.
+    fn contact_age_ms(&self, now: Moment) -> u128 {
+        now.since(self.last_contact_at.unwrap_or(Moment::START)).as_millis()
+    }
+
     fn read_request(&self) -> StoreRequest {
         let from = self.page.as_ref().map(|(from, _)| from.clone()).unwrap_or_default();
         match self.kind {
