Probe the store on new connections while the reply to a watch is overdue

Cause: a watch had one call in flight, on a connection of the pool, and its timeout grew with the store's latency, in which calls without a reply counted as slow ones: 2.0 s for the first call, 3.6 s for those after it. The call sent right before the store came back was lost with its connection and waited for until its timeout. On a busy node the call also waited behind eight others for a connection. The class of fault: a timeout that the outage stretches decides when the end of the outage is noticed.

Change: once a reply is overdue by 0.4 s or a call has failed, a watch sends a call that does not wait, each 0.4 s, on a new connection and with a fixed timeout of 1 s, until any call is answered. The reply covers what the others would report. All four watches do so: configuration, lease, submissions, registrations.

A call on a new connection answers while eight others hang (call_pool test).

--- a/crates/magnoliapin_node/src/call_pool.rs
+++ b/crates/magnoliapin_node/src/call_pool.rs
@@ -147,6 +147,37 @@
         exchange.or(expired).await
     }
 
+    /// Makes a call on a new connection at once, whatever the others wait for. If it succeeds, the
+    /// connection replaces the unused ones, which may have gone silent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that states whether the call may have been carried out.
+    pub(crate) async fn call_on_new_connection(
+        &self,
+        address: SocketAddr,
+        call: HttpCall,
+        deadline: Moment,
+    ) -> Result<HttpResponse, CallFailure> {
+        let deadline = self.deadlines.add(deadline);
+        let is_sent = Cell::new(false);
+        let exchange = async {
+            let mut connection = Connection::open(address, &self.executor)
+                .await
+                .map_err(|_| CallFailure::NotDone)?;
+            is_sent.set(true);
+            let response = connection.exchange(address, call).await?;
+            let mut endpoints = self.endpoints.borrow_mut();
+            endpoints.entry(address).or_default().idle = vec![(self.clock.now(), connection)];
+            Ok(response)
+        };
+        let expired = async {
+            deadline.await;
+            Err(if is_sent.get() { CallFailure::Unknown } else { CallFailure::NotDone })
+        };
+        exchange.or(expired).await
+    }
+
     /// Waits until another connection may be used.
     async fn acquire_permit(&self, address: SocketAddr) -> ConnectionPermit<'_> {
         let handover = {
--- a/crates/magnoliapin_node/src/call_pool_tests.rs
+++ b/crates/magnoliapin_node/src/call_pool_tests.rs
@@ -13,6 +13,7 @@
 use smol::Timer;
 
 use super::CallPool;
+use super::MAX_CONNECTIONS;
 use crate::call_deadlines::CallDeadlines;
 use crate::clock::NodeClock;
 
@@ -78,3 +79,45 @@
     let end = server.join().expect("the server ends");
     assert!(!matches!(end, Err(std::io::ErrorKind::WouldBlock)), "the connection stayed open");
 }
+
+/// Guards against a probe that waits behind calls to a server that was silent: each holds one of the
+/// pool's connections until its timeout, long after the server answers again.
+#[test]
+fn a_call_on_a_new_connection_does_not_wait_for_silent_ones() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let server = std::thread::spawn(move || {
+        let accept = || listener.accept().expect("a connection").0;
+        let silent_streams: Vec<_> = (0..MAX_CONNECTIONS).map(|_| accept()).collect();
+        let mut stream = accept();
+        let mut request = [0; 1024];
+        let _ = stream.read(&mut request);
+        let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        std::io::Write::write_all(&mut stream, response).expect("the response is sent");
+        silent_streams.len()
+    });
+    let executor = Rc::new(LocalExecutor::new());
+    let clock = NodeClock::new();
+    let pool = CallPool::new(Rc::clone(&executor), CallDeadlines::default(), clock);
+    let call = || HttpCall { method: "GET", path: "/".to_owned(), ..HttpCall::default() };
+    let deadline = clock.now() + TEST_TIMEOUT;
+    let result = smol::block_on(executor.run(async {
+        // One more than there are connections, so that the last one waits.
+        for _ in 0..=MAX_CONNECTIONS {
+            let (pool, call) = (pool.clone(), call());
+            executor.spawn(async move { pool.call(address, call, deadline).await }).detach();
+        }
+        while pool.endpoints.borrow().get(&address).is_none_or(|first| first.waiters.is_empty()) {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+        let call = async { Some(pool.call_on_new_connection(address, call(), deadline).await) };
+        let timeout = async {
+            Timer::after(TEST_TIMEOUT).await;
+            None
+        };
+        call.or(timeout).await
+    }));
+    assert_eq!(result.map(|result| result.map(|response| response.status)), Some(Ok(200)));
+    assert_eq!(pool.endpoints.borrow()[&address].idle.len(), 1);
+    assert_eq!(server.join().expect("the server ends"), MAX_CONNECTIONS);
+}
--- a/crates/magnoliapin_node/src/node_loop.rs
+++ b/crates/magnoliapin_node/src/node_loop.rs
@@ -7,6 +7,7 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use futures_lite::FutureExt;
+use magnoliapin_scheduler::ConnectionChoice;
 use magnoliapin_scheduler::NodeAction;
 use magnoliapin_scheduler::NodeEvent;
 use magnoliapin_scheduler::NodeMachine;
@@ -95,11 +96,12 @@
 
     fn execute(&self, action: NodeAction) {
         let protocol = Rc::clone(&self.protocol);
+        let pooled = ConnectionChoice::Pooled;
         match action {
             NodeAction::ReplyToClient(client, reply) => self.server.send_reply(client, reply),
-            NodeAction::Store { call, request, timeout } => {
+            NodeAction::Store { call, request, timeout, connection } => {
                 let http = protocol.encode_store_request(&request);
-                self.call(Some(self.settings.store), http, timeout, move |result| {
+                self.call(Some(self.settings.store), http, timeout, connection, move |result| {
                     NodeEvent::Store(
                         call,
                         match result {
@@ -111,7 +113,7 @@
             }
             NodeAction::Target { call, target, address, request, timeout } => {
                 let http = protocol.encode_target_request(&target, &request);
-                self.call(Some(address), http, timeout, move |result| {
+                self.call(Some(address), http, timeout, pooled, move |result| {
                     NodeEvent::Target(
                         call,
                         match result {
@@ -123,7 +125,7 @@
             }
             NodeAction::Instances { call, request, timeout } => {
                 let http = protocol.encode_instance_request(&request);
-                self.call(self.settings.instances, http, timeout, move |result| {
+                self.call(self.settings.instances, http, timeout, pooled, move |result| {
                     NodeEvent::Instances(
                         call,
                         match result {
@@ -147,7 +149,7 @@
             NodeAction::ReplyToPeer(peer, reply) => self.peer_server.send_reply(peer, reply),
             NodeAction::Advice { call, request, timeout } => {
                 let http = protocol.encode_advice_request(&request);
-                self.call(self.settings.advice, http, timeout, move |result| {
+                self.call(self.settings.advice, http, timeout, pooled, move |result| {
                     NodeEvent::Advice(
                         call,
                         match result {
@@ -166,15 +168,21 @@
         address: Option<SocketAddr>,
         http: HttpCall,
         timeout: Duration,
+        connection: ConnectionChoice,
         to_event: impl FnOnce(Result<HttpResponse, CallFailure>) -> NodeEvent + 'static,
     ) {
         let pool = self.pool.clone();
         let sender = self.sender.clone();
         let deadline = self.clock.now() + timeout;
         let task = async move {
-            let result = match address {
-                Some(address) => pool.call(address, http, deadline).await,
-                None => Err(CallFailure::NotDone),
+            let result = match (address, connection) {
+                (Some(address), ConnectionChoice::Pooled) => {
+                    pool.call(address, http, deadline).await
+                }
+                (Some(address), ConnectionChoice::New) => {
+                    pool.call_on_new_connection(address, http, deadline).await
+                }
+                (None, _) => Err(CallFailure::NotDone),
             };
             // Fails only after the node has stopped.
             let _ = sender.try_send(to_event(result));
--- a/crates/magnoliapin_scheduler/src/event.rs
+++ b/crates/magnoliapin_scheduler/src/event.rs
@@ -62,6 +62,15 @@
     Stop,
 }
 
+/// The connection that a call uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// One of the pool; the call waits until one is unused.
+    Pooled,
+    /// A new one, for calls that must not depend on connections that may have gone silent.
+    New,
+}
+
 /// An output of the state machine, carried out by its driver.
 #[derive(Clone, Debug)]
 pub enum NodeAction {
@@ -75,6 +84,8 @@
         request: StoreRequest,
         /// Time after which the call fails.
         timeout: Duration,
+        /// Connection that the call uses.
+        connection: ConnectionChoice,
     },
     /// Calls a target; exactly one [`NodeEvent::Target`] follows.
     Target {
--- a/crates/magnoliapin_scheduler/src/leader/recovery_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery_tests.rs
@@ -63,7 +63,7 @@
     let mut actions = Vec::new();
     out.take_actions(&mut actions);
     let reads = actions.into_iter().filter_map(|action| match action {
-        NodeAction::Store { call, request: StoreRequest::Read(_), timeout } => {
+        NodeAction::Store { call, request: StoreRequest::Read(_), timeout, .. } => {
             Some((call, timeout))
         }
         _ => None,
--- a/crates/magnoliapin_scheduler/src/lib.rs
+++ b/crates/magnoliapin_scheduler/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub use event::CallId;
 pub use event::ClientId;
+pub use event::ConnectionChoice;
 pub use event::NodeAction;
 pub use event::NodeEvent;
 pub use event::PeerId;
--- a/crates/magnoliapin_scheduler/src/outbox.rs
+++ b/crates/magnoliapin_scheduler/src/outbox.rs
@@ -14,6 +14,7 @@
 use crate::store_latency::StoreLatency;
 use crate::CallId;
 use crate::ClientId;
+use crate::ConnectionChoice;
 use crate::NodeAction;
 
 /// Pending actions, with the time, random numbers and the latency of the store.
@@ -85,7 +86,7 @@
     pub(crate) fn call_store(&mut self, request: StoreRequest) -> CallId {
         let call = self.next_call();
         let timeout = self.store_latency.record_call(call, &request, self.now);
-        self.push(NodeAction::Store { call, request, timeout });
+        self.push_store_call(call, request, timeout, ConnectionChoice::Pooled);
         call
     }
 
@@ -97,10 +98,29 @@
     ) -> CallId {
         let call = self.next_call();
         self.store_latency.record_brief_call(call, self.now);
-        self.push(NodeAction::Store { call, request, timeout });
+        self.push_store_call(call, request, timeout, ConnectionChoice::Pooled);
         call
     }
 
+    /// Calls the store on a new connection, to learn whether it answers although other calls get no
+    /// reply.
+    pub(crate) fn probe_store(&mut self, request: StoreRequest, timeout: Duration) -> CallId {
+        let call = self.next_call();
+        self.store_latency.record_brief_call(call, self.now);
+        self.push_store_call(call, request, timeout, ConnectionChoice::New);
+        call
+    }
+
+    fn push_store_call(
+        &mut self,
+        call: CallId,
+        request: StoreRequest,
+        timeout: Duration,
+        connection: ConnectionChoice,
+    ) {
+        self.push(NodeAction::Store { call, request, timeout, connection });
+    }
+
     /// Calls the leader on another node.
     pub(crate) fn call_peer(
         &mut self,
--- a/crates/magnoliapin_scheduler/src/watch.rs
+++ b/crates/magnoliapin_scheduler/src/watch.rs
@@ -14,11 +14,19 @@
 use crate::CallId;
 use crate::NodeTimes;
 
-/// Delay after a failed call; doubles up to [`MAX_RETRY_DELAY`].
+/// Delay after a refused call; doubles up to [`MAX_RETRY_DELAY`].
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Maximum delay after failed calls.
+/// Maximum delay after refused calls.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Time that a reply may take beyond the requested wait before it is overdue.
+const OVERDUE_TIME: Duration = Duration::from_millis(400);
+/// Time between two probes.
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+/// Time after which a probe fails. It does not depend on the store's latency, which an outage
+/// distorts; a slow store still answers the calls that wait for changes.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Minimum time between two watch calls for the jobs.
 const INTAKE_WATCH_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -49,20 +57,33 @@
 }
 
 /// Watches one kind of rows.
+///
+/// A call that waits for changes may be lost together with its connection, and its timeout is long.
+/// Once its reply is overdue, or a call has failed, probes that do not wait are sent in short
+/// intervals, each on a new connection, until any call is answered.
 #[derive(Debug)]
 pub(crate) struct Watch {
     kind: WatchKind,
-    call: Option<CallId>,
+    /// Calls without a reply, in the order in which they were sent.
+    pending_calls: Vec<PendingCall>,
     /// Version after which changes are requested; `None` until the first read is complete.
     after: Option<RowVersion>,
     /// Start of the next page of the first read, and the version of its first page.
     page: Option<(String, RowVersion)>,
-    retry_at: Moment,
+    /// Earliest time of the next call that waits for changes.
+    next_call_at: Moment,
+    /// Earliest time of the next probe.
+    next_probe_at: Moment,
     retry_delay: Duration,
     /// Consecutive calls that failed.
     failed_calls: u32,
     /// When the last answered call was sent.
     last_contact_at: Option<Moment>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PendingCall {
+    call: CallId,
     sent_at: Moment,
 }
 
@@ -71,14 +92,14 @@
     pub(crate) fn new(kind: WatchKind) -> Self {
         Self {
             kind,
-            call: None,
+            pending_calls: Vec::new(),
             after: None,
             page: None,
-            retry_at: Moment::START,
+            next_call_at: Moment::START,
+            next_probe_at: Moment::START,
             retry_delay: INITIAL_RETRY_DELAY,
             failed_calls: 0,
             last_contact_at: None,
-            sent_at: Moment::START,
         }
     }
 
@@ -92,20 +113,38 @@
         self.last_contact_at
     }
 
-    /// Makes the next call if none is in flight and the delay has passed.
+    /// Makes the next call if one is due.
     pub(crate) fn poll(&mut self, times: &NodeTimes, out: &mut Outbox) {
-        if self.call.is_some() || out.now < self.retry_at {
-            return;
+        if self.failed_calls > 0 || !self.pending_calls.is_empty() {
+            if out.now >= self.next_probe_at {
+                self.send_probe(out);
+            }
+        } else if out.now >= self.next_call_at {
+            self.send_call(times, out);
         }
+    }
+
+    fn send_call(&mut self, times: &NodeTimes, out: &mut Outbox) {
         // An unresponsive leader must be detected sooner than other changes.
         let wait =
             if self.kind == WatchKind::Lease { times.renewal_interval } else { times.watch_wait };
+        let (request, wait) = match self.after {
+            Some(after) => (self.watch_request(after, wait), wait),
+            None => (self.read_request(), Duration::ZERO),
+        };
+        let call = out.call_store(request);
+        self.pending_calls.push(PendingCall { call, sent_at: out.now });
+        self.next_probe_at = out.now + wait + OVERDUE_TIME;
+    }
+
+    fn send_probe(&mut self, out: &mut Outbox) {
         let request = match self.after {
-            Some(after) => self.watch_request(after, wait),
+            Some(after) => self.watch_request(after, Duration::ZERO),
             None => self.read_request(),
         };
-        self.sent_at = out.now;
-        self.call = Some(out.call_store(request));
+        let call = out.probe_store(request, PROBE_TIMEOUT);
+        self.pending_calls.push(PendingCall { call, sent_at: out.now });
+        self.next_probe_at = out.now + PROBE_INTERVAL;
     }
 
     /// Handles a reply of the store. Returns `None` if the call was not made by this watch.
@@ -115,38 +154,15 @@
         reply: &StoreReply,
         out: &Outbox,
     ) -> Option<WatchUpdate> {
-        if self.call != Some(call) {
-            return None;
-        }
-        self.call = None;
+        let index = self.pending_calls.iter().position(|pending| pending.call == call)?;
+        let sent_at = self.pending_calls.remove(index).sent_at;
         if let StoreReply::Failed(failure) = reply {
-            self.retry_at = out.now + self.retry_delay;
-            self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
-            self.failed_calls += 1;
-            log::warn!(
-                "event=watch_call_failed watch={:?} failure={failure:?} waited_ms={} \
-                 consecutive={} contact_age_ms={}",
-                self.kind,
-                out.now.since(self.sent_at).as_millis(),
-                self.failed_calls,
-                self.contact_age_ms(out.now)
-            );
+            self.record_failure(*failure, sent_at, out.now);
             return Some(WatchUpdate::Failed(*failure));
         }
-        if std::mem::take(&mut self.failed_calls) > 0 {
-            log::info!(
-                "event=watch_resumed watch={:?} waited_ms={} contact_age_ms={}",
-                self.kind,
-                out.now.since(self.sent_at).as_millis(),
-                self.contact_age_ms(out.now)
-            );
-        }
-        self.retry_delay = INITIAL_RETRY_DELAY;
-        if self.kind == WatchKind::Intake {
-            // Most jobs are submitted through the leader; the others can be delayed slightly.
-            self.retry_at = out.now + INTAKE_WATCH_INTERVAL;
-        }
-        self.last_contact_at = Some(self.sent_at);
+        // The reply covers the changes that the other calls would report.
+        self.pending_calls.clear();
+        self.record_contact(sent_at, out.now);
         let (version, next) = match reply {
             StoreReply::Rows { version, .. } | StoreReply::Site { version, .. } => (*version, None),
             StoreReply::Targets { version, next, .. } => (*version, next.clone()),
@@ -170,6 +186,42 @@
         Some(WatchUpdate::Read(reply.clone()))
     }
 
+    fn record_failure(&mut self, failure: CallFailure, sent_at: Moment, now: Moment) {
+        if failure == CallFailure::NotDone {
+            self.next_probe_at = now + self.retry_delay;
+            self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
+        }
+        self.failed_calls += 1;
+        // Not every one of a series, as a refusing store is called every 400 ms.
+        if self.failed_calls.is_power_of_two() {
+            log::warn!(
+                "event=watch_call_failed watch={:?} failure={failure:?} waited_ms={} \
+                 consecutive={} contact_age_ms={}",
+                self.kind,
+                now.since(sent_at).as_millis(),
+                self.failed_calls,
+                self.contact_age_ms(now)
+            );
+        }
+    }
+
+    fn record_contact(&mut self, sent_at: Moment, now: Moment) {
+        if std::mem::take(&mut self.failed_calls) > 0 {
+            log::info!(
+                "event=watch_resumed watch={:?} waited_ms={} contact_age_ms={}",
+                self.kind,
+                now.since(sent_at).as_millis(),
+                self.contact_age_ms(now)
+            );
+        }
+        self.retry_delay = INITIAL_RETRY_DELAY;
+        if self.kind == WatchKind::Intake {
+            // Most jobs are submitted through the leader; the others can be delayed slightly.
+            self.next_call_at = now + INTAKE_WATCH_INTERVAL;
+        }
+        self.last_contact_at = Some(sent_at);
+    }
+
     /// Returns whether the first read is still incomplete.
     pub(crate) fn is_reading(&self) -> bool {
         self.after.is_none()
--- a/crates/magnoliapin_scheduler/tests/soak/main.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/main.rs
@@ -215,7 +215,6 @@
 /// Guards against nodes that use an old configuration for seconds after the store was silent, because
 /// they wait for the reply to a call that was sent meanwhile.
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt"]
 fn configurations_are_in_force_soon_after_the_store_was_silent() {
     assert_no_violations(run_seed_with_store_outages);
 }
--- a/crates/magnoliapin_scheduler/tests/soak/world.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/world.rs
@@ -415,7 +415,7 @@
     fn perform_action(&mut self, node: usize, incarnation: u64, action: NodeAction) {
         match action {
             NodeAction::ReplyToClient(client, reply) => self.deliver_client_reply(client, &reply),
-            NodeAction::Store { call, request, timeout } => {
+            NodeAction::Store { call, request, timeout, .. } => {
                 self.nodes[node].pending_calls.insert(call);
                 self.schedule_after(
                     timeout,
