Place work again once the capacities of a pool are known

Callers' jobs waited for up to 4.8 s beside free targets, in pools whose targets do not enforce their capacity.

Cause: such a pool is passed over while the registrations are older than 1.7 s. In a quiet site they are, for the last 0.3 s of each second call of their watch, as a call is answered after 1 s and the next one waits as long. A pool that was passed over lost its mark, so that nothing looked at it until a task ended or a job arrived.

Change: the age allowed is two waits and the slack (2.7 s), which a watch reaches without any fault and which is below the time after which a decrease counts; a pool whose capacities are not known stays marked.

--- a/crates/magnoliapin_scheduler/src/leader/dispatch.rs
+++ b/crates/magnoliapin_scheduler/src/leader/dispatch.rs
@@ -62,16 +62,18 @@
 }
 
 impl Leader {
-    /// Starts tasks in the pools that have been marked for dispatch.
+    /// Starts tasks in the pools that have been marked for dispatch. A pool whose capacities are not
+    /// known stays marked.
     pub(super) fn dispatch(&mut self, out: &mut Outbox) {
-        let pending: Vec<PoolName> = self
-            .pools
-            .iter_mut()
-            .filter_map(|(name, pool)| {
-                std::mem::take(&mut pool.needs_dispatch).then(|| name.clone())
-            })
+        let marked = self.pools.iter().filter(|(_, pool)| pool.needs_dispatch);
+        let pending: Vec<PoolName> = marked
+            .filter(|(name, _)| !self.awaits_capacities(name, out.now))
+            .map(|(name, _)| name.clone())
             .collect();
         for pool in pending {
+            if let Some(state) = self.pools.get_mut(&pool) {
+                state.needs_dispatch = false;
+            }
             self.dispatch_pool(&pool, out);
         }
     }
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -60,8 +60,7 @@
 impl Leader {
     /// Returns the targets of a pool that accept new work.
     pub(super) fn candidate_targets(&self, pool: &PoolName, now: Moment) -> Vec<Candidate> {
-        let rule = self.config.pools.get(pool);
-        if rule.is_some_and(|rule| !rule.enforces_capacity) && !self.knows_capacities(now) {
+        if self.awaits_capacities(pool, now) {
             return Vec::new();
         }
         let Some(pool) = self.pools.get(pool) else {
@@ -79,11 +78,19 @@
             .collect()
     }
 
+    /// Returns whether a pool's targets do not enforce their capacity, and the registrations that show
+    /// it are too old to place anything by them.
+    pub(super) fn awaits_capacities(&self, pool: &PoolName, now: Moment) -> bool {
+        let rule = self.config.pools.get(pool);
+        rule.is_some_and(|rule| !rule.enforces_capacity) && !self.knows_capacities(now)
+    }
+
     /// Returns whether the registrations are recent. The capacity of a target may have shrunk since,
     /// and a target that does not enforce it starts whatever it is told to.
     fn knows_capacities(&self, now: Moment) -> bool {
         let times = &self.identity.times;
-        let max_age = times.watch_wait + times.reply_slack;
+        // The contact is that of the last answered call; the next one may wait as long again.
+        let max_age = times.watch_wait * 2 + times.reply_slack;
         self.registrations.last_contact_at().is_some_and(|at| now.since(at) <= max_age)
     }
 
--- a/crates/magnoliapin_scheduler/tests/soak/main.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/main.rs
@@ -196,6 +196,14 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Guards against a pool that is passed over while the registrations are old, and not looked at again
+/// once they are recent.
+#[test]
+fn work_is_placed_once_capacities_are_known_again() {
+    let violations = run_seed_with_changing_capacity(77);
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 /// Guards against completions that are lost with the first report of a target's new incarnation: the
 /// agent does not repeat them, so their tasks start again.
 #[test]
