Keep the contact of a watch with a slow store recent

A store that takes 0.9 s for each answer left the last contact of a watch up to 3.8 s old, as the reply to the call that waits discarded the probes sent after it.

Change: the reply to a call discards only calls that were sent before it. A later probe that is answered with no newer version confirms the contact and nothing else. Probes have 2 s, so that a slower store answers them.

--- a/crates/magnoliapin_scheduler/src/leader/recovery_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery_tests.rs
@@ -8,7 +8,6 @@
 use magnoliapin_site::CallFailure;
 use magnoliapin_site::NodeName;
 use magnoliapin_site::NodeProfile;
-use magnoliapin_site::SiteBounds;
 use magnoliapin_site::SiteConfig;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
@@ -18,6 +17,7 @@
 use crate::leader::Leader;
 use crate::leader::LeaderIdentity;
 use crate::outbox::Outbox;
+use crate::watch::tests::site_bounds;
 use crate::CallId;
 use crate::NodeAction;
 use crate::NodeTimes;
@@ -25,23 +25,6 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 pub(in crate::leader) fn identity() -> LeaderIdentity {
-    let bounds = SiteBounds {
-        max_lease: SECOND * 10,
-        stop_grace: SECOND,
-        gang_wait: SECOND,
-        stop_time: SECOND,
-        order_spacing: SECOND * 3,
-        move_time: SECOND,
-        maintenance_time: SECOND,
-        outcome_retention: SECOND,
-        early_start: SECOND,
-        checkpoint_interval: SECOND,
-        restore_time: SECOND,
-        remote_penalty: 1.0,
-        notice_time: SECOND,
-        heartbeat: SECOND,
-        impact_time: SECOND,
-    };
     LeaderIdentity {
         profile: NodeProfile {
             name: NodeName::new("node"),
@@ -52,7 +35,7 @@
             link_kbps: 1_000_000,
         },
         partition_count: 2,
-        times: NodeTimes::new(&bounds),
+        times: NodeTimes::new(&site_bounds()),
         instance_orders_per_s: 64.0,
         instance_lists_per_s: 64.0,
     }
--- a/crates/magnoliapin_scheduler/src/watch.rs
+++ b/crates/magnoliapin_scheduler/src/watch.rs
@@ -14,6 +14,10 @@
 use crate::CallId;
 use crate::NodeTimes;
 
+#[cfg(test)]
+#[path = "watch_tests.rs"]
+pub(crate) mod tests;
+
 /// Delay after a refused call; doubles up to [`MAX_RETRY_DELAY`].
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum delay after refused calls.
@@ -24,8 +28,8 @@
 /// Time between two probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after which a probe fails. It does not depend on the store's latency, which an outage
-/// distorts; a slow store still answers the calls that wait for changes.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// distorts.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Minimum time between two watch calls for the jobs.
 const INTAKE_WATCH_INTERVAL: Duration = Duration::from_millis(150);
@@ -50,6 +54,8 @@
     Read(StoreReply),
     /// Rows that changed.
     Changed(StoreReply),
+    /// Nothing has changed.
+    Unchanged,
     /// Changes were missed; the owner must read all rows again.
     Lost,
     /// The call failed.
@@ -60,7 +66,7 @@
 ///
 /// A call that waits for changes may be lost together with its connection, and its timeout is long.
 /// Once its reply is overdue, or a call has failed, probes that do not wait are sent in short
-/// intervals, each on a new connection, until any call is answered.
+/// intervals, each on a new connection, until a call is answered.
 #[derive(Debug)]
 pub(crate) struct Watch {
     kind: WatchKind,
@@ -85,6 +91,7 @@
 struct PendingCall {
     call: CallId,
     sent_at: Moment,
+    is_probe: bool,
 }
 
 impl Watch {
@@ -115,7 +122,8 @@
 
     /// Makes the next call if one is due.
     pub(crate) fn poll(&mut self, times: &NodeTimes, out: &mut Outbox) {
-        if self.failed_calls > 0 || !self.pending_calls.is_empty() {
+        let is_waiting = self.pending_calls.iter().any(|pending| !pending.is_probe);
+        if is_waiting || self.failed_calls > 0 {
             if out.now >= self.next_probe_at {
                 self.send_probe(out);
             }
@@ -133,7 +141,7 @@
             None => (self.read_request(), Duration::ZERO),
         };
         let call = out.call_store(request);
-        self.pending_calls.push(PendingCall { call, sent_at: out.now });
+        self.pending_calls.push(PendingCall { call, sent_at: out.now, is_probe: false });
         self.next_probe_at = out.now + wait + OVERDUE_TIME;
     }
 
@@ -143,7 +151,7 @@
             None => self.read_request(),
         };
         let call = out.probe_store(request, PROBE_TIMEOUT);
-        self.pending_calls.push(PendingCall { call, sent_at: out.now });
+        self.pending_calls.push(PendingCall { call, sent_at: out.now, is_probe: true });
         self.next_probe_at = out.now + PROBE_INTERVAL;
     }
 
@@ -160,22 +168,31 @@
             self.record_failure(*failure, sent_at, out.now);
             return Some(WatchUpdate::Failed(*failure));
         }
-        // The reply covers the changes that the other calls would report.
-        self.pending_calls.clear();
+        // Calls that were sent earlier would report nothing else. Those sent later show, when a slow
+        // store answers them, that nothing has changed since.
+        self.pending_calls.retain(|pending| pending.sent_at > sent_at);
         self.record_contact(sent_at, out.now);
         let (version, next) = match reply {
             StoreReply::Rows { version, .. } | StoreReply::Site { version, .. } => (*version, None),
             StoreReply::Targets { version, next, .. } => (*version, next.clone()),
             _ => {
+                self.pending_calls.clear();
                 self.after = None;
                 self.page = None;
                 return Some(WatchUpdate::Lost);
             }
         };
-        if self.after.is_some() {
-            self.after = Some(version);
-            return Some(WatchUpdate::Changed(reply.clone()));
+        if let Some(after) = self.after {
+            self.after = Some(version.max(after));
+            let is_newer = version > after;
+            return Some(if is_newer {
+                WatchUpdate::Changed(reply.clone())
+            } else {
+                WatchUpdate::Unchanged
+            });
         }
+        // No reply belongs to another page than the next one.
+        self.pending_calls.clear();
         // Changes are watched from the version of the first page, so that those made while later
         // pages are read are not missed.
         let first = self.page.take().map_or(version, |(_, first)| first);
