Answer nothing by a configuration that may be outdated

Cause: nothing on a node looked at the age of its configuration. The class of fault: acting on a belief without asking how old it is.

While it is not, the node is not ready, and refuses submissions, unknown paths and keys, and counts of waiting jobs with 503, which a client repeats elsewhere at once; a 404 or 401 would be final. Jobs are still read and cancelled, as that needs no newer configuration.

--- a/crates/magnoliapin_scheduler/src/client_handler.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler.rs
@@ -146,11 +146,13 @@
         self.requests.is_empty() && self.forwarded.is_empty() && self.delayed.is_empty()
     }
 
-    /// Replies to a request, or starts the calls that its reply needs.
+    /// Replies to a request, or starts the calls that its reply needs. While the configuration may be
+    /// outdated, only jobs are read and cancelled by it.
     pub(crate) fn handle_request(
         &mut self,
         client: ClientId,
         request: ClientRequest,
+        is_config_confirmed: bool,
         out: &mut Outbox,
     ) {
         if !self.has_config {
@@ -158,6 +160,11 @@
             out.reply(client, refusal(RefusalReason::NoConfig));
             return;
         }
+        if !is_config_confirmed && !self.concerns_known_job(&request) {
+            log::info!("event=request_refused path={:?} why=config_unconfirmed", request.path);
+            out.reply(client, refusal(RefusalReason::ConfigUnconfirmed));
+            return;
+        }
         let client_timeout = request.timeout.unwrap_or(DEFAULT_CLIENT_TIMEOUT);
         let deadline = out.now + client_timeout.saturating_sub(RESPONSE_MARGIN);
         let route = self.routes.find(&request.host, &request.path);
@@ -202,6 +209,17 @@
         }
     }
 
+    /// Returns whether a request reads or cancels a job, in a queue and with a key that the last
+    /// configuration has.
+    fn concerns_known_job(&self, request: &ClientRequest) -> bool {
+        let Some((queue, job_path)) = self.routes.find(&request.host, &request.path) else {
+            return false;
+        };
+        let has_key = request.key.as_deref().is_some_and(|key| self.routes.team(key).is_some());
+        let is_submission = matches!(request.action, ClientAction::Submit(_));
+        !is_submission && !job_path.is_empty() && (has_key || queue.is_public)
+    }
+
     /// Handles a reply of the store. Returns whether the call was made by this handler.
     pub(crate) fn handle_store_reply(
         &mut self,
--- a/crates/magnoliapin_scheduler/src/election.rs
+++ b/crates/magnoliapin_scheduler/src/election.rs
@@ -101,11 +101,6 @@
         self.last_lease.as_ref().map_or(0, |(lease, _)| lease.generation)
     }
 
-    /// Returns when the last answered call about the lease was sent.
-    pub(crate) fn last_contact_at(&self) -> Option<Moment> {
-        self.watch.last_contact_at()
-    }
-
     /// Watches the lease, and tries to acquire it if its holder is unresponsive or has released it.
     /// `is_process_down` states that connections to the holder's process fail.
     pub(crate) fn poll(&mut self, may_lead: bool, is_process_down: bool, out: &mut Outbox) {
--- a/crates/magnoliapin_scheduler/src/machine.rs
+++ b/crates/magnoliapin_scheduler/src/machine.rs
@@ -80,13 +80,14 @@
 
     /// Returns whether the node is ready for new connections of clients.
     pub fn is_ready(&self) -> bool {
-        // A watch repeats its call within its wait time. If the store has not answered for two of
-        // these, this node cannot store jobs either.
+        self.site_watch.config().is_some() && self.is_config_confirmed() && !self.is_stopping
+    }
+
+    /// Returns whether the store has confirmed recently that the configuration is the newest one.
+    fn is_config_confirmed(&self) -> bool {
+        // The contact is that of the last answered call; the next one may wait as long again.
         let max_age = self.identity.times.watch_wait * 2 + self.identity.times.reply_slack;
-        let last_contact_at =
-            self.site_watch.last_contact_at().max(self.election.last_contact_at());
-        let has_recent_contact = last_contact_at.is_some_and(|at| self.out.now.since(at) < max_age);
-        self.site_watch.config().is_some() && has_recent_contact && !self.is_stopping
+        self.site_watch.last_contact_at().is_some_and(|at| self.out.now.since(at) < max_age)
     }
 
     /// Returns whether this node is the leader.
@@ -158,7 +159,8 @@
     }
 
     fn handle_request(&mut self, client: ClientId, request: ClientRequest) {
-        self.client_handler.handle_request(client, request, &mut self.out);
+        let is_config_confirmed = self.is_config_confirmed();
+        self.client_handler.handle_request(client, request, is_config_confirmed, &mut self.out);
     }
 
     fn handle_store_reply(&mut self, call: CallId, reply: &StoreReply) {
--- a/crates/magnoliapin_scheduler/tests/soak/world.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/world.rs
@@ -154,6 +154,9 @@
     pub(crate) crash_random: Option<Pcg64Mcg>,
     /// Changes of the configuration, each with the moment of its confirmation by the store.
     pub(crate) config_changes: Vec<(Moment, ConfigVersion)>,
+    /// Probes of the configuration without a reply: the node, and a version that it must know or
+    /// know to be dropped.
+    pub(crate) config_probes: BTreeMap<ClientId, (usize, ConfigVersion, bool)>,
 }
 
 impl World {
@@ -179,6 +182,7 @@
             idle_checks: BTreeMap::new(),
             crash_random: None,
             config_changes: Vec::new(),
+            config_probes: BTreeMap::new(),
         };
         world.store.set_config(site::config(1, has_fleet));
         for number in 0..site::POOLS * site::TARGETS_PER_POOL {
@@ -584,6 +588,8 @@
     }
 
     fn deliver_client_reply(&mut self, client: ClientId, reply: &ClientReply) {
-        self.handle_client_reply(client, reply);
+        if !self.check_config_probe(client, reply) {
+            self.handle_client_reply(client, reply);
+        }
     }
 }
--- a/crates/magnoliapin_site/src/client_message.rs
+++ b/crates/magnoliapin_site/src/client_message.rs
@@ -66,6 +66,8 @@
 pub enum RefusalReason {
     /// The node has no configuration yet.
     NoConfig,
+    /// The node may have missed a change of the configuration.
+    ConfigUnconfirmed,
     /// The store is unreachable or accepts no writes.
     StoreUnavailable,
     /// Too many requests are waiting on the node.
