Judge the leader only by the time in which the store answers

On busy nodes a lost leader was replaced late instead.

Cause: the silence of the holder was counted through the outage. Calls without a reply counted as slow ones, which added up to 7.8 s to the timeout and hid this, until probes found the end of the outage sooner. The leader itself waited for the reply to a lost renewal until its timeout, up to 2.6 s. The class of fault is that of the incident: a timeout that the outage stretches decides after its end.

Change: the election counts from the moment since which its watch has been answered. A renewal whose reply is overdue by one interval is followed by another, on a new connection with a fixed timeout; only one that releases the lease is not.

--- a/crates/magnoliapin_scheduler/src/election.rs
+++ b/crates/magnoliapin_scheduler/src/election.rs
@@ -26,6 +26,10 @@
 use crate::CallId;
 use crate::NodeTimes;
 
+#[cfg(test)]
+#[path = "election_tests.rs"]
+mod tests;
+
 /// Upper bound of the random delay between attempts, so that nodes rarely compete.
 const ATTEMPT_JITTER: Duration = Duration::from_millis(150);
 /// Number of store replies between a renewal and its observation by another node.
@@ -171,8 +175,8 @@
 
     /// Returns whether this node may try to acquire the lease now.
     fn can_acquire(&self, is_process_down: bool, times: &NodeTimes, out: &Outbox) -> bool {
-        let (Some(changed_at), Some(last_contact_at)) =
-            (self.changed_at, self.watch.last_contact_at())
+        let (Some(changed_at), Some(last_contact_at), Some(answered_since)) =
+            (self.changed_at, self.watch.last_contact_at(), self.watch.answered_since())
         else {
             return false;
         };
@@ -203,9 +207,11 @@
         let timeout = timeout + delay;
         // With a slow store, both the renewal and the watch that reports it are delayed.
         let timeout = timeout + out.store_latency.recent_max() * LATENCY_FACTOR;
-        // The store must have answered meanwhile, or its outage would count as the holder's.
-        let is_unresponsive =
-            out.now.since(changed_at) > timeout && last_contact_at.since(changed_at) > timeout / 2;
+        // Only the time counts in which the store has answered, or its outage would count as the
+        // holder's.
+        let silent_since = changed_at.max(answered_since);
+        let is_unresponsive = out.now.since(silent_since) > timeout
+            && last_contact_at.since(silent_since) > timeout / 2;
         is_unresponsive || self.is_much_stronger(lease, out.now)
     }
 
--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -1,5 +1,7 @@
 //! Renews and releases the leader's lease.
 
+use std::time::Duration;
+
 use magnoliapin_model::Moment;
 use magnoliapin_site::QueueName;
 use magnoliapin_site::StoreReply;
@@ -17,11 +19,21 @@
 use crate::rows::LeaseRow;
 use crate::times::CONFIRMATION_VALIDITY;
 
+#[cfg(test)]
+#[path = "lease_tests.rs"]
+mod tests;
+
+/// Timeout of a renewal that follows one without a reply.
+const RENEWAL_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 /// State of the lease renewal.
 #[derive(Debug)]
 pub(crate) struct Renewal {
     next_at: Moment,
-    is_in_flight: bool,
+    /// When the last one was sent, while it has no reply.
+    in_flight_since: Option<Moment>,
+    /// Whether the last one failed.
+    has_failed: bool,
     is_releasing: bool,
     is_released: bool,
 }
@@ -29,7 +41,13 @@
 impl Renewal {
     /// Creates the renewal state of a lease that was acquired at `now`.
     pub(crate) fn new(now: Moment) -> Self {
-        Self { next_at: now, is_in_flight: false, is_releasing: false, is_released: false }
+        Self {
+            next_at: now,
+            in_flight_since: None,
+            has_failed: false,
+            is_releasing: false,
+            is_released: false,
+        }
     }
 }
 
@@ -48,9 +66,17 @@
 
     /// Renews the lease when the renewal is due.
     pub(super) fn poll_lease(&mut self, out: &mut Outbox) {
-        if self.renewal.is_in_flight || self.renewal.is_released || out.now < self.renewal.next_at {
+        if self.renewal.is_released || out.now < self.renewal.next_at {
             return;
         }
+        // A renewal that got lost must not delay the next one until its timeout. That which releases
+        // the lease must be the last one.
+        let interval = self.identity.times.renewal_interval;
+        let is_overdue = |sent_at| out.now.since(sent_at) >= interval && !self.renewal.is_releasing;
+        if self.renewal.in_flight_since.is_some_and(|sent_at| !is_overdue(sent_at)) {
+            return;
+        }
+        let is_probe = self.renewal.in_flight_since.is_some() || self.renewal.has_failed;
         if self.phase == LeaderPhase::Active {
             self.waiting_jobs = self.count_waiting_jobs();
         }
@@ -66,9 +92,13 @@
         let transaction = StoreTransaction::default()
             .with_expected(rows::control_fence(), self.control_fence)
             .with_write(rows::lease_row(), rows::encode(&lease));
-        self.renewal.is_in_flight = true;
+        self.renewal.in_flight_since = Some(out.now);
         let request = StoreRequest::Commit(transaction);
-        self.call(LeaderCall::Renew(out.now), request, out);
+        let call = match is_probe {
+            true => out.probe_store(request, RENEWAL_TIMEOUT),
+            false => out.call_store(request),
+        };
+        self.calls.insert(call, LeaderCall::Renew(out.now));
     }
 
     /// Handles the reply to a renewal.
@@ -78,16 +108,24 @@
         reply: &StoreReply,
         out: &Outbox,
     ) {
-        self.renewal.is_in_flight = false;
+        let is_last = self.renewal.in_flight_since == Some(sent_at);
+        if is_last {
+            self.renewal.in_flight_since = None;
+        }
         match reply {
             StoreReply::Committed(_) => {
                 self.record_confirmation(sent_at);
+                self.renewal.has_failed = false;
                 self.renewal.next_at = sent_at + self.identity.times.renewal_interval;
                 self.renewal.is_released = self.renewal.is_releasing;
                 self.update.was_renewed = true;
             }
             StoreReply::Conflict(_) => self.depose("the fence has changed"),
-            _ => self.renewal.next_at = out.now + self.identity.times.renewal_interval / 4,
+            _ if is_last => {
+                self.renewal.has_failed = true;
+                self.renewal.next_at = out.now + self.identity.times.renewal_interval / 4;
+            }
+            _ => {}
         }
     }
 
--- a/crates/magnoliapin_scheduler/src/leader/recovery_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery_tests.rs
@@ -6,17 +6,15 @@
 use magnoliapin_model::Moment;
 use magnoliapin_model::RowVersion;
 use magnoliapin_site::CallFailure;
-use magnoliapin_site::NodeName;
-use magnoliapin_site::NodeProfile;
 use magnoliapin_site::SiteConfig;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
-use magnoliapin_site::ZoneName;
 
 use crate::election::AcquiredLease;
 use crate::leader::Leader;
 use crate::leader::LeaderIdentity;
 use crate::outbox::Outbox;
+use crate::watch::tests::node_profile;
 use crate::watch::tests::site_bounds;
 use crate::CallId;
 use crate::NodeAction;
@@ -24,14 +22,7 @@
 
 pub(in crate::leader) fn identity() -> LeaderIdentity {
     LeaderIdentity {
-        profile: NodeProfile {
-            name: NodeName::new("node"),
-            zone: ZoneName::new("a"),
-            address: None,
-            incarnation: 1,
-            cpu_milli: 250,
-            link_kbps: 1_000_000,
-        },
+        profile: node_profile(),
         partition_count: 2,
         times: NodeTimes::new(&site_bounds()),
         instance_orders_per_s: 64.0,
--- a/crates/magnoliapin_scheduler/src/watch.rs
+++ b/crates/magnoliapin_scheduler/src/watch.rs
@@ -85,6 +85,8 @@
     failed_calls: u32,
     /// When the last answered call was sent.
     last_contact_at: Option<Moment>,
+    /// Since when no call has failed.
+    answered_since: Option<Moment>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -107,6 +109,7 @@
             retry_delay: INITIAL_RETRY_DELAY,
             failed_calls: 0,
             last_contact_at: None,
+            answered_since: None,
         }
     }
 
@@ -120,6 +123,11 @@
         self.last_contact_at
     }
 
+    /// Returns since when all calls have been answered; `None` if the last one was not.
+    pub(crate) fn answered_since(&self) -> Option<Moment> {
+        self.answered_since
+    }
+
     /// Makes the next call if one is due.
     pub(crate) fn poll(&mut self, times: &NodeTimes, out: &mut Outbox) {
         let is_waiting = self.pending_calls.iter().any(|pending| !pending.is_probe);
@@ -209,6 +217,7 @@
             self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
         }
         self.failed_calls += 1;
+        self.answered_since = None;
         // Not every one of a series, as a refusing store is called every 400 ms.
         if self.failed_calls.is_power_of_two() {
             log::warn!(
@@ -236,7 +245,8 @@
             // Most jobs are submitted through the leader; the others can be delayed slightly.
             self.next_call_at = now + INTAKE_WATCH_INTERVAL;
         }
-        self.last_contact_at = Some(sent_at);
+        self.last_contact_at = self.last_contact_at.max(Some(sent_at));
+        self.answered_since.get_or_insert(now);
     }
 
     /// Returns whether the first read is still incomplete.
--- a/crates/magnoliapin_scheduler/src/watch_tests.rs
+++ b/crates/magnoliapin_scheduler/src/watch_tests.rs
@@ -5,9 +5,12 @@
 use magnoliapin_model::Moment;
 use magnoliapin_model::RowVersion;
 use magnoliapin_site::CallFailure;
+use magnoliapin_site::NodeName;
+use magnoliapin_site::NodeProfile;
 use magnoliapin_site::SiteBounds;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
+use magnoliapin_site::ZoneName;
 
 use super::Watch;
 use super::WatchKind;
@@ -41,6 +44,17 @@
     }
 }
 
+pub(crate) fn node_profile() -> NodeProfile {
+    NodeProfile {
+        name: NodeName::new("node"),
+        zone: ZoneName::new("a"),
+        address: None,
+        incarnation: 1,
+        cpu_milli: 250,
+        link_kbps: 1_000_000,
+    }
+}
+
 /// A store that answers after a fixed time, and each call that arrives in its silence never.
 struct FakeStore {
     latency: Duration,
