Take only the reply to the release as the release of the lease

What operators saw: nothing yet; found while reading the renewal. A node that stopped could end without having released the lease, and no task started until its lease had timed out (1.5 s instead of some ms).

Cause: when a planned stop began while a renewal was in flight, the reply to that renewal counted as the release, although it had renewed the lease.

Evidence: only_the_reply_to_the_release_releases_the_lease fails before.

Change: the leader remembers when it sent the release, and takes only that reply for it. A reply to an earlier renewal makes the release due at once.

Measured: the test passes, and so do the other tests of the scheduler.

--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -35,6 +35,8 @@
     /// Whether the last one failed.
     has_failed: bool,
     is_releasing: bool,
+    /// When the renewal was sent that releases the lease.
+    release_sent_at: Option<Moment>,
     is_released: bool,
 }
 
@@ -46,6 +48,7 @@
             in_flight_since: None,
             has_failed: false,
             is_releasing: false,
+            release_sent_at: None,
             is_released: false,
         }
     }
@@ -93,6 +96,9 @@
             .with_expected(rows::control_fence(), self.control_fence)
             .with_write(rows::lease_row(), rows::encode(&lease));
         self.renewal.in_flight_since = Some(out.now);
+        if self.renewal.is_releasing {
+            self.renewal.release_sent_at = Some(out.now);
+        }
         let request = StoreRequest::Commit(transaction);
         let call = match is_probe {
             true => out.probe_store(request, RENEWAL_TIMEOUT),
@@ -116,8 +122,11 @@
             StoreReply::Committed(_) => {
                 self.record_confirmation(sent_at);
                 self.renewal.has_failed = false;
-                self.renewal.next_at = sent_at + self.identity.times.renewal_interval;
-                self.renewal.is_released = self.renewal.is_releasing;
+                self.renewal.is_released |= self.renewal.release_sent_at == Some(sent_at);
+                self.renewal.next_at = match self.renewal.is_releasing {
+                    true => out.now,
+                    false => sent_at + self.identity.times.renewal_interval,
+                };
                 self.update.was_renewed = true;
             }
             StoreReply::Conflict(_) => self.depose("the fence has changed"),
--- a/crates/magnoliapin_scheduler/src/leader/lease_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease_tests.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use magnoliapin_model::Moment;
+use magnoliapin_model::RowVersion;
+use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
 
 use crate::leader::previous_runs::tests::FakeSite;
@@ -10,6 +12,7 @@
 use crate::outbox::Outbox;
 use crate::rows;
 use crate::rows::LeaseRow;
+use crate::CallId;
 use crate::ConnectionChoice;
 use crate::NodeAction;
 
@@ -17,8 +20,10 @@
 
 /// A renewal that was sent.
 struct SentRenewal {
+    call: CallId,
     at: Moment,
     connection: ConnectionChoice,
+    releases: bool,
 }
 
 /// Lets time pass without replies of the store. Returns the renewals that were sent.
@@ -30,12 +35,13 @@
         let mut actions = Vec::new();
         out.take_actions(&mut actions);
         for action in actions {
-            let NodeAction::Store { request, connection, .. } = action else { continue };
+            let NodeAction::Store { call, request, connection, .. } = action else { continue };
             let StoreRequest::Commit(transaction) = request else { continue };
             let lease = transaction.writes.iter().find(|(row, _)| *row == rows::lease_row());
             let lease: Option<LeaseRow> = lease.and_then(|(_, value)| rows::decode(value));
-            if lease.is_some() {
-                sent.push(SentRenewal { at: out.now, connection });
+            if let Some(lease) = lease {
+                let releases = lease.is_released;
+                sent.push(SentRenewal { call, at: out.now, connection, releases });
             }
         }
         out.now = out.now + TICK;
@@ -55,3 +61,22 @@
     let last = sent.last().expect("a renewal is sent");
     assert_eq!(last.connection, ConnectionChoice::New);
 }
+
+/// Guards against a node that stops without having released the lease: the reply to an earlier renewal
+/// was taken for that to the release.
+#[test]
+fn only_the_reply_to_the_release_releases_the_lease() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    let sent = poll_for(&mut leader, &mut out, Duration::from_millis(600));
+    leader.release(&mut out);
+    let committed = StoreReply::Committed(RowVersion(1_000));
+    for renewal in &sent {
+        leader.handle_store_reply(renewal.call, &committed, &mut out);
+    }
+    assert!(!sent.is_empty() && !leader.is_released());
+    let sent = poll_for(&mut leader, &mut out, TICK * 2);
+    let release = sent.first().expect("the release is sent at once");
+    assert!(release.releases);
+    leader.handle_store_reply(release.call, &committed, &mut out);
+    assert!(leader.is_released());
+}
