Tell refused clients when the configuration may be confirmed again

Cause: the refusal said that a retry elsewhere may succeed at once. That holds for a node that alone has lost the store, but mostly the store answers nobody.

Change: a refusal because of an unconfirmed configuration asks for a retry after 1 s.

--- a/crates/magnoliapin_scheduler/src/client_handler.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler.rs
@@ -43,6 +43,9 @@
 const MAX_UNKNOWN_RETRIES: u32 = 1;
 /// Time that a client is assumed to wait if its request does not state one.
 const DEFAULT_CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Delay after which a client should repeat a request that was refused because the configuration may be
+/// outdated. Mostly the store answers no node then, and clients repeat a request only a few times.
+const UNCONFIRMED_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Part of the client's timeout that is reserved for returning the reply.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
 /// Maximum number of jobs that a node caches; the others are read from the store.
@@ -162,7 +165,11 @@
         }
         if !is_config_confirmed && !self.concerns_known_job(&request) {
             log::info!("event=request_refused path={:?} why=config_unconfirmed", request.path);
-            out.reply(client, refusal(RefusalReason::ConfigUnconfirmed));
+            let reason = RefusalReason::ConfigUnconfirmed;
+            out.reply(
+                client,
+                ClientReply::Refused { reason, retry_after: UNCONFIRMED_RETRY_DELAY },
+            );
             return;
         }
         let client_timeout = request.timeout.unwrap_or(DEFAULT_CLIENT_TIMEOUT);
