Judge starts in the soak by completions acknowledged before or later

The soak compared a start with the failures that targets had seen, reported or not, and with completions that had been acknowledged by then.

--- a/crates/magnoliapin_scheduler/tests/soak/world.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/world.rs
@@ -277,6 +277,7 @@
 
     /// Returns the first violations, including those that only show at the end.
     pub(crate) fn take_violations(&mut self) -> Vec<String> {
+        self.checker.check_starts_after_completions();
         let mut violations = std::mem::take(&mut self.checker.violations);
         for (job, client_job) in &self.checker.jobs {
             let is_owed = client_job.accepted_at.is_some() && !self.checker.has_crashing_task(*job);
