Leave the latency that records and timeouts use as it was

Change: the latency of answered calls is measured beside the other one and used by the election only. The two ways to call the store briefly share their code; the pool's flags are plain cells.

--- a/crates/magnoliapin_node/src/call_pool.rs
+++ b/crates/magnoliapin_node/src/call_pool.rs
@@ -113,11 +113,11 @@
     ) -> Result<HttpResponse, CallFailure> {
         let expires_at = deadline;
         let deadline = self.deadlines.add(deadline);
-        let has_permit = RefCell::new(false);
-        let is_sent = RefCell::new(false);
+        let has_permit = Cell::new(false);
+        let is_sent = Cell::new(false);
         let exchange = async {
             let permit = self.acquire_permit(address).await;
-            *has_permit.borrow_mut() = true;
+            has_permit.set(true);
             let mut connection = match self.take_idle(address) {
                 Some(connection) => connection,
                 None => Connection::open(address, &self.executor)
@@ -128,7 +128,7 @@
             if self.clock.now() >= expires_at {
                 return Err(CallFailure::NotDone);
             }
-            *is_sent.borrow_mut() = true;
+            is_sent.set(true);
             let response = connection.exchange(address, call).await?;
             permit.return_connection(connection);
             Ok(response)
@@ -138,11 +138,11 @@
             // Other connections to the address may be unresponsive too.
             if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(&address) {
                 endpoint.idle.clear();
-                if !*has_permit.borrow() {
+                if !has_permit.get() {
                     endpoint.log_starvation(address, self.clock.now());
                 }
             }
-            Err(if *is_sent.borrow() { CallFailure::Unknown } else { CallFailure::NotDone })
+            Err(if is_sent.get() { CallFailure::Unknown } else { CallFailure::NotDone })
         };
         exchange.or(expired).await
     }
--- a/crates/magnoliapin_scheduler/src/election.rs
+++ b/crates/magnoliapin_scheduler/src/election.rs
@@ -206,7 +206,7 @@
         };
         let timeout = timeout + delay;
         // With a slow store, both the renewal and the watch that reports it are delayed.
-        let timeout = timeout + out.store_latency.recent_max() * LATENCY_FACTOR;
+        let timeout = timeout + out.store_latency.recent_answered_max() * LATENCY_FACTOR;
         // Only the time counts in which the store has answered, or its outage would count as the
         // holder's.
         let silent_since = changed_at.max(answered_since);
--- a/crates/magnoliapin_scheduler/src/outbox.rs
+++ b/crates/magnoliapin_scheduler/src/outbox.rs
@@ -86,7 +86,8 @@
     pub(crate) fn call_store(&mut self, request: StoreRequest) -> CallId {
         let call = self.next_call();
         let timeout = self.store_latency.record_call(call, &request, self.now);
-        self.push_store_call(call, request, timeout, ConnectionChoice::Pooled);
+        let connection = ConnectionChoice::Pooled;
+        self.push(NodeAction::Store { call, request, timeout, connection });
         call
     }
 
@@ -96,29 +97,25 @@
         request: StoreRequest,
         timeout: Duration,
     ) -> CallId {
-        let call = self.next_call();
-        self.store_latency.record_brief_call(call, self.now);
-        self.push_store_call(call, request, timeout, ConnectionChoice::Pooled);
-        call
+        self.call_store_briefly(request, timeout, ConnectionChoice::Pooled)
     }
 
-    /// Calls the store on a new connection, to learn whether it answers although other calls get no
+    /// The same on a new connection, to learn whether the store answers although other calls get no
     /// reply.
     pub(crate) fn probe_store(&mut self, request: StoreRequest, timeout: Duration) -> CallId {
-        let call = self.next_call();
-        self.store_latency.record_brief_call(call, self.now);
-        self.push_store_call(call, request, timeout, ConnectionChoice::New);
-        call
+        self.call_store_briefly(request, timeout, ConnectionChoice::New)
     }
 
-    fn push_store_call(
+    fn call_store_briefly(
         &mut self,
-        call: CallId,
         request: StoreRequest,
         timeout: Duration,
         connection: ConnectionChoice,
-    ) {
+    ) -> CallId {
+        let call = self.next_call();
+        self.store_latency.record_brief_call(call, self.now);
         self.push(NodeAction::Store { call, request, timeout, connection });
+        call
     }
 
     /// Calls the leader on another node.
--- a/crates/magnoliapin_scheduler/src/store_latency.rs
+++ b/crates/magnoliapin_scheduler/src/store_latency.rs
@@ -23,11 +23,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct StoreLatency {
     pending_calls: IndexMap<CallId, PendingCall>,
-    /// Maximum latency of answered calls; decays with each answer.
-    answered: Duration,
-    /// When the last call was sent that got no reply, and for how long it waited. It counts until a
-    /// call is answered that was sent later, so that an outage leaves nothing behind.
-    unanswered: Option<(Moment, Duration)>,
+    /// Calls without a reply count as long as they were waited for.
+    latency: Duration,
+    /// The same without them.
+    answered_latency: Duration,
 }
 
 /// A call without a reply so far.
@@ -50,7 +49,7 @@
     ) -> Duration {
         let wait = wait_of(request);
         self.pending_calls.insert(call, PendingCall { sent_at: now, wait, is_brief: false });
-        let timeout = (self.recent_max() * TIMEOUT_FACTOR).clamp(MIN_TIMEOUT, MAX_TIMEOUT);
+        let timeout = (self.latency * TIMEOUT_FACTOR).clamp(MIN_TIMEOUT, MAX_TIMEOUT);
         wait + timeout
     }
 
@@ -71,18 +70,21 @@
         }
         // A watch may be answered at any time during its wait, so the whole wait is subtracted.
         let elapsed = now.since(pending.sent_at).saturating_sub(pending.wait);
-        if matches!(reply, StoreReply::Failed(_)) {
-            let latest = self.unanswered.map_or(pending.sent_at, |(sent_at, _)| sent_at);
-            self.unanswered = Some((latest.max(pending.sent_at), self.recent_max().max(elapsed)));
-            return;
+        self.latency = self.latency.mul_f64(LATENCY_DECAY).max(elapsed);
+        if !matches!(reply, StoreReply::Failed(_)) {
+            self.answered_latency = self.answered_latency.mul_f64(LATENCY_DECAY).max(elapsed);
         }
-        self.unanswered = self.unanswered.filter(|(sent_at, _)| pending.sent_at <= *sent_at);
-        self.answered = self.answered.mul_f64(LATENCY_DECAY).max(elapsed);
     }
 
-    /// Returns the maximum latency of recent calls.
+    /// Returns the maximum latency of recent calls; it decays with each reply.
     pub(crate) fn recent_max(&self) -> Duration {
-        self.unanswered.map_or(self.answered, |(_, waited)| waited.max(self.answered))
+        self.latency
+    }
+
+    /// Returns the maximum latency of recent calls that were answered, which an outage does not
+    /// change.
+    pub(crate) fn recent_answered_max(&self) -> Duration {
+        self.answered_latency
     }
 }
 
