Log how long each run had lasted when its target crashed

Tells the hypotheses of the incident apart: run_crashed gives the stage of each run and for how long the target is known to have run it, task_crashed how many of the crashes no other task accounts for.

--- a/crates/magnoliapin_scheduler/src/leader/crashes.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes.rs
@@ -88,8 +88,26 @@
         let mut ran: Vec<(TaskName, u32, bool)> =
             ran.map(|(task, run)| (*task, run.attempt, run.is_isolated && is_certain)).collect();
         ran.extend(target.lapsed_runs.iter().map(|run| (run.task, run.attempt, false)));
-        if !ran.is_empty() {
-            log::warn!("event=target_crashed target={} runs={}", target.record.name, ran.len());
+        if !target.runs.is_empty() {
+            log::warn!(
+                "event=target_crashed target={} runs={} charged={} silent_ms={}",
+                target.record.name,
+                target.runs.len(),
+                ran.len(),
+                silence.as_millis()
+            );
+        }
+        for (task, run) in &target.runs {
+            // How long the run is known to have been there.
+            let lasted = run.confirmed_at.map(|at| target.last_contact_at.since(at).as_millis());
+            log::info!(
+                "event=run_crashed task={task} attempt={} stage={:?} lasted_ms={lasted:?} \
+                 long_running={} isolated={}",
+                run.attempt,
+                run.stage,
+                run.is_long_running,
+                run.is_isolated
+            );
         }
         for (task, attempt, is_isolated) in ran {
             let crash = TaskCrash::new(attempt, target.started_at(), is_shared);
@@ -189,12 +207,13 @@
         task.crash_change = change;
         self.crashed_tasks.insert(name);
         let crashes = task.crashes.len();
+        let unexplained = task.unexplained_crashes();
         let is_given_up = crashes >= MAX_CRASHES
-            || task.unexplained_crashes() >= MAX_UNEXPLAINED_CRASHES
+            || unexplained >= MAX_UNEXPLAINED_CRASHES
             || (crashes > ISOLATION_CRASHES && was_isolated);
         log::info!(
-            "event=task_crashed task={name} attempt={} crashes={crashes} isolated={was_isolated} \
-             given_up={is_given_up}",
+            "event=task_crashed task={name} attempt={} crashes={crashes} unexplained={unexplained} \
+             isolated={was_isolated} given_up={is_given_up}",
             crash.attempt
         );
         let crashes = if is_given_up { task.crashes.clone() } else { Vec::new() };
