Suspect the tasks that had just started when a target crashes

Callers: jobs without a fault were shown as failed, and culprits had up to six starts (BUDGET), as both waited for seconds to run apart.

Cause: a crash was charged to each of a dozen tasks on the target, although those that had gone on for a while do not crash what starts them. The class of fault: all that was near is blamed, not what had changed.

Change: - The suspects are the runs that had not gone on for 0.2 s; if there are none, all others. The others are charged as if explained, tasks of services not at all. - The only suspect of a confirmed start runs alone from then on, and is given up when it happens again. Four unexplained crashes alone no longer suffice. - Explained crashes count for running apart too; such a task need not wait for an empty target. - A run that goes on for a while clears its task of earlier crashes; an attempt that has failed is not charged with a crash that the leader before left open. - A task charged with a crash is stopped on the target's next incarnation instead of started there again. - Beside a long-running task on its own nothing is started for 2 s instead of 10 s.

--- a/crates/magnoliapin_scheduler/src/leader/completions.rs
+++ b/crates/magnoliapin_scheduler/src/leader/completions.rs
@@ -50,6 +50,9 @@
             if let Some(checkpoint) = &completion.checkpoint {
                 self.set_checkpoint(task, checkpoint);
             }
+            if run.is_some_and(|run| run.confirmed_at.is_some()) {
+                self.record_survival(task);
+            }
             match completion.outcome {
                 RunOutcome::Done if !is_long_running => self.complete_task(job_key, key, task, out),
                 RunOutcome::Failed if !is_long_running => {
--- a/crates/magnoliapin_scheduler/src/leader/crashes.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes.rs
@@ -1,9 +1,10 @@
 //! Tells tasks that crash their targets from those that ran beside them.
 //!
-//! When an incarnation of a target ends unexpectedly, every task that ran there may be the cause.
-//! Tasks with one such crash are spread over the targets. Tasks with two run apart from all others in
-//! small groups, and tasks with more run alone: a crash then has one cause, and the task is given up.
-//! Other tasks are cleared of the crashes that it accounts for.
+//! When an incarnation of a target ends unexpectedly, the tasks that had just started there may be the
+//! cause; if there are none, all others may. Tasks with one such crash are spread over the targets.
+//! Tasks with two run apart from all others in small groups, and tasks that crashed a target on their
+//! own or have more crashes run alone: a further crash has one cause, and the task is given up. Other
+//! tasks are cleared of the crashes that it accounts for.
 
 use std::time::Duration;
 
@@ -34,11 +35,17 @@
 
 /// Crashes from which on a task runs apart from others.
 const ISOLATION_CRASHES: usize = 2;
+/// Time for which nothing is started beside a long-running task that runs apart from others.
+const LONG_RUNNING_ISOLATION: Duration = Duration::from_secs(2);
 /// Time after which a long-running task has shown that it does not crash its target.
 const PROBATION: Duration = Duration::from_secs(10);
-/// Crashes after which a task is given up even if it did not run alone.
-const MAX_UNEXPLAINED_CRASHES: usize = 4;
-/// The same, counting those that other tasks account for.
+/// Time for which a run must have gone on so that others that have just started are suspected instead.
+const SETTLING_TIME: Duration = Duration::from_millis(200);
+/// Crashes after which a task is given up if no other task may be the cause.
+const MAX_OWN_CRASHES: usize = 2;
+/// Crashes after which a task is given up if it is the only possible cause of at least one of them.
+const MAX_CRASHES_WITH_OWN: usize = 4;
+/// Crashes after which a task is given up, whatever the cause.
 const MAX_CRASHES: usize = 5;
 /// Maximum number of tasks with this many crashes that share a target.
 const ISOLATION_GROUP: usize = 4;
@@ -47,10 +54,34 @@
 /// One in this many targets of a pool gets no other work so that it becomes empty for such a task.
 const RESERVED_TARGET_DIVISOR: usize = 8;
 
+/// A run on a target that has crashed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CrashedRun {
+    pub(crate) id: RunId,
+    /// Whether the target had certainly begun it, and was not to stop it.
+    is_certain: bool,
+    /// Whether it may be the cause; if not, others that had just started are.
+    is_suspect: bool,
+}
+
 impl Task {
     /// Returns whether the task must run alone, as targets have crashed under it.
     pub(super) fn needs_isolation(&self) -> bool {
         self.unexplained_crashes() >= ISOLATION_CRASHES
+            || self.own_crashes() > 0
+            || self.crashes.len() > ISOLATION_CRASHES
+    }
+
+    /// Returns whether the task is the cause of so many crashes that it is not started again.
+    fn is_given_up(&self) -> bool {
+        let limit = if self.own_crashes() > 0 { MAX_CRASHES_WITH_OWN } else { MAX_CRASHES };
+        self.own_crashes() >= MAX_OWN_CRASHES || self.crashes.len() >= limit
+    }
+
+    /// Returns the number of crashes of which no other task may be the cause.
+    fn own_crashes(&self) -> usize {
+        let is_own = |crash: &&TaskCrash| !crash.is_shared && !crash.is_explained;
+        self.crashes.iter().filter(is_own).count()
     }
 
     /// Returns the number of crashes that no task which has been given up accounts for.
@@ -60,12 +91,9 @@
 }
 
 impl Run {
-    /// Returns whether the target may have begun the run. A target that crashes at once does not reply
-    /// to the start.
-    fn may_have_begun(&self) -> bool {
-        self.confirmed_at.is_some()
-            || self.stage == RunStage::Starting
-            || self.unconfirmed_starts > 0
+    /// Returns whether the run had gone on for a while when its target was last heard from.
+    fn has_settled(&self, last_contact_at: Moment) -> bool {
+        self.confirmed_at.is_some_and(|at| last_contact_at.since(at) >= SETTLING_TIME)
     }
 
     /// Returns whether the run is long-running and has lasted, so that it is not the cause of a crash.
@@ -74,35 +102,63 @@
     }
 }
 
+impl Target {
+    /// Returns the tasks whose runs had gone on for a while when the target was last heard from.
+    fn settled_tasks(&self) -> Vec<TaskName> {
+        let settled = self.runs.iter().filter(|(_, run)| run.has_settled(self.last_contact_at));
+        settled.map(|(name, _)| *name).collect()
+    }
+
+    /// Returns the runs that an unexpected end of the target is charged to.
+    fn crashed_runs(&self, now: Moment) -> Vec<CrashedRun> {
+        let charged = self.runs.iter();
+        let charged = charged.filter(|(_, run)| run.is_sent && !run.is_proven(now));
+        let mut charged: Vec<(CrashedRun, &Run)> = charged
+            .map(|(task, run)| {
+                let id = RunId { task: *task, attempt: run.attempt };
+                let is_certain = run.confirmed_at.is_some() && run.stage == RunStage::Running;
+                (CrashedRun { id, is_certain, is_suspect: true }, run)
+            })
+            .collect();
+        let mut exonerate = |is_suspect: &dyn Fn(&Run) -> bool| {
+            if charged.iter().any(|(_, run)| is_suspect(run)) {
+                for (crashed, run) in &mut charged {
+                    crashed.is_suspect &= is_suspect(run);
+                }
+            }
+        };
+        let is_fresh = |run: &Run| !run.has_settled(self.last_contact_at);
+        exonerate(&is_fresh);
+        exonerate(&|run| run.is_isolated || !run.is_long_running || is_fresh(run));
+        // Tasks of services share their targets with many others, crash after crash.
+        charged.retain(|(crashed, run)| crashed.is_suspect || !run.is_long_running);
+        charged.into_iter().map(|(crashed, _)| crashed).collect()
+    }
+}
+
 impl TaskCrash {
-    fn new(attempt: u32, incarnation: UnixMillis, is_shared: bool) -> Self {
-        Self { attempt, incarnation, is_shared, is_explained: false }
+    fn new(attempt: u32, incarnation: UnixMillis) -> Self {
+        Self { attempt, incarnation, is_shared: true, is_explained: false }
     }
 }
 
 impl Leader {
     /// Records that an incarnation of a target has ended unexpectedly, on each task that it ran.
+    ///
+    /// The suspects are the tasks that had just started. Those that had gone on for a while are
+    /// charged as if another task accounted for the crash, unless nothing had just started.
     pub(super) fn record_crash(&mut self, target: &Target, out: &mut Outbox) {
         if self.is_planned_end(target) {
             return;
         }
-        let is_suspect = |run: &Run| run.may_have_begun() && !run.is_proven(out.now);
-        let may_be_cause = |run: &Run| is_suspect(run) && (run.is_isolated || !run.is_long_running);
-        let is_alone = target.runs.values().filter(|run| may_be_cause(run)).count() <= 1;
-        // The run has ended with its lease if the target has been silent for longer.
         let silence = out.now.since(target.last_contact_at);
-        let is_certain = is_alone && silence < self.identity.times.max_lease;
-        let is_shared = target.runs.values().any(|run| !run.is_isolated);
-        let ran = target.runs.iter().filter(|(_, run)| is_suspect(run));
-        let mut ran: Vec<(TaskName, u32, bool)> =
-            ran.map(|(task, run)| (*task, run.attempt, run.is_isolated && is_certain)).collect();
-        ran.extend(target.lapsed_runs.iter().map(|run| (run.task, run.attempt, false)));
+        let runs = target.crashed_runs(out.now);
         if !target.runs.is_empty() {
             log::warn!(
                 "event=target_crashed target={} runs={} charged={} silent_ms={}",
                 target.record.name,
                 target.runs.len(),
-                ran.len(),
+                runs.len() + target.lapsed_runs.len(),
                 silence.as_millis()
             );
         }
@@ -118,9 +174,15 @@
                 run.is_isolated
             );
         }
-        for (task, attempt, is_isolated) in ran {
-            let crash = TaskCrash::new(attempt, target.started_at(), is_shared);
-            self.add_crash(task, crash, is_isolated, out);
+        self.record_survivals(target);
+        let suspects = runs.iter().chain(&target.lapsed_runs).filter(|run| run.is_suspect).count();
+        // The run has ended with its lease if the target has been silent for longer.
+        let has_one_cause = suspects == 1 && silence < self.identity.times.max_lease;
+        for run in runs.iter().chain(&target.lapsed_runs) {
+            let mut crash = TaskCrash::new(run.id.attempt, target.started_at());
+            crash.is_shared = !(has_one_cause && run.is_certain);
+            crash.is_explained = !run.is_suspect;
+            self.add_crash(run.id.task, crash, out);
         }
         for (name, _) in target.runs.iter().filter(|(_, run)| run.is_proven(out.now)) {
             let job = self.job_keys.get(&name.job).and_then(|key| self.jobs.get_mut(key));
@@ -135,20 +197,27 @@
     pub(super) fn record_lapse(&mut self, key: TargetKey, out: &mut Outbox) {
         let Some(target) = self.targets.get_mut(&key) else { return };
         let started_at = target.started_at();
-        let suspects =
-            target.runs.iter().filter(|(_, run)| run.may_have_begun() && !run.is_proven(out.now));
-        let runs: Vec<RunId> =
-            suspects.map(|(task, run)| RunId { task: *task, attempt: run.attempt }).collect();
-        target.lapsed_runs.clone_from(&runs);
-        for run in runs {
-            let job = self.job_keys.get(&run.task.job).and_then(|key| self.jobs.get(key));
-            if job.and_then(|job| job.task(run.task)).is_some_and(Task::needs_isolation) {
-                let crash = TaskCrash::new(run.attempt, started_at, false);
-                self.add_crash(run.task, crash, false, out);
+        let lapsed = target.crashed_runs(out.now);
+        target.lapsed_runs.clone_from(&lapsed);
+        for name in target.settled_tasks() {
+            self.record_survival(name);
+        }
+        for run in lapsed {
+            let task = run.id.task;
+            let job = self.job_keys.get(&task.job).and_then(|key| self.jobs.get(key));
+            if job.and_then(|job| job.task(task)).is_some_and(Task::needs_isolation) {
+                let crash = TaskCrash::new(run.id.attempt, started_at);
+                self.add_crash(task, TaskCrash { is_explained: !run.is_suspect, ..crash }, out);
             }
         }
     }
 
+    /// Returns whether a task runs until its job is cancelled.
+    fn is_long_running(&self, task: TaskName) -> bool {
+        let job = self.job_keys.get(&task.job).and_then(|key| self.jobs.get(key));
+        job.and_then(|job| job.step_spec(task)).is_some_and(|step| step.long_running)
+    }
+
     /// Records that a previous incarnation has ended, on each task that it may have run.
     pub(super) fn record_previous_crash(&mut self, name: &TargetName, out: &mut Outbox) {
         let Some(incarnation) = self.previous_incarnations.get(name) else { return };
@@ -158,16 +227,28 @@
         }
         let started_at = incarnation.started_at;
         // For how long a long-running task has lasted is not known.
-        let is_long_running = |task: &TaskName| {
-            let job = self.job_keys.get(&task.job).and_then(|key| self.jobs.get(key));
-            job.and_then(|job| job.step_spec(*task)).is_some_and(|step| step.long_running)
-        };
         let runs = self.unconfirmed_runs.iter();
-        let runs = runs.filter(|(task, run)| run.target == *name && !is_long_running(task));
+        let runs = runs.filter(|(task, run)| run.target == *name && !self.is_long_running(**task));
         let runs: Vec<(TaskName, u32)> = runs.map(|(task, run)| (*task, run.attempt)).collect();
         for (task, attempt) in runs {
-            let crash = TaskCrash::new(attempt, started_at, true);
-            self.add_crash(task, crash, false, out);
+            self.add_crash(task, TaskCrash::new(attempt, started_at), out);
+        }
+    }
+
+    /// Clears a task of earlier crashes, as a run of it went on for a while after its start.
+    pub(super) fn record_survival(&mut self, name: TaskName) {
+        let job = self.job_keys.get(&name.job).and_then(|key| self.jobs.get_mut(key));
+        if let Some(task) = job.and_then(|job| job.open_task_mut(name)) {
+            for crash in &mut task.crashes {
+                crash.is_explained = true;
+            }
+        }
+    }
+
+    /// Clears the tasks of earlier crashes whose runs on a target went on for a while.
+    fn record_survivals(&mut self, target: &Target) {
+        for name in target.settled_tasks() {
+            self.record_survival(name);
         }
     }
 
@@ -181,7 +262,10 @@
     pub(super) fn is_unwanted_here(&self, name: TaskName) -> bool {
         let job = self.job_keys.get(&name.job).and_then(|key| self.jobs.get(key));
         job.is_none_or(|job| {
-            job.final_state.is_some() || job.task(name).is_some_and(Task::needs_isolation)
+            job.final_state.is_some()
+                || job
+                    .task(name)
+                    .is_some_and(|task| task.unexplained_crashes() > 0 || task.needs_isolation())
         })
     }
 
@@ -193,13 +277,7 @@
         is_draining || instance.is_some_and(is_ordered)
     }
 
-    fn add_crash(
-        &mut self,
-        name: TaskName,
-        crash: TaskCrash,
-        was_isolated: bool,
-        out: &mut Outbox,
-    ) {
+    fn add_crash(&mut self, name: TaskName, crash: TaskCrash, out: &mut Outbox) {
         let Some(job_key) = self.job_keys.get(&name.job).copied() else { return };
         let Some(job) = self.jobs.get_mut(&job_key).filter(|job| job.final_state.is_none()) else {
             return;
@@ -207,21 +285,22 @@
         let change = job.changes + 1;
         let is_known = |task: &Task| {
             let mut known = task.crashes.iter().map(|known| (known.attempt, known.incarnation));
+            // The rows of the leader before name runs that have ended as well.
             known.any(|known| known == (crash.attempt, crash.incarnation))
+                || task.failed.contains(&crash.attempt)
         };
         let Some(task) = job.open_task_mut(name).filter(|task| !is_known(task)) else { return };
         task.crashes.push(crash);
         task.crash_change = change;
         self.crashed_tasks.insert(name);
-        let crashes = task.crashes.len();
-        let unexplained = task.unexplained_crashes();
-        let is_given_up = crashes >= MAX_CRASHES
-            || unexplained >= MAX_UNEXPLAINED_CRASHES
-            || (crashes > ISOLATION_CRASHES && was_isolated);
+        let is_given_up = task.is_given_up();
         log::info!(
-            "event=task_crashed task={name} attempt={} crashes={crashes} unexplained={unexplained} \
-             isolated={was_isolated} given_up={is_given_up}",
-            crash.attempt
+            "event=task_crashed task={name} attempt={} crashes={} unexplained={} own={} \
+             given_up={is_given_up}",
+            crash.attempt,
+            task.crashes.len(),
+            task.unexplained_crashes(),
+            task.own_crashes()
         );
         let crashes = if is_given_up { task.crashes.clone() } else { Vec::new() };
         self.mark_job_changed(job_key);
@@ -287,7 +366,11 @@
                 continue;
             }
             let Some(index) = self.emptiest_candidate(job, task, candidates, now) else { continue };
-            if self.is_empty(candidates[index].target) {
+            // Tasks without a crash of their own are only kept apart from other starts.
+            let is_suspect = self.crash_count(task) > 0;
+            let has_room = self.is_empty(candidates[index].target)
+                || (!is_suspect && self.fits(job, task, &candidates[index]));
+            if has_room {
                 if limit > 0 {
                     limit -= 1;
                     self.start_task(job, task, candidates[index].target, out);
@@ -308,7 +391,9 @@
 
     /// Returns whether a target runs tasks that must run apart from others.
     pub(super) fn is_isolating(&self, key: TargetKey, now: Moment) -> bool {
-        let is_isolated = |run: &Run| run.is_isolated && !run.is_proven(now);
+        let has_lasted =
+            |run: &Run| run.confirmed_at.is_some_and(|at| now.since(at) >= LONG_RUNNING_ISOLATION);
+        let is_isolated = |run: &Run| run.is_isolated && !(run.is_long_running && has_lasted(run));
         self.targets.get(&key).is_some_and(|target| target.runs.values().any(is_isolated))
     }
 
@@ -317,7 +402,7 @@
     fn may_join_group(&self, name: TaskName) -> bool {
         let job = self.job_keys.get(&name.job).and_then(|key| self.jobs.get(key));
         let task = job.and_then(|job| job.task(name));
-        task.is_some_and(|task| task.crashes.len() <= ISOLATION_CRASHES)
+        task.is_some_and(|task| task.crashes.len() <= ISOLATION_CRASHES && task.own_crashes() == 0)
     }
 
     /// Returns a candidate on which a task can join others with as few crashes.
@@ -377,6 +462,12 @@
         });
     }
 
+    /// Returns whether a task fits on a candidate as it is.
+    fn fits(&self, job: JobKey, task: TaskName, candidate: &Candidate) -> bool {
+        let spec = self.jobs.get(&job).and_then(|job| job.step_spec(task));
+        spec.is_some_and(|spec| self.fits_candidate(spec, task, candidate, 0))
+    }
+
     /// Returns the candidate with the fewest runs that fits a task once it is empty, and that runs no
     /// isolated tasks. Targets with long-running tasks come last, as they will not be empty soon.
     fn emptiest_candidate(
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -433,6 +433,7 @@
             is_isolated: false,
             has_unknown_job: true,
             stage: RunStage::Running,
+            is_sent: true,
             placed_at: now,
             confirmed_at: Some(now),
             percent: reported.percent,
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -390,6 +390,7 @@
             is_isolated: job.task(name).is_some_and(Task::needs_isolation),
             has_unknown_job: false,
             stage: RunStage::Planned,
+            is_sent: false,
             placed_at: out.now,
             confirmed_at: None,
             percent: 0,
--- a/crates/magnoliapin_scheduler/src/leader/records.rs
+++ b/crates/magnoliapin_scheduler/src/leader/records.rs
@@ -290,6 +290,7 @@
         let run = self.run_mut(key, id);
         if let Some(run) = run.filter(|run| run.stage == RunStage::Planned) {
             run.stage = RunStage::Starting;
+            run.is_sent = true;
             self.send_start(key, id, out);
         }
     }
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -14,6 +14,7 @@
 use magnoliapin_site::TaskName;
 use magnoliapin_site::TeamName;
 
+use crate::leader::crashes::CrashedRun;
 use crate::leader::job::JobKey;
 use crate::times::CLOCK_DRIFT;
 use crate::times::LEASE_SLACK;
@@ -49,7 +50,7 @@
     /// Runs that are or may be on it.
     pub(crate) runs: IndexMap<TaskName, Run>,
     /// Runs that were dropped because its lease had expired, while it is silent since.
-    pub(crate) lapsed_runs: Vec<RunId>,
+    pub(crate) lapsed_runs: Vec<CrashedRun>,
     /// Resources that the runs take.
     pub(crate) used: Resources,
     /// Last reading of its clock.
@@ -126,6 +127,9 @@
     /// Whether the run was reported by a target and its job is unknown to the leader.
     pub(crate) has_unknown_job: bool,
     pub(crate) stage: RunStage,
+    /// Whether its start was sent, so that the target may have begun it: a target that crashes at once
+    /// does not reply.
+    pub(crate) is_sent: bool,
     /// When the run was placed on the target, or first seen in a report.
     pub(crate) placed_at: Moment,
     /// When the target confirmed an order about it, or reported it.
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -151,7 +151,7 @@
         pub(crate) attempt: u32,
         /// When the incarnation had started.
         pub(crate) incarnation: UnixMillis,
-        /// Whether tasks ran there that were not isolated.
+        /// Whether other tasks may be the cause as well.
         pub(crate) is_shared: bool,
         /// Whether another task that has been given up accounts for it.
         pub(crate) is_explained: bool,
