Charge crashes of targets that were silent until their leases were over

Cause: a target that is deregistered and silent until its lease is over may have crashed or may only be cut off, so its runs were taken for lost and nothing was charged, nor when the target came back as a later incarnation. The same for runs of the leader before. Class: an ambiguous outcome counts as if nothing had happened, as for starts without a reply.

Change: such runs are remembered for 60 s and charged once a registration shows a later incarnation of the target or its instance, unless an order of ours ended it. The unit test failed without the call.

--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -52,6 +52,7 @@
 
 use self::agent_links::AgentLinks;
 use self::commit::PartitionCommit;
+use self::crashes::LapsedIncarnation;
 use self::fleet::Fleet;
 use self::host_index::HostIndex;
 use self::intake::Reload;
@@ -144,6 +145,8 @@
     due_orders: Vec<(TargetKey, TaskName)>,
     /// Unfinished tasks under which targets have crashed.
     crashed_tasks: IndexSet<TaskName>,
+    /// Incarnations whose leases are over, and which may have crashed.
+    lapsed_incarnations: IndexMap<TargetName, LapsedIncarnation>,
     /// Tasks that have lost a run and start again only after the store has confirmed this leader.
     unconfirmed_losses: IndexSet<TaskName>,
     /// Starts and stops of runs that are retried at the given moments.
@@ -274,6 +277,7 @@
             waiting_jobs,
             due_orders: Vec::new(),
             crashed_tasks: IndexSet::new(),
+            lapsed_incarnations: IndexMap::new(),
             unconfirmed_losses: IndexSet::new(),
             delayed_orders: Vec::new(),
             queue_statistics: IndexMap::new(),
--- a/crates/magnoliapin_scheduler/src/leader/crashes.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes.rs
@@ -10,10 +10,12 @@
 
 use magnoliapin_model::Moment;
 use magnoliapin_model::UnixMillis;
+use magnoliapin_site::InstanceName;
 use magnoliapin_site::JobState;
 use magnoliapin_site::PoolName;
 use magnoliapin_site::RunId;
 use magnoliapin_site::TargetName;
+use magnoliapin_site::TargetRecord;
 use magnoliapin_site::TargetState;
 use magnoliapin_site::TaskName;
 
@@ -47,6 +49,8 @@
 const MAX_CRASHES_WITH_OWN: usize = 4;
 /// Crashes after which a task is given up, whatever the cause.
 const MAX_CRASHES: usize = 5;
+/// Time for which runs are remembered whose target was silent when their leases ended.
+const LAPSE_MEMORY: Duration = Duration::from_secs(60);
 /// Maximum number of tasks with this many crashes that share a target.
 const ISOLATION_GROUP: usize = 4;
 /// One in this many targets of a pool may run such tasks at the same time.
@@ -64,6 +68,16 @@
     is_suspect: bool,
 }
 
+/// An incarnation of a target whose runs were taken for lost as their leases were over. Whether it was
+/// silent or had crashed shows only once the target or its instance is back.
+#[derive(Clone, Debug)]
+pub(crate) struct LapsedIncarnation {
+    started_at: UnixMillis,
+    instance: Option<InstanceName>,
+    runs: Vec<CrashedRun>,
+    lapsed_at: Moment,
+}
+
 impl Task {
     /// Returns whether the task must run alone, as targets have crashed under it.
     pub(super) fn needs_isolation(&self) -> bool {
@@ -212,6 +226,68 @@
         }
     }
 
+    /// Remembers the runs of a target that is removed because its lease is over.
+    pub(super) fn remember_lapsed_target(&mut self, target: &Target, now: Moment) {
+        self.record_survivals(target);
+        let mut runs = target.crashed_runs(now);
+        runs.extend(&target.lapsed_runs);
+        let instance = target.record.instance.clone();
+        let started_at = target.started_at();
+        let lapsed = LapsedIncarnation { started_at, instance, runs, lapsed_at: now };
+        self.remember_lapsed(target.record.name.clone(), lapsed);
+    }
+
+    /// Remembers the runs of a previous incarnation whose leases are over.
+    pub(super) fn remember_lapsed_previous(&mut self, name: &TargetName, now: Moment) {
+        let Some(incarnation) = self.previous_incarnations.get(name) else { return };
+        let runs = self.unconfirmed_runs.iter();
+        let runs = runs.filter(|(task, run)| run.target == *name && !self.is_long_running(**task));
+        let runs = runs.map(|(task, run)| CrashedRun {
+            id: RunId { task: *task, attempt: run.attempt },
+            is_certain: false,
+            is_suspect: true,
+        });
+        let lapsed = LapsedIncarnation {
+            started_at: incarnation.started_at,
+            instance: incarnation.instance.clone(),
+            runs: runs.collect(),
+            lapsed_at: now,
+        };
+        self.remember_lapsed(name.clone(), lapsed);
+    }
+
+    fn remember_lapsed(&mut self, name: TargetName, lapsed: LapsedIncarnation) {
+        let now = lapsed.lapsed_at;
+        self.lapsed_incarnations.retain(|_, known| now.since(known.lapsed_at) < LAPSE_MEMORY);
+        if !lapsed.runs.is_empty() {
+            self.lapsed_incarnations.insert(name, lapsed);
+        }
+    }
+
+    /// Charges the runs of lapsed incarnations if a registration shows that these have ended.
+    pub(super) fn check_lapsed(&mut self, record: &TargetRecord, out: &mut Outbox) {
+        let is_same_place = |name: &TargetName, lapsed: &LapsedIncarnation| {
+            *name == record.name
+                || (record.instance.is_some() && lapsed.instance == record.instance)
+        };
+        let known = self.lapsed_incarnations.iter();
+        let known = known.filter(|(name, lapsed)| is_same_place(name, lapsed));
+        let known: Vec<TargetName> = known.map(|(name, _)| name.clone()).collect();
+        for name in known {
+            let Some(lapsed) = self.lapsed_incarnations.swap_remove(&name) else { continue };
+            let is_ordered = |instance: &InstanceName| self.fleet.was_ordered_before(instance);
+            let is_planned = lapsed.instance.as_ref().is_some_and(is_ordered);
+            if lapsed.started_at >= record.started_at || is_planned {
+                continue;
+            }
+            for run in lapsed.runs {
+                let crash = TaskCrash::new(run.id.attempt, lapsed.started_at);
+                let crash = TaskCrash { is_explained: !run.is_suspect, ..crash };
+                self.add_crash(run.id.task, crash, out);
+            }
+        }
+    }
+
     /// Returns whether a task runs until its job is cancelled.
     fn is_long_running(&self, task: TaskName) -> bool {
         let job = self.job_keys.get(&task.job).and_then(|key| self.jobs.get(key));
--- a/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
@@ -11,12 +11,14 @@
 use magnoliapin_site::QueueName;
 use magnoliapin_site::Resources;
 use magnoliapin_site::StepSpec;
+use magnoliapin_site::TargetName;
 use magnoliapin_site::TaskName;
 
 use crate::leader::job::Task;
 use crate::leader::job::TaskState;
 use crate::leader::previous_runs::tests::target_record;
 use crate::leader::previous_runs::tests::FakeSite;
+use crate::leader::registrations::TargetLoss;
 use crate::leader::target::Run;
 use crate::leader::target::RunStage;
 use crate::leader::target::Target;
@@ -214,3 +216,40 @@
     assert_eq!(job.final_state, None);
     assert!(!leader.is_startable(job, culprit, state_of(&leader, culprit), out.now));
 }
+
+/// Guards against a crash that is not counted, because the target was silent until its lease was over and
+/// came back later.
+#[test]
+fn crashes_of_targets_that_come_back_late_count() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    leader.add_job(JOB, job_row(false), false, &mut out);
+    for (key, started_at, expected) in [(77, 2, 0), (78, 1, 1)] {
+        // The first one comes back as it was, the second one as a later incarnation.
+        let mut target = Target::new(target_record("i-7", started_at), out.now);
+        target.add_run(task(JOB, 0), running(started_at as u32, out.now));
+        leader.targets.insert(TargetKey(key), target);
+        leader.remove_target(TargetKey(key), TargetLoss::LeaseOver, &mut out);
+        assert_eq!(state_of(&leader, task(JOB, 0)).crashes.len(), 0);
+        leader.apply_record(target_record("i-7", 2), &mut out);
+        assert_eq!(state_of(&leader, task(JOB, 0)).crashes.len(), expected);
+        let key = leader.target_keys[&TargetName::new("i-7")];
+        leader.remove_target(key, TargetLoss::NeverHeard, &mut out);
+    }
+}
+
+/// Guards against a crash that is charged to an attempt which had failed before, as the rows of the
+/// leader before still name it.
+#[test]
+fn failed_attempts_are_not_charged_with_later_crashes() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    leader.add_job(JOB, job_row(false), false, &mut out);
+    let key = leader.job_keys[&JOB];
+    let name = task(JOB, 0);
+    let state = leader.jobs.get_mut(&key).and_then(|job| job.task_mut(name));
+    state.expect("the task is open").failed.push(1);
+    for attempt in 1..=2 {
+        leader.add_crash(name, TaskCrash::new(attempt, UnixMillis(1)), &mut out);
+    }
+    let attempts = state_of(&leader, name).crashes.iter().map(|crash| crash.attempt);
+    assert_eq!(attempts.collect::<Vec<u32>>(), [2]);
+}
--- a/crates/magnoliapin_scheduler/src/leader/previous_runs.rs
+++ b/crates/magnoliapin_scheduler/src/leader/previous_runs.rs
@@ -187,6 +187,7 @@
             );
         }
         for name in expired {
+            self.remember_lapsed_previous(&name, out.now);
             self.mark_unconfirmed_lost(&name, out.now);
             self.resolve_previous_incarnation(&name);
             self.obsolete_rows.push(name);
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -192,6 +192,7 @@
             record.state,
             record.started_at
         );
+        self.check_lapsed(&record, out);
         self.remove_predecessors(&record, out);
         self.last_target_key += 1;
         let key = TargetKey(self.last_target_key);
@@ -240,6 +241,8 @@
         }
         if matches!(loss, TargetLoss::OtherLife | TargetLoss::InstanceGone) {
             self.record_crash(&target, out);
+        } else {
+            self.remember_lapsed_target(&target, out.now);
         }
         for (task, run) in target.runs {
             self.release_team(&run);
