Keep runs that the next incarnation of a target may have confirmed

Callers: a task ran twice at the same time (TWICE).

Cause: a start without a reply is repeated until an incarnation of the target executes it, which may be the next one, before its registration or report arrives. The run was then taken for one of the incarnation before if it had been placed before the last report, and lost with it. What counts is when it was confirmed, not when it was placed. Class: an answer taken for that of another life of the one who answers.

Change: such a run is kept and sent again, or stopped. The unit test failed before.

--- a/crates/magnoliapin_scheduler/src/leader/crashes.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes.rs
@@ -33,7 +33,7 @@
 
 #[cfg(test)]
 #[path = "crashes_tests.rs"]
-mod tests;
+pub(super) mod tests;
 
 /// Crashes from which on a task runs apart from others.
 const ISOLATION_CRASHES: usize = 2;
@@ -62,7 +62,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CrashedRun {
     pub(crate) id: RunId,
-    /// Whether the target had certainly begun it, and was not to stop it.
+    /// Whether the target had certainly begun it.
     is_certain: bool,
     /// Whether it may be the cause; if not, others that had just started are.
     is_suspect: bool,
--- a/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
@@ -30,10 +30,11 @@
 use crate::rows::TaskCrash;
 use crate::rows::TaskCrashes;
 
-const JOB: JobId = JobId(5);
+/// A job of these tests.
+pub(in crate::leader) const JOB: JobId = JobId(5);
 
 /// Returns the row of a job with one task.
-fn job_row(long_running: bool) -> JobRow {
+pub(in crate::leader) fn job_row(long_running: bool) -> JobRow {
     job_row_with(1, long_running)
 }
 
@@ -51,7 +52,7 @@
 }
 
 /// Returns a run that began at a moment.
-fn running(attempt: u32, at: Moment) -> Run {
+pub(in crate::leader) fn running(attempt: u32, at: Moment) -> Run {
     Run {
         attempt,
         job: None,
@@ -71,7 +72,7 @@
 }
 
 /// Returns a task of a job of these tests.
-fn task(job: JobId, index: u32) -> TaskName {
+pub(in crate::leader) fn task(job: JobId, index: u32) -> TaskName {
     TaskName { job, index, ..TaskName::default() }
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -13,6 +13,10 @@
 use crate::outbox::Outbox;
 use crate::watch::WatchUpdate;
 
+#[cfg(test)]
+#[path = "registrations_tests.rs"]
+mod tests;
+
 /// Why the leader removes an incarnation of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TargetLoss {
@@ -160,9 +164,10 @@
         }
         self.record_crash(&before, out);
         for (task, mut run) in before.runs {
-            // A start that is not confirmed is repeated, whenever the run was placed.
-            let may_be_here =
-                run.stage != RunStage::Running || last_report.is_none_or(|at| run.placed_at >= at);
+            // A start is repeated unless the incarnation before has certainly executed it. The new one
+            // may have confirmed it if that was after the last report.
+            let is_later = |at| run.confirmed_at.is_none_or(|confirmed| confirmed >= at);
+            let may_be_here = run.stage != RunStage::Running || last_report.is_none_or(is_later);
             if may_be_here && run.stage != RunStage::Stopping {
                 run.unconfirmed_starts =
                     run.unconfirmed_starts.max(u32::from(run.stage != RunStage::Planned));
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/leader/registrations_tests.rs
@@ -0,0 +1,32 @@
+//! Tests of applying registrations.
+
+use std::time::Duration;
+
+use crate::leader::crashes::tests::job_row;
+use crate::leader::crashes::tests::running;
+use crate::leader::crashes::tests::task;
+use crate::leader::crashes::tests::JOB;
+use crate::leader::previous_runs::tests::target_record;
+use crate::leader::previous_runs::tests::FakeSite;
+use crate::leader::target::ClockReading;
+use crate::leader::target::Run;
+use crate::leader::target::Target;
+use crate::leader::target::TargetKey;
+
+/// Guards against a second run of a task while the first one goes on: the next incarnation of its target
+/// has confirmed a repeated start of it, which is taken for lost with the incarnation before.
+#[test]
+fn runs_confirmed_after_the_last_report_stay_with_the_target() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    leader.add_job(JOB, job_row(false), false, &mut out);
+    let key = TargetKey(77);
+    let mut target = Target::new(target_record("i-7", 1), out.now);
+    let read_at = out.now + Duration::from_secs(1);
+    target.clock = Some(ClockReading { clock_ms: 1, read_at });
+    let confirmed_at = Some(read_at + Duration::from_millis(1));
+    target.add_run(task(JOB, 0), Run { confirmed_at, ..running(1, out.now) });
+    leader.targets.insert(key, target);
+    out.now = out.now + Duration::from_secs(2);
+    leader.replace_incarnation(key, target_record("i-7", 2), &mut out);
+    assert!(leader.targets[&key].runs.contains_key(&task(JOB, 0)));
+}
