Ignore registrations of targets that started in the far future

Callers: found by reading for the odd entry of another writer. An entry that names the instance of a live target and a start in the far future made the leader take that target for ended: its tasks were started again elsewhere while they went on.

Cause: the start of an incarnation is compared and never checked. Class: a number from outside trusted as an order.

The unit test failed before; the numbers at the end of the type, of the start and of the time left, no longer have an effect.

--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -17,6 +17,9 @@
 #[path = "registrations_tests.rs"]
 mod tests;
 
+/// Time by which the clocks of a target and of this node may differ, in milliseconds.
+const MAX_CLOCK_ERROR_MS: u64 = 24 * 3_600 * 1_000;
+
 /// Why the leader removes an incarnation of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TargetLoss {
@@ -56,6 +59,14 @@
     fn apply_target_changes(&mut self, changes: Vec<TargetChange>, out: &mut Outbox) {
         for change in changes {
             match change {
+                TargetChange::Registered(record) if is_from_future(&record, out) => {
+                    log::warn!(
+                        "event=registration_unusable target={} why=\"started at {}\"",
+                        record.name,
+                        record.started_at
+                    );
+                    self.mark_missing(&record.name, out);
+                }
                 TargetChange::Registered(record) => self.apply_record(record, out),
                 TargetChange::Removed(name) => self.mark_missing(&name, out),
                 TargetChange::Invalid(name, reason) => {
@@ -268,6 +279,12 @@
     }
 }
 
+/// Returns whether a registration names a start that no target can have had. Its order among the
+/// incarnations of an instance would be wrong.
+fn is_from_future(record: &TargetRecord, out: &Outbox) -> bool {
+    record.started_at.0.saturating_sub(out.wall_now().0) > MAX_CLOCK_ERROR_MS
+}
+
 /// Returns the target that a change registers; `None` if the change removes it.
 fn listed_name(change: &TargetChange) -> Option<&TargetName> {
     match change {
--- a/crates/magnoliapin_scheduler/src/leader/registrations_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations_tests.rs
@@ -2,6 +2,14 @@
 
 use std::time::Duration;
 
+use magnoliapin_model::RowVersion;
+use magnoliapin_model::UnixMillis;
+use magnoliapin_site::StoreReply;
+use magnoliapin_site::TargetChange;
+use magnoliapin_site::TargetName;
+use magnoliapin_site::TargetRecord;
+use magnoliapin_site::TargetState;
+
 use crate::leader::crashes::tests::job_row;
 use crate::leader::crashes::tests::running;
 use crate::leader::crashes::tests::task;
@@ -12,6 +20,7 @@
 use crate::leader::target::Run;
 use crate::leader::target::Target;
 use crate::leader::target::TargetKey;
+use crate::watch::WatchUpdate;
 
 /// Guards against a second run of a task while the first one goes on: the next incarnation of its target
 /// has confirmed a repeated start of it, which is taken for lost with the incarnation before.
@@ -30,3 +39,25 @@
     leader.replace_incarnation(key, target_record("i-7", 2), &mut out);
     assert!(leader.targets[&key].runs.contains_key(&task(JOB, 0)));
 }
+
+/// Guards against a target that is taken for ended, with all that it runs, because another writer's
+/// registration names its instance and a start in the far future.
+#[test]
+fn registrations_from_the_future_replace_no_target() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    leader.apply_record(target_record("i-7", 1), &mut out);
+    let key = leader.target_keys[&TargetName::new("i-7")];
+    for name in ["i-8", "i-7"] {
+        let odd = TargetRecord {
+            started_at: UnixMillis(u64::MAX),
+            state: TargetState::Draining(Some(u64::MAX)),
+            ..target_record(name, 1)
+        };
+        let changes = vec![TargetChange::Registered(odd)];
+        let reply = StoreReply::Targets { changes, next: None, version: RowVersion(9) };
+        leader.handle_registration_update(WatchUpdate::Changed(reply), &mut out);
+        let target = leader.targets.get(&key).expect("the target is known");
+        assert_eq!(target.started_at(), UnixMillis(1), "after an odd registration of {name}");
+        assert_eq!(leader.targets.len(), 1);
+    }
+}
