Take sudden crashes for the effect of unanswered starts

Change: a crash that is known within 0.5 s of the start of the only suspect is its effect, confirmed or not. Test: two such crashes are enough; it needed five before.

--- a/crates/magnoliapin_scheduler/src/leader/crashes.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes.rs
@@ -41,6 +41,9 @@
 const LONG_RUNNING_ISOLATION: Duration = Duration::from_secs(2);
 /// Time after which a long-running task has shown that it does not crash its target.
 const PROBATION: Duration = Duration::from_secs(10);
+/// Time after a start within which its target must be known to have crashed for the crash to be the effect
+/// of the start even if it was not confirmed.
+const SUDDEN_CRASH: Duration = Duration::from_millis(500);
 /// Time for which a run must have gone on so that others that have just started are suspected instead.
 const SETTLING_TIME: Duration = Duration::from_millis(200);
 /// Crashes after which a task is given up if no other task may be the cause.
@@ -130,7 +133,8 @@
         let mut charged: Vec<(CrashedRun, &Run)> = charged
             .map(|(task, run)| {
                 let id = RunId { task: *task, attempt: run.attempt };
-                let is_certain = run.confirmed_at.is_some() && run.stage == RunStage::Running;
+                let is_confirmed = run.confirmed_at.is_some() && run.stage == RunStage::Running;
+                let is_certain = is_confirmed || now.since(run.placed_at) < SUDDEN_CRASH;
                 (CrashedRun { id, is_certain, is_suspect: true }, run)
             })
             .collect();
--- a/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
@@ -270,3 +270,21 @@
     leader.restore_job(JOB, &progress, &[crashed], RowVersion(1), &mut out);
     assert_eq!(leader.jobs[&key].final_state, Some(JobState::Failed));
 }
+
+/// Guards against culprits that wait to run alone again and again, as no target lasts for long enough to
+/// confirm their starts.
+#[test]
+fn sudden_crashes_are_the_effect_of_unanswered_starts() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    leader.add_job(JOB, job_row(false), false, &mut out);
+    for attempt in 1..=2 {
+        let mut target = Target::new(target_record("i-9", u64::from(attempt)), out.now);
+        let stage = RunStage::Starting;
+        let run = Run { stage, confirmed_at: None, ..running(attempt, out.now) };
+        target.add_run(task(JOB, 0), run);
+        out.now = out.now + Duration::from_millis(50);
+        leader.record_crash(&target, &mut out);
+    }
+    let job = &leader.jobs[&leader.job_keys[&JOB]];
+    assert_eq!(job.final_state, Some(JobState::Failed));
+}
