--- a/crates/magnoliapin_scheduler/tests/soak/crashing_tasks.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/crashing_tasks.rs
@@ -25,6 +25,12 @@
 pub(crate) const FEW_CRASHES: CrashLoad = CrashLoad { job_share: 0.04, longest_delay_ms: 1_000 };
 /// So many jobs whose tasks crash their targets at once that most targets are down.
 pub(crate) const CRASH_STORM: CrashLoad = CrashLoad { job_share: 0.15, longest_delay_ms: 40 };
+/// Draws which jobs crash their targets, and when.
+pub(crate) struct CrashSource {
+    random: Pcg64Mcg,
+    load: CrashLoad,
+}
+
 /// Shortest time from the start of such a task to the crash, in milliseconds.
 const SHORTEST_DELAY_MS: u64 = 20;
 
@@ -46,16 +52,15 @@
 impl World {
     /// Lets some jobs have a task that crashes its targets.
     pub(crate) fn with_crashing_tasks(mut self, seed: u64, load: CrashLoad) -> Self {
-        self.crash_random = Some(Pcg64Mcg::seed_from_u64(seed));
-        self.crash_load = load;
+        self.crash_source = Some(CrashSource { random: Pcg64Mcg::seed_from_u64(seed), load });
         self
     }
 
     /// Draws whether a new job has a task that crashes its targets.
     pub(crate) fn draw_crashing_task(&mut self, job: JobId) {
-        let Some(random) = &mut self.crash_random else { return };
+        let Some(CrashSource { random, load }) = &mut self.crash_source else { return };
         let spec = &self.checker.jobs[&job].spec;
-        if spec.is_long_running() || !random.random_bool(self.crash_load.job_share) {
+        if spec.is_long_running() || !random.random_bool(load.job_share) {
             return;
         }
         let step = random.random_range(0..spec.steps.len());
@@ -79,8 +84,8 @@
                 self.checker.report_violation(self.now, &text);
             }
         }
-        let Some(random) = &mut self.crash_random else { return };
-        let delay = random.random_range(SHORTEST_DELAY_MS..self.crash_load.longest_delay_ms);
+        let Some(CrashSource { random, load }) = &mut self.crash_source else { return };
+        let delay = random.random_range(SHORTEST_DELAY_MS..load.longest_delay_ms);
         let delay = Duration::from_millis(delay);
         let incarnation = self.targets[target].record.started_at.0;
         self.schedule_after(delay, Event::TaskCrash(target, incarnation, run.task));
@@ -96,7 +101,7 @@
             return;
         }
         self.take_target_down(number);
-        let Some(random) = &mut self.crash_random else { return };
+        let Some(CrashSource { random, .. }) = &mut self.crash_source else { return };
         let downtime = Duration::from_millis(random.random_range(1_000..6_000));
         self.targets[number].down_until = self.now + downtime;
         // This is no fault of the site, so the nodes stay in touch.
--- a/crates/magnoliapin_scheduler/tests/soak/world.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/world.rs
@@ -37,8 +37,7 @@
 
 use crate::clients::ClientOperation;
 use crate::clients::ClientState;
-use crate::crashing_tasks::CrashLoad;
-use crate::crashing_tasks::FEW_CRASHES;
+use crate::crashing_tasks::CrashSource;
 use crate::faults::FaultChange;
 use crate::faults::FaultPlan;
 use crate::faults::FaultState;
@@ -153,9 +152,7 @@
     pub(crate) idle_checks: BTreeMap<TaskName, u32>,
     /// Source of the tasks that crash their targets; `None` if there are none. It is separate so
     /// that the other simulations of a seed stay the same.
-    pub(crate) crash_random: Option<Pcg64Mcg>,
-    /// How many jobs have such a task.
-    pub(crate) crash_load: CrashLoad,
+    pub(crate) crash_source: Option<CrashSource>,
     /// Changes of the configuration, each with the moment of its confirmation by the store.
     pub(crate) config_changes: Vec<(Moment, ConfigVersion)>,
     /// Probes of the configuration without a reply: the node, and a version that it must know or
@@ -184,8 +181,7 @@
             checker: InvariantChecker::default(),
             instance_service: InstanceService::default(),
             idle_checks: BTreeMap::new(),
-            crash_random: None,
-            crash_load: FEW_CRASHES,
+            crash_source: None,
             config_changes: Vec::new(),
             config_probes: BTreeMap::new(),
         };
