Do not charge the end of a draining target that was silent as a crash

Found by reading: targets that drain or were ordered to move, and were silent until their leases were over, were remembered like others and charged once they were back. The unit test failed without the check.

--- a/crates/magnoliapin_scheduler/src/leader/crashes.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes.rs
@@ -222,6 +222,9 @@
     /// Remembers the runs of a target that is removed because its lease is over.
     pub(super) fn remember_lapsed_target(&mut self, target: &Target, now: Moment) {
         self.record_survivals(target);
+        if self.is_planned_end(target) {
+            return;
+        }
         let mut runs = target.crashed_runs(now);
         runs.extend(&target.lapsed_runs);
         let instance = target.record.instance.clone();
--- a/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
@@ -13,6 +13,7 @@
 use magnoliapin_site::Resources;
 use magnoliapin_site::StepSpec;
 use magnoliapin_site::TargetName;
+use magnoliapin_site::TargetState;
 use magnoliapin_site::TaskName;
 
 use crate::leader::job::Task;
@@ -239,6 +240,20 @@
     }
 }
 
+/// Guards against a planned end that is charged as a crash, as the target had become silent meanwhile.
+#[test]
+fn draining_targets_that_come_back_late_have_not_crashed() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    leader.add_job(JOB, job_row(false), false, &mut out);
+    let mut target = Target::new(target_record("i-7", 1), out.now);
+    target.record.state = TargetState::Draining(None);
+    target.add_run(task(JOB, 0), running(1, out.now));
+    leader.targets.insert(TargetKey(77), target);
+    leader.remove_target(TargetKey(77), TargetLoss::LeaseOver, &mut out);
+    leader.apply_record(target_record("i-7", 2), &mut out);
+    assert_eq!(state_of(&leader, task(JOB, 0)).crashes.len(), 0);
+}
+
 /// Guards against a crash that is charged to an attempt which had failed before, as the rows of the
 /// leader before still name it.
 #[test]
