Test the count of unanswered starts apart from sudden crashes

Since sudden crashes count as the effect of a start, the test of unanswered starts passed after two crashes by that rule and no longer showed that each one counts. Stricter than before.

The second test fails with SUDDEN_CRASH at zero, and both fail if only confirmed runs are charged.

--- a/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
@@ -136,21 +136,27 @@
     }
 }
 
-/// Guards against a task that starts again and again because its targets crash before they confirm its
-/// start.
-#[test]
-fn crashes_before_the_reply_to_the_start_count() {
+/// Returns after how many crashes a task is given up whose targets never confirm its start, and are known
+/// to have crashed some time after it was sent.
+fn unanswered_starts_until_given_up(known_after: Duration) -> Option<u32> {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
     leader.add_job(JOB, job_row(false), false, &mut out);
-    for attempt in 1..=5 {
-        let mut target = Target::new(target_record("i-9", u64::from(attempt)), out.now);
+    (1..=6).find(|attempt| {
+        let mut target = Target::new(target_record("i-9", u64::from(*attempt)), out.now);
         let stage = RunStage::Starting;
-        let run = Run { stage, confirmed_at: None, ..running(attempt, out.now) };
+        let run = Run { stage, confirmed_at: None, ..running(*attempt, out.now) };
         target.add_run(task(JOB, 0), run);
+        out.now = out.now + known_after;
         leader.record_crash(&target, &mut out);
-    }
-    let job = &leader.jobs[&leader.job_keys[&JOB]];
-    assert_eq!(job.final_state, Some(JobState::Failed));
+        leader.jobs[&leader.job_keys[&JOB]].final_state == Some(JobState::Failed)
+    })
+}
+
+/// Guards against a task that starts again and again because its targets crash before they confirm its
+/// start.
+#[test]
+fn crashes_before_the_reply_to_the_start_count() {
+    assert_eq!(unanswered_starts_until_given_up(Duration::from_secs(2)), Some(5));
 }
 
 /// Guards against a task that must run apart from others, or is given up, because others crashed its
@@ -290,16 +296,5 @@
 /// confirm their starts.
 #[test]
 fn sudden_crashes_are_the_effect_of_unanswered_starts() {
-    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(false), false, &mut out);
-    for attempt in 1..=2 {
-        let mut target = Target::new(target_record("i-9", u64::from(attempt)), out.now);
-        let stage = RunStage::Starting;
-        let run = Run { stage, confirmed_at: None, ..running(attempt, out.now) };
-        target.add_run(task(JOB, 0), run);
-        out.now = out.now + Duration::from_millis(50);
-        leader.record_crash(&target, &mut out);
-    }
-    let job = &leader.jobs[&leader.job_keys[&JOB]];
-    assert_eq!(job.final_state, Some(JobState::Failed));
+    assert_eq!(unanswered_starts_until_given_up(Duration::from_millis(50)), Some(2));
 }
