Review: jobs are lost and run twice after the store's limits change in the settings

Cause: the number of partitions of the job space follows from the rate limits in the settings and is not kept in the store. After a change from 800 to 1,200 writes a second and a rolling restart, nodes look for jobs in other partitions.

--- /dev/null
+++ b/review/standin/executor.py
@@ -0,0 +1,166 @@
+"""Stand-in for an executor, one process each. It follows "Running subtasks" of PROTOCOL.md.
+
+The `spec` of a job states its subtasks' work as JSON: {"ms": M} or {"ms": M, "spread_ms": S}, where
+subtask number I works for M + (I * 7919 mod S) milliseconds.
+"""
+
+import asyncio
+import json
+import os
+import sys
+import time
+
+import wire
+
+SETTINGS = json.loads(sys.argv[1])
+FINISHED_PER_RESPONSE = 500
+
+
+class Executor:
+    def __init__(self):
+        self.started_at = time.monotonic()
+        self.born = int(time.time() * 1000)
+        self.fence = 0
+        self.deadline_ms = 0
+        self.running = {}
+        self.highest_ended = {}
+        self.finished = []
+        self.last_end = 0
+        self.ended = asyncio.Condition()
+        self.log = open(SETTINGS["log"], "a", buffering=1)
+        self.seq = 0
+
+    def clock_ms(self):
+        return 1000 + int((time.monotonic() - self.started_at) * 1000)
+
+    def note(self, what, **fields):
+        row = {"at_ms": int(time.time() * 1000), "what": what, "executor": SETTINGS["id"],
+               "born": self.born, **fields}
+        self.log.write(json.dumps(row) + "\n")
+
+    async def run(self):
+        server = await wire.serve(self.handle, "127.0.0.1", SETTINGS["port"])
+        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.note("up", address=self.address)
+        asyncio.ensure_future(self.watch())
+        while True:
+            await self.beat()
+            await asyncio.sleep(SETTINGS["heartbeat_ms"] / 1000.0)
+
+    async def beat(self):
+        self.seq += 1
+        entry = {
+            "service": SETTINGS["service"], "addr": self.address, "zone": SETTINGS["zone"],
+            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+            "capacity": SETTINGS["capacity"], "labels": SETTINGS["labels"],
+            "clock_ms": self.clock_ms(), "seq_no": self.seq, "born": self.born,
+            "machine": SETTINGS["machine"],
+        }
+        value = {"id": SETTINGS["id"], "entry": entry}
+        await wire.call(tuple(SETTINGS["store"]), "POST", "/standin/beat", value, timeout_s=1.0)
+
+    async def watch(self):
+        """Ends runs whose work is done, and everything when the lease expires."""
+        while True:
+            now = self.clock_ms()
+            ended = [(task, "done") for task, run in self.running.items() if now >= run["ends_ms"]]
+            if self.running and now >= self.deadline_ms:
+                ended = [(task, "lapsed") for task in self.running]
+            for task, how in ended:
+                self.end(task, how)
+            if ended:
+                async with self.ended:
+                    self.ended.notify_all()
+            await asyncio.sleep(0.005)
+
+    def end(self, task, how):
+        run = self.running.pop(task)
+        self.last_end += 1
+        self.highest_ended[task] = max(self.highest_ended.get(task, 0), run["attempt"])
+        self.finished.append([self.last_end, task, run["attempt"], how, ""])
+        self.note("end", task=task, attempt=run["attempt"], how=how, number=self.last_end)
+
+    async def handle(self, method, path, query, headers, body):
+        if headers.get("x-expect-instance", SETTINGS["id"]) != SETTINGS["id"]:
+            return 421, {"clock_ms": self.clock_ms()}
+        value = json.loads(body) if body else {}
+        fence = value.get("fence_token", 0)
+        if fence < self.fence:
+            return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
+        self.fence = fence
+        if path == "/api/run-start":
+            return self.start(value)
+        if path == "/api/run-stop":
+            return self.stop(value)
+        if path == "/api/hold":
+            return await self.hold(value)
+        if path == "/api/pace":
+            return 200, {"clock_ms": self.clock_ms()}
+        return 404, None
+
+    def extend(self, value):
+        if "deadline_ms" in value:
+            longest = self.clock_ms() + SETTINGS["max_hold_ms"]
+            self.deadline_ms = max(self.deadline_ms, min(value["deadline_ms"], longest))
+
+    def start(self, value):
+        def refuse(reason):
+            self.note("refused", task=task, attempt=attempt, why=reason)
+            return 409, {"clock_ms": self.clock_ms(), "reason": reason}
+
+        task, attempt = value["task"], value["attempt"]
+        self.extend(value)
+        present = self.running.get(task)
+        if present is not None and present["attempt"] == attempt:
+            return 200, {"clock_ms": self.clock_ms()}
+        if attempt <= self.highest_ended.get(task, 0):
+            return refuse("old")
+        if self.deadline_ms <= self.clock_ms():
+            return refuse("late")
+        work = json.loads(value["spec"])
+        used = [run["cpu"] for run in self.running.values()]
+        if sum(used) + work.get("cpu", 0) > SETTINGS["capacity"]["cpu"]:
+            return refuse("room")
+        index = int(task.rsplit(".", 1)[1])
+        spread = work.get("spread_ms", 0)
+        work_ms = work["ms"] + (index * 7919 % spread if spread else 0)
+        now = self.clock_ms()
+        self.running[task] = {"attempt": attempt, "began_ms": now, "ends_ms": now + work_ms,
+                              "cpu": work.get("cpu", 0), "lasts": work.get("lasts", False)}
+        self.note("start", task=task, attempt=attempt, fence=value.get("fence_token", 0))
+        return 200, {"clock_ms": now}
+
+    def stop(self, value):
+        task, attempt = value["task"], value["attempt"]
+        run = self.running.get(task)
+        if run is not None and run["attempt"] == attempt:
+            self.end(task, "stopped")
+        self.highest_ended[task] = max(self.highest_ended.get(task, 0), attempt)
+        return 200, {"clock_ms": self.clock_ms()}
+
+    async def hold(self, value):
+        self.extend(value)
+        acked = value.get("ack_seq", 0)
+        if self.finished and self.finished[0][0] <= acked:
+            self.finished = [row for row in self.finished if row[0] > acked]
+            self.note("acked", number=acked)
+        wait_s = min(value.get("wait_ms", 0), 2000) / 1000.0
+        if not self.finished and wait_s:
+            async with self.ended:
+                try:
+                    await asyncio.wait_for(self.ended.wait(), wait_s)
+                except asyncio.TimeoutError:
+                    pass
+        now = self.clock_ms()
+        running = []
+        for task, run in self.running.items():
+            percent = 100 if run["lasts"] else min(99, 100 * (now - run["began_ms"])
+                                                   // max(1, run["ends_ms"] - run["began_ms"]))
+            running.append([task, run["attempt"], "", percent, run["cpu"]])
+        return 200, {"clock_ms": now, "born": self.born, "running": running,
+                     "finished": self.finished[:FINISHED_PER_RESPONSE]}
+
+
+if __name__ == "__main__":
+    os.setpgid(0, 0) if SETTINGS.get("own_group") else None
+    asyncio.run(Executor().run())
