Review: a gang with checkpoints never works again after one executor crash

Cause: each member of a gang is started with the checkpoint that it saved itself, though all members must carry the same value.

--- a/review/standin/executor.py
+++ b/review/standin/executor.py
@@ -1,7 +1,8 @@
 """Stand-in for an executor, one process each. It follows "Running subtasks" of PROTOCOL.md.
 
 The `spec` of a job states its subtasks' work as JSON: {"ms": M} or {"ms": M, "spread_ms": S}, where
-subtask number I works for M + (I * 7919 mod S) milliseconds.
+subtask number I works for M + (I * 7919 mod S) milliseconds. With {"gang": N} the N subtasks of the
+step work only together: each joins its gang at the stand-in platform, which says when they work.
 """
 
 import asyncio
@@ -63,7 +64,8 @@
         """Ends runs whose work is done, and everything when the lease expires."""
         while True:
             now = self.clock_ms()
-            ended = [(task, "done") for task, run in self.running.items() if now >= run["ends_ms"]]
+            ended = [(task, "done") for task, run in self.running.items()
+                     if not run["gang"] and now >= run["ends_ms"]]
             if self.running and now >= self.deadline_ms:
                 ended = [(task, "lapsed") for task in self.running]
             for task, how in ended:
@@ -77,7 +79,7 @@
         run = self.running.pop(task)
         self.last_end += 1
         self.highest_ended[task] = max(self.highest_ended.get(task, 0), run["attempt"])
-        self.finished.append([self.last_end, task, run["attempt"], how, ""])
+        self.finished.append([self.last_end, task, run["attempt"], how, run.get("saved", "")])
         self.note("end", task=task, attempt=run["attempt"], how=how, number=self.last_end)
 
     async def handle(self, method, path, query, headers, body):
@@ -126,10 +128,32 @@
         work_ms = work["ms"] + (index * 7919 % spread if spread else 0)
         now = self.clock_ms()
         self.running[task] = {"attempt": attempt, "began_ms": now, "ends_ms": now + work_ms,
-                              "cpu": work.get("cpu", 0), "lasts": work.get("lasts", False)}
-        self.note("start", task=task, attempt=attempt, fence=value.get("fence_token", 0))
+                              "cpu": work.get("cpu", 0), "lasts": work.get("lasts", False),
+                              "gang": work.get("gang", 0), "saved": value.get("checkpoint", "")}
+        self.note("start", task=task, attempt=attempt, fence=value.get("fence_token", 0),
+                  checkpoint=value.get("checkpoint"))
+        if work.get("gang"):
+            asyncio.ensure_future(self.join_gang(task, attempt, work, value.get("checkpoint", "")))
         return 200, {"clock_ms": now}
 
+    async def join_gang(self, task, attempt, work, checkpoint):
+        """Keeps a member in its gang until the gang says how it has ended."""
+        member = {"member": task, "attempt": attempt, "count": work["gang"], "ms": work["ms"],
+                  "checkpoint": checkpoint, "executor": SETTINGS["id"]}
+        while self.running.get(task, {}).get("attempt") == attempt:
+            status, reply = await wire.call(tuple(SETTINGS["store"]), "POST", "/standin/gang", member,
+                                            timeout_s=1.0)
+            run = self.running.get(task)
+            if status != 200 or run is None or run["attempt"] != attempt:
+                continue
+            run["saved"] = reply["saved"] or run["saved"]
+            if reply["end"]:
+                self.end(task, reply["end"])
+                async with self.ended:
+                    self.ended.notify_all()
+                return
+            await asyncio.sleep(0.05)
+
     def stop(self, value):
         task, attempt = value["task"], value["attempt"]
         run = self.running.get(task)
@@ -156,7 +180,7 @@
         for task, run in self.running.items():
             percent = 100 if run["lasts"] else min(99, 100 * (now - run["began_ms"])
                                                    // max(1, run["ends_ms"] - run["began_ms"]))
-            running.append([task, run["attempt"], "", percent, run["cpu"]])
+            running.append([task, run["attempt"], run["saved"], percent, run["cpu"]])
         return 200, {"clock_ms": now, "born": self.born, "running": running,
                      "finished": self.finished[:FINISHED_PER_RESPONSE]}
 
--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -205,6 +205,9 @@
         self.began = time.time()
         self.nodes, self.executors = [], []
 
+    def now_ms(self):
+        return int(time.time() * 1000)
+
     def note(self, what, **fields):
         at_ms = int(time.time() * 1000)
         self.record.write(json.dumps({"at_ms": at_ms, "what": what, **fields}) + "\n")
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -10,6 +10,10 @@
 TXN_S = 0.004
 HISTORY_S = 20.0
 PAGE_ROWS = 500
+CHECKPOINT_MS = 500
+GANG_WAIT_S = 3.0
+# A member that has not been heard of for this long is gone.
+MEMBER_SILENCE_S = 0.5
 
 
 class Platform:
@@ -28,6 +32,7 @@
         # One of None, "silent", "busy", "reset": how the store answers the system's calls.
         self.outage = None
         self.machines = {}
+        self.gangs = {}
         self.orders = []
 
     async def start(self):
@@ -69,6 +74,8 @@
     async def handle(self, method, path, query, headers, body):
         if path == "/standin/beat":
             return await self.beat(json.loads(body))
+        if path == "/standin/gang":
+            return 200, self.gang(json.loads(body))
         if path == "/api/machines":
             await asyncio.sleep(TXN_S)
             return 200, {"machines": self.list_machines(), "next_token": None}
@@ -108,6 +115,33 @@
         await self.put("servers", name, entry["entry"])
         return 200, {}
 
+    def gang(self, value):
+        """Keeps a gang: its members work only while all of them are present, all with the same attempt
+        and the same checkpoint. The value that a member saves names the work done and the member."""
+        now = time.monotonic()
+        step, _, index = value["member"].rpartition(".")
+        run = self.gangs.setdefault((step, value["attempt"]), {"members": {}, "since": None, "end": None})
+        member = run["members"].setdefault(index, {"joined": now, "checkpoint": value["checkpoint"]})
+        member["seen"] = now
+        present = [one for one in run["members"].values() if now - one["seen"] < MEMBER_SILENCE_S]
+        is_whole = len(present) == value["count"]
+        is_alike = len({one["checkpoint"] for one in present}) == 1
+        if run["since"] is None and run["end"] is None and is_whole and is_alike:
+            run["since"] = now
+            run["base_ms"] = int((value["checkpoint"] or "0-").partition("-")[0])
+        saved, end = "", run["end"]
+        if run["since"] is not None:
+            worked_ms = run["base_ms"] + (now - run["since"]) * 1000
+            steps = int(worked_ms) // CHECKPOINT_MS
+            saved = "%d-%s" % (steps * CHECKPOINT_MS, index) if steps else ""
+            if end is None and worked_ms >= value["ms"]:
+                end = run["end"] = "done"
+            elif end is None and not is_whole:
+                end = run["end"] = "broken"
+        elif end is None and now - member["joined"] > GANG_WAIT_S:
+            end = "alone"
+        return {"saved": saved, "end": end}
+
     def list_machines(self):
         machines = []
         for name, machine in self.machines.items():
