--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,13 +10,13 @@
 import rig as rig_module
 
 PREFIX = "/pay-calc/"
-JOBS = 12
+JOBS = 15
 SUBTASKS = 100
-# Time between two jobs, and when the first subtasks end; the ends spread over six seconds.
+# Time between two jobs, and when the first subtasks end; the ends spread over five seconds.
 GAP_S = 0.5
-FIRST_END_S = 10.0
-SPREAD_MS = 6_000
-OUTAGE_FROM_S = 10.8
+FIRST_END_S = 11.0
+SPREAD_MS = 5_000
+OUTAGE_FROM_S = 11.3
 OUTAGE_S = 4.5
 
 
