Review: a leader that was frozen sends a start that its successor has run elsewhere

Cause: recorded starts are sent whatever the age of the record, and an executor that has crashed meanwhile knows no fence and has a new clock.

--- a/review/standin/executor.py
+++ b/review/standin/executor.py
@@ -44,6 +44,7 @@
         self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         self.note("up", address=self.address)
         asyncio.ensure_future(self.watch())
+        await asyncio.sleep(SETTINGS.get("first_beat_s", 0.0))
         while True:
             await self.beat()
             await asyncio.sleep(SETTINGS["heartbeat_ms"] / 1000.0)
@@ -88,6 +89,7 @@
         value = json.loads(body) if body else {}
         fence = value.get("fence_token", 0)
         if fence < self.fence:
+            self.note("fenced", path=path, fence=fence, highest=self.fence)
             return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
         self.fence = fence
         if path == "/api/run-start":
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -33,6 +33,8 @@
         self.outage = None
         self.machines = {}
         self.gangs = {}
+        # Called with the body of each transaction that is applied, before its answer is sent.
+        self.on_commit = lambda body: None
         self.orders = []
 
     async def start(self):
@@ -169,6 +171,7 @@
         changes = [(row_of(entry), entry["value"]) for entry in body.get("set_keys", [])]
         changes += [(row_of(entry), None) for entry in body.get("remove", [])]
         await self.apply(changes)
+        self.on_commit(body)
         return 200, {"ver": self.version, "now_ms": self.now_ms()}
 
     def show(self, row, kept):
