--- a/review/2/case.py
+++ b/review/2/case.py
@@ -56,18 +56,10 @@
 def find_doubles(rows):
     """Returns the starts after a run of the same subtask has ended `done`, if that end is taken note of
     then or later."""
-    acked = {}
+    noted, violations = rig_module.noted_ends(rows), []
     for row in rows:
-        if row["what"] == "acked":
-            key = row["executor"], row["born"]
-            acked[key] = max(acked.get(key, 0), row["number"])
-    done, violations = {}, []
-    for row in rows:
-        if row["what"] == "end" and row["how"] == "done":
-            if acked.get((row["executor"], row["born"]), 0) >= row["number"]:
-                done.setdefault(row["task"], row)
-        if row["what"] == "start" and row["task"] in done:
-            end = done[row["task"]]
+        end = noted.get(row.get("task"))
+        if row["what"] == "start" and end is not None and row["at_ms"] > end["at_ms"]:
             violations.append(
                 f"TWICE: {row['task']} is started on {row['executor']} as attempt {row['attempt']}, "
                 f"{row['at_ms'] - end['at_ms']} ms after its run {end['attempt']} on "
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -70,19 +70,10 @@
         raise RuntimeError("the payment is not completed")
     await asyncio.sleep(6.0)
     rows = rig.runs()
-    acked = {}
+    noted, violations = rig_module.noted_ends(rows), []
     for row in rows:
-        if row["what"] == "acked":
-            key = row["executor"], row["born"]
-            acked[key] = max(acked.get(key, 0), row["number"])
-    violations, done = [], None
-    for row in rows:
-        if not row.get("task", "").startswith(PAYMENT):
-            continue
-        if row["what"] == "end" and row["how"] == "done" and done is None:
-            if acked.get((row["executor"], row["born"]), 0) >= row["number"]:
-                done = row
-        if row["what"] == "start" and done is not None:
+        done = noted.get(row.get("task"))
+        if row["what"] == "start" and done is not None and row["at_ms"] > done["at_ms"]:
             violations.append(
                 f"TWICE: {row['task']} is started on {row['executor']} as attempt {row['attempt']} with "
                 f"fence {row['fence']}, {row['at_ms'] - done['at_ms']} ms after its run "
--- a/review/standin/executor.py
+++ b/review/standin/executor.py
@@ -30,6 +30,7 @@
         self.ended = asyncio.Condition()
         self.log = open(SETTINGS["log"], "a", buffering=1)
         self.seq = 0
+        self.is_lapsed = False
 
     def clock_ms(self):
         return 1000 + int((time.monotonic() - self.started_at) * 1000)
@@ -67,7 +68,11 @@
             now = self.clock_ms()
             ended = [(task, "done") for task, run in self.running.items()
                      if not run["gang"] and now >= run["ends_ms"]]
-            if self.running and now >= self.deadline_ms:
+            is_over = bool(self.deadline_ms) and now >= self.deadline_ms
+            if is_over and not self.is_lapsed:
+                self.note("lease over")
+            self.is_lapsed = is_over
+            if self.running and is_over:
                 ended = [(task, "lapsed") for task in self.running]
             for task, how in ended:
                 self.end(task, how)
@@ -148,7 +153,8 @@
             run = self.running.get(task)
             if status != 200 or run is None or run["attempt"] != attempt:
                 continue
-            run["saved"] = reply["saved"] or run["saved"]
+            if work.get("saves", True):
+                run["saved"] = reply["saved"] or run["saved"]
             if reply["end"]:
                 self.end(task, reply["end"])
                 async with self.ended:
--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -331,6 +331,27 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def noted_ends(rows):
+    """Returns the ends `done` that were taken note of, by subtask: `ack_seq` has reached them, and the
+    executor's lease didn't lapse between the two."""
+    acks, lapses = {}, {}
+    for row in rows:
+        life = row["executor"], row["born"]
+        if row["what"] == "acked":
+            acks.setdefault(life, []).append((row["number"], row["at_ms"]))
+        elif row["what"] == "lease over":
+            lapses.setdefault(life, []).append(row["at_ms"])
+    noted = {}
+    for row in rows:
+        if row["what"] != "end" or row["how"] != "done":
+            continue
+        life = row["executor"], row["born"]
+        acked_at = [at_ms for number, at_ms in acks.get(life, []) if number >= row["number"]]
+        if acked_at and not any(row["at_ms"] <= at <= acked_at[0] for at in lapses.get(life, [])):
+            noted.setdefault(row["task"], row)
+    return noted
+
+
 def main(case, record_path, limit_s=110):
     """Runs a case. `case(rig, trouble)` returns a list of violations. Exits with 1 if the rule was
     broken, 0 if it held, 2 if the case could not run."""
