Log starts that are sent long after they were decided

The logs showed when a start was decided and recorded, not when it was sent, so a start that waited in a paused process could not be told from one that the network delivered late.

No behaviour changes.

--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -23,6 +23,8 @@
 const MAX_UNCONFIRMED_STARTS: u32 = 3;
 /// How long a target gets no new work after it refused a start as unhealthy or full.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(300);
+/// Age of a placement from which on the start of its run is logged as late.
+const LATE_START_AGE: Duration = Duration::from_millis(1_000);
 
 impl Leader {
     /// Sends the start of a run to its target.
@@ -48,6 +50,17 @@
         let request =
             TargetRequest::Start { run, payload, lease_until_ms, fence, checkpoint, ticket: None };
         let state = target.runs.get(&run.task);
+        let age = state.map_or(Duration::ZERO, |state| out.now.since(state.placed_at));
+        if age >= LATE_START_AGE {
+            log::warn!(
+                "event=start_sent_late task={} attempt={} target={} age_ms={} confirmed_ms_ago={}",
+                run.task,
+                run.attempt,
+                target.record.name,
+                age.as_millis(),
+                out.now.since(confirmed_at).as_millis()
+            );
+        }
         let is_first = state.is_some_and(|state| state.unconfirmed_starts == 0);
         let timeout = if is_first { times.first_start_timeout } else { times.order_timeout };
         self.call_target(key, TargetCall::Start(key, run), request, timeout, out);
