Count the time until which a call may be sent from the decision

What callers could see: a task that runs twice, if a process pauses after the state machine has decided a start and before the driver computes the deadline of the call.

Cause: the driver added the timeout to the clock as it read it when it executed the action, after the whole batch of events was handled, so a pause before that did not count.

Change: CallTimes::send_by counts from the time with which the machine decided, and is compared with the clock just before a call is written, also on a new connection. The deadline of the reply is unchanged, so that a long batch does not shorten it.

Result: a_call_that_was_decided_long_ago_is_not_sent fails without the comparison and passes with it; the tests of the crate pass.

--- a/crates/magnoliapin_node/src/call_pool.rs
+++ b/crates/magnoliapin_node/src/call_pool.rs
@@ -35,6 +35,15 @@
 /// Minimum time between two log lines about calls that waited in vain for a connection.
 const STARVATION_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time bounds of a call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallTimes {
+    /// The call is not sent from this moment on, which counts from the decision to make it.
+    pub(crate) send_by: Moment,
+    /// The call fails at this moment.
+    pub(crate) deadline: Moment,
+}
+
 /// Makes HTTP calls on pooled connections; clones share the pool.
 #[derive(Clone, Debug)]
 pub(crate) struct CallPool {
@@ -100,7 +109,7 @@
         });
     }
 
-    /// Makes a call that fails at `deadline`.
+    /// Makes a call within `times`.
     ///
     /// # Errors
     ///
@@ -109,10 +118,9 @@
         &self,
         address: SocketAddr,
         call: HttpCall,
-        deadline: Moment,
+        times: CallTimes,
     ) -> Result<HttpResponse, CallFailure> {
-        let expires_at = deadline;
-        let deadline = self.deadlines.add(deadline);
+        let deadline = self.deadlines.add(times.deadline);
         let has_permit = Cell::new(false);
         let is_sent = Cell::new(false);
         let exchange = async {
@@ -124,10 +132,7 @@
                     .await
                     .map_err(|_| CallFailure::NotDone)?,
             };
-            // Read again, because the process may have been paused since the last tick.
-            if self.clock.now() >= expires_at {
-                return Err(CallFailure::NotDone);
-            }
+            self.check_may_send(&times)?;
             is_sent.set(true);
             let response = connection.exchange(address, call).await?;
             permit.return_connection(connection);
@@ -157,14 +162,15 @@
         &self,
         address: SocketAddr,
         call: HttpCall,
-        deadline: Moment,
+        times: CallTimes,
     ) -> Result<HttpResponse, CallFailure> {
-        let deadline = self.deadlines.add(deadline);
+        let deadline = self.deadlines.add(times.deadline);
         let is_sent = Cell::new(false);
         let exchange = async {
             let mut connection = Connection::open(address, &self.executor)
                 .await
                 .map_err(|_| CallFailure::NotDone)?;
+            self.check_may_send(&times)?;
             is_sent.set(true);
             let response = connection.exchange(address, call).await?;
             let mut endpoints = self.endpoints.borrow_mut();
@@ -178,6 +184,16 @@
         exchange.or(expired).await
     }
 
+    /// Checks the clock again just before a call is sent, as the process may have been paused since
+    /// the call was decided.
+    fn check_may_send(&self, times: &CallTimes) -> Result<(), CallFailure> {
+        let now = self.clock.now();
+        match now < times.send_by && now < times.deadline {
+            true => Ok(()),
+            false => Err(CallFailure::NotDone),
+        }
+    }
+
     /// Waits until another connection may be used.
     async fn acquire_permit(&self, address: SocketAddr) -> ConnectionPermit<'_> {
         let handover = {
--- a/crates/magnoliapin_node/src/call_pool_tests.rs
+++ b/crates/magnoliapin_node/src/call_pool_tests.rs
@@ -13,6 +13,7 @@
 use smol::Timer;
 
 use super::CallPool;
+use super::CallTimes;
 use super::MAX_CONNECTIONS;
 use crate::call_deadlines::CallDeadlines;
 use crate::clock::NodeClock;
@@ -20,17 +21,35 @@
 /// Longest time that a test waits for a call.
 const TEST_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Returns the times of a call that may be sent until it fails.
+fn times_until(deadline: Moment) -> CallTimes {
+    CallTimes { send_by: deadline, deadline }
+}
+
 /// A process that was paused between the decision and the call must not send an order whose time
 /// has passed: the tick that expires the call's deadline runs only afterwards.
 #[test]
 fn a_call_past_its_deadline_is_not_sent() {
+    assert_not_sent(times_until(Moment::START));
+}
+
+/// Guards against an order that is sent late because its deadline was computed after a pause that
+/// followed the decision.
+#[test]
+fn a_call_that_was_decided_long_ago_is_not_sent() {
+    let deadline = NodeClock::new().now() + TEST_TIMEOUT;
+    assert_not_sent(CallTimes { send_by: Moment::START, deadline });
+}
+
+/// Asserts that nothing is written to the connection of a call with these times.
+fn assert_not_sent(times: CallTimes) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
     let executor = Rc::new(LocalExecutor::new());
     let pool = CallPool::new(Rc::clone(&executor), CallDeadlines::default(), NodeClock::new());
     let call = HttpCall { method: "POST", path: "/start".to_owned(), ..HttpCall::default() };
     let result = smol::block_on(executor.run(async {
-        let call = async { Some(pool.call(address, call, Moment::START).await) };
+        let call = async { Some(pool.call(address, call, times).await) };
         let timeout = async {
             Timer::after(TEST_TIMEOUT).await;
             None
@@ -68,7 +87,7 @@
     let call = HttpCall { method: "GET", path: "/".to_owned(), ..HttpCall::default() };
     smol::block_on(executor.run(async {
         let deadline = clock.now() + TEST_TIMEOUT;
-        assert!(pool.call(address, call, deadline).await.is_ok());
+        assert!(pool.call(address, call, times_until(deadline)).await.is_ok());
         pool.close_idle(clock.now() + Duration::from_secs(1));
         assert_eq!(pool.endpoints.borrow()[&address].idle.len(), 1);
         pool.close_idle(clock.now() + Duration::from_secs(20));
@@ -105,12 +124,16 @@
         // One more than there are connections, so that the last one waits.
         for _ in 0..=MAX_CONNECTIONS {
             let (pool, call) = (pool.clone(), call());
-            executor.spawn(async move { pool.call(address, call, deadline).await }).detach();
+            executor
+                .spawn(async move { pool.call(address, call, times_until(deadline)).await })
+                .detach();
         }
         while pool.endpoints.borrow().get(&address).is_none_or(|first| first.waiters.is_empty()) {
             Timer::after(Duration::from_millis(1)).await;
         }
-        let call = async { Some(pool.call_on_new_connection(address, call(), deadline).await) };
+        let call = async {
+            Some(pool.call_on_new_connection(address, call(), times_until(deadline)).await)
+        };
         let timeout = async {
             Timer::after(TEST_TIMEOUT).await;
             None
--- a/crates/magnoliapin_node/src/node_loop.rs
+++ b/crates/magnoliapin_node/src/node_loop.rs
@@ -7,6 +7,7 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use futures_lite::FutureExt;
+use magnoliapin_model::Moment;
 use magnoliapin_scheduler::ConnectionChoice;
 use magnoliapin_scheduler::NodeAction;
 use magnoliapin_scheduler::NodeEvent;
@@ -25,6 +26,7 @@
 
 use crate::call_deadlines::CallDeadlines;
 use crate::call_pool::CallPool;
+use crate::call_pool::CallTimes;
 use crate::client_server::ServerState;
 use crate::clock::wall_clock;
 use crate::clock::NodeClock;
@@ -85,7 +87,7 @@
             }
             self.machine.finish_batch(&mut actions);
             for action in actions.drain(..) {
-                self.execute(action);
+                self.execute(action, now);
             }
             self.server.is_ready.set(self.machine.is_ready());
             if self.machine.is_stopped() && self.server.active_requests.get() == 0 {
@@ -94,14 +96,20 @@
         }
     }
 
-    fn execute(&self, action: NodeAction) {
+    /// Executes an action that was decided at `decided_at`.
+    fn execute(&self, action: NodeAction, decided_at: Moment) {
         let protocol = Rc::clone(&self.protocol);
         let pooled = ConnectionChoice::Pooled;
+        let times_of = |timeout| CallTimes {
+            send_by: decided_at + timeout,
+            deadline: self.clock.now() + timeout,
+        };
         match action {
             NodeAction::ReplyToClient(client, reply) => self.server.send_reply(client, reply),
             NodeAction::Store { call, request, timeout, connection } => {
                 let http = protocol.encode_store_request(&request);
-                self.call(Some(self.settings.store), http, timeout, connection, move |result| {
+                let times = times_of(timeout);
+                self.call(Some(self.settings.store), http, times, connection, move |result| {
                     NodeEvent::Store(
                         call,
                         match result {
@@ -113,7 +121,8 @@
             }
             NodeAction::Target { call, target, address, request, timeout } => {
                 let http = protocol.encode_target_request(&target, &request);
-                self.call(Some(address), http, timeout, pooled, move |result| {
+                let times = times_of(timeout);
+                self.call(Some(address), http, times, pooled, move |result| {
                     NodeEvent::Target(
                         call,
                         match result {
@@ -125,7 +134,8 @@
             }
             NodeAction::Instances { call, request, timeout } => {
                 let http = protocol.encode_instance_request(&request);
-                self.call(self.settings.instances, http, timeout, pooled, move |result| {
+                let times = times_of(timeout);
+                self.call(self.settings.instances, http, times, pooled, move |result| {
                     NodeEvent::Instances(
                         call,
                         match result {
@@ -149,7 +159,8 @@
             NodeAction::ReplyToPeer(peer, reply) => self.peer_server.send_reply(peer, reply),
             NodeAction::Advice { call, request, timeout } => {
                 let http = protocol.encode_advice_request(&request);
-                self.call(self.settings.advice, http, timeout, pooled, move |result| {
+                let times = times_of(timeout);
+                self.call(self.settings.advice, http, times, pooled, move |result| {
                     NodeEvent::Advice(
                         call,
                         match result {
@@ -167,20 +178,17 @@
         &self,
         address: Option<SocketAddr>,
         http: HttpCall,
-        timeout: Duration,
+        times: CallTimes,
         connection: ConnectionChoice,
         to_event: impl FnOnce(Result<HttpResponse, CallFailure>) -> NodeEvent + 'static,
     ) {
         let pool = self.pool.clone();
         let sender = self.sender.clone();
-        let deadline = self.clock.now() + timeout;
         let task = async move {
             let result = match (address, connection) {
-                (Some(address), ConnectionChoice::Pooled) => {
-                    pool.call(address, http, deadline).await
-                }
+                (Some(address), ConnectionChoice::Pooled) => pool.call(address, http, times).await,
                 (Some(address), ConnectionChoice::New) => {
-                    pool.call_on_new_connection(address, http, deadline).await
+                    pool.call_on_new_connection(address, http, times).await
                 }
                 (None, _) => Err(CallFailure::NotDone),
             };
