Count only writes under the control fence as confirmations of the leader

What callers could see: a task that runs twice, or a run that the next leader takes for ended while its lease is extended.

But a commit to a partition of jobs was also taken as a confirmation, and the next leader fences those partitions only later, while it loads.

Change: only writes that expect the fence of the control partition confirm the leader: renewals and batches of records. The next leader replaces that fence in the write that acquires the lease. Where a lost task waits for a confirmation, the lease is renewed at once, so that the task does not wait for the next regular renewal.

Result: only_writes_under_the_control_fence_confirm_the_leader fails with the old line and passes without it.

--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -95,7 +95,7 @@
     identity: LeaderIdentity,
     generation: u64,
     acquired_at: Moment,
-    /// When the latest write that the store has confirmed under this generation was sent.
+    /// When the latest write that the store has confirmed under the control partition's fence was sent.
     confirmed_at: Moment,
     config: Rc<SiteConfig>,
     partitions: Vec<Partition>,
--- a/crates/magnoliapin_scheduler/src/leader/commit.rs
+++ b/crates/magnoliapin_scheduler/src/leader/commit.rs
@@ -116,7 +116,6 @@
         match reply {
             StoreReply::Committed(version) => {
                 commit.backoff = FIRST_BACKOFF;
-                self.record_confirmation(in_flight.sent_at);
                 for (key, changes) in in_flight.jobs {
                     self.mark_stored(key, changes, *version, out);
                 }
--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -139,7 +139,14 @@
         }
     }
 
-    /// Records that the store has confirmed a write of this leader that was sent at `sent_at`.
+    /// Renews the lease as soon as no renewal is in flight, as a decision waits for a confirmation.
+    pub(super) fn renew_soon(&mut self, now: Moment) {
+        self.renewal.next_at = self.renewal.next_at.min(now);
+    }
+
+    /// Records that the store has confirmed a write of this leader that was sent at `sent_at` and
+    /// expected the control partition's fence. The next leader replaces that fence as it acquires the
+    /// lease, the fences of the other partitions only afterwards.
     pub(super) fn record_confirmation(&mut self, sent_at: Moment) {
         self.confirmed_at = self.confirmed_at.max(sent_at);
         if self.unconfirmed_losses.is_empty() {
@@ -186,6 +193,7 @@
                 self.unconfirmed_losses.insert(*name);
             }
         }
+        self.renew_soon(now);
     }
 
     /// Counts the jobs per queue without a started task. Jobs with a schedule do not count.
--- a/crates/magnoliapin_scheduler/src/leader/lease_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease_tests.rs
@@ -7,6 +7,8 @@
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
 
+use crate::leader::crashes::tests::job_row;
+use crate::leader::crashes::tests::JOB;
 use crate::leader::previous_runs::tests::FakeSite;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
@@ -62,6 +64,25 @@
     assert_eq!(last.connection, ConnectionChoice::New);
 }
 
+/// Guards against a leader that counts a commit as proof that no other has taken over, although the
+/// next leader has not fenced that partition yet.
+#[test]
+fn only_writes_under_the_control_fence_confirm_the_leader() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    leader.add_job(JOB, job_row(false), false, &mut out);
+    let confirmed_at = leader.confirmed_at;
+    out.now = out.now + TICK;
+    leader.mark_job_changed(leader.job_keys[&JOB]);
+    out.take_actions(&mut Vec::new());
+    leader.poll_commits(&mut out);
+    let mut actions = Vec::new();
+    out.take_actions(&mut actions);
+    assert_eq!(actions.len(), 1, "one partition has a change");
+    let NodeAction::Store { call, .. } = actions[0] else { panic!("not a call to the store") };
+    leader.handle_store_reply(call, &StoreReply::Committed(RowVersion(1_000)), &mut out);
+    assert_eq!(leader.confirmed_at, confirmed_at);
+}
+
 /// Guards against a node that stops without having released the lease: the reply to an earlier renewal
 /// was taken for that to the release.
 #[test]
