Keep a target that answers, whatever the list of instances says

Cause: a list that still showed the target's instance as down counted as proof that the target had ended, though the next incarnation had reported, answered its heartbeats and run the payment; its runs were started elsewhere.

Change: the list counts only against targets that do not answer their heartbeats.

Result: targets_that_answer_are_alive_whatever_the_list_says failed before.

--- a/crates/magnoliapin_scheduler/src/leader/fleet/listing.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/listing.rs
@@ -149,7 +149,8 @@
         }
     }
 
-    /// Removes targets that an instance no longer hosts according to its record.
+    /// Removes targets that an instance no longer hosts according to its record. One that answers its
+    /// heartbeats lives whatever the list says about its instance, as a list may lag behind.
     fn check_host(&mut self, record: &InstanceRecord, out: &mut Outbox) {
         let runs_nothing = self.runs_nothing(record);
         let may_get_previous_starts = self.may_get_previous_starts(out.now);
@@ -158,9 +159,10 @@
                 record.target.as_ref().is_some_and(|hosted| *hosted != target.record.name);
             // A list that was requested before the target registered may not show it yet.
             let is_newer_than_list = target.discovered_at >= self.fleet.list_started_at;
+            let is_alive = target.has_reported && target.failed_heartbeats == 0;
             // Starts of the previous leader concern only targets that have not reported.
             let is_idle = runs_nothing && (target.has_reported || !may_get_previous_starts);
-            !is_newer_than_list && (hosts_other || is_idle)
+            !is_newer_than_list && !is_alive && (hosts_other || is_idle)
         };
         let hosted = self.hosts.targets_of(&record.name).iter().copied();
         let ended: Vec<TargetKey> =
--- a/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
@@ -261,6 +261,25 @@
     assert!(site.accounts_within(Duration::from_secs(3)));
 }
 
+/// Guards against a run that is taken for ended, and started again elsewhere, because a list that lags
+/// behind shows the instance of a target that answers as out of service.
+#[test]
+fn targets_that_answer_are_alive_whatever_the_list_says() {
+    let mut site = FakeSite {
+        is_registered: true,
+        listed: Some(InstanceState::Moving),
+        answers_from: Some(Moment::START),
+        answers_until: Some(Moment::START + Duration::from_secs(60)),
+        ..FakeSite::default()
+    };
+    let (leader, _) = site.lead(Duration::from_secs(4));
+    assert!(leader.targets.values().any(|target| !target.runs.is_empty()));
+    // Once it is silent, the list counts.
+    site.answers_until = Some(Moment::START + Duration::from_secs(3));
+    let (leader, _) = site.lead(Duration::from_secs(5));
+    assert!(leader.targets.is_empty());
+}
+
 /// Guards against a wait for the longest lease that starts anew with each of several takeovers.
 #[test]
 fn wait_for_a_silent_target_goes_on_after_the_next_takeover() {
