--- a/crates/magnoliapin_scheduler/src/leader/completions.rs
+++ b/crates/magnoliapin_scheduler/src/leader/completions.rs
@@ -228,7 +228,6 @@
             log::info!("event=run_lost task={task} attempt={attempt} failures={failures}");
             self.requeue_task(job_key, task, out);
             self.unconfirmed_losses.insert(task);
-            self.renew_soon(out.now);
             let task_state = self.jobs.get_mut(&job_key).and_then(|job| job.task_mut(task));
             if let Some(task_state) = task_state {
                 task_state.lost_at = Some(out.now);
--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -139,11 +139,6 @@
         }
     }
 
-    /// Renews the lease as soon as no renewal is in flight, as a decision waits for a confirmation.
-    pub(super) fn renew_soon(&mut self, now: Moment) {
-        self.renewal.next_at = self.renewal.next_at.min(now);
-    }
-
     /// Records that the store has confirmed a write of this leader that was sent at `sent_at` and
     /// expected the control partition's fence. The next leader replaces that fence as it acquires the
     /// lease, the fences of the other partitions only afterwards.
@@ -193,7 +188,6 @@
                 self.unconfirmed_losses.insert(*name);
             }
         }
-        self.renew_soon(now);
     }
 
     /// Counts the jobs per queue without a started task. Jobs with a schedule do not count.
