Acknowledge completions only once no start of the previous leader can arrive

What callers could see: a task that starts after its end was acknowledged.

Cause: a new leader holds back acknowledgements for 1.6 s unless it has accounted for all runs of the leader before. That leader sends starts for 1.5 s after its last confirmation, and each may take another 0.4 s.

Change: the wait is that for late starts, in the one function that states it.

Result: completions_are_acknowledged_once_previous_starts_cannot_arrive fails with the old wait.

--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -19,8 +19,6 @@
 use crate::leader::Leader;
 use crate::leader::TargetCall;
 use crate::outbox::Outbox;
-use crate::times::CONFIRMATION_VALIDITY;
-use crate::times::LEASE_SLACK;
 
 /// Pause after a failed heartbeat.
 const FAILED_HEARTBEAT_PAUSE: Duration = Duration::from_millis(200);
@@ -253,12 +251,9 @@
     ///
     /// The previous leader may still take a run that completed here for lost, and start its task
     /// again on a target that this leader has not contacted yet. So nothing is acknowledged until
-    /// all runs of the previous leader are resolved, or it has certainly stopped starting such
-    /// tasks.
+    /// all runs of the previous leader are resolved, or its starts can no longer arrive.
     pub(super) fn acknowledge_completions(&mut self, key: TargetKey, now: Moment) {
-        if !self.previous_runs_resolved
-            && now < self.acquired_at + CONFIRMATION_VALIDITY + LEASE_SLACK
-        {
+        if !self.previous_runs_resolved && self.may_get_previous_starts(now) {
             return;
         }
         let Some(target) = self.targets.get_mut(&key) else { return };
--- a/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
@@ -32,6 +32,9 @@
 
 use crate::election::AcquiredLease;
 use crate::leader::recovery::tests::identity;
+use crate::leader::target::Target;
+use crate::leader::target::TargetKey;
+use crate::leader::target::UnstoredCompletion;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
 use crate::rows;
@@ -262,6 +265,25 @@
     assert!(site.accounts_within(Duration::from_secs(3)));
 }
 
+/// Guards against a completion that is acknowledged while a start of the same task by the previous leader
+/// is still on its way to another target.
+#[test]
+fn completions_are_acknowledged_once_previous_starts_cannot_arrive() {
+    let (mut leader, out) = FakeSite::default().lead(Duration::from_millis(100));
+    leader.previous_runs_resolved = false;
+    let key = TargetKey(77);
+    let mut target = Target::new(target_record("i-7", 1), out.now);
+    let run = RunId { task: TaskName::default(), attempt: 1 };
+    target.unstored.push_back(UnstoredCompletion { number: 1, run, change: None });
+    leader.targets.insert(key, target);
+    let acked_after = |leader: &mut Leader, time| {
+        leader.acknowledge_completions(key, Moment::START + time);
+        leader.targets[&key].acked_completion
+    };
+    assert_eq!(acked_after(&mut leader, Duration::from_millis(1_900)), 0);
+    assert_eq!(acked_after(&mut leader, Duration::from_millis(2_100)), 1);
+}
+
 /// Guards against a run that is taken for ended, and started again elsewhere, because a list that lags
 /// behind shows the instance of a target that answers as out of service.
 #[test]
