--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -612,6 +612,9 @@
 HOST = "payroll.example"
 PREFIX = "/jobs/"
 KEY = "standin-key-1"
+# A second tenant with a queue of its own.
+OTHER_PREFIX = "/agencies/"
+OTHER_KEY = "standin-key-2"
 
 
 class Site:
@@ -629,6 +632,14 @@
         self.executors = {}
         self.nodes = {}
         self.zones = ["fukuoka", "kumamoto", "kagoshima"]
+        try:
+            self.start(nodes)
+        except BaseException:
+            self.__exit__()
+            raise
+
+    def start(self, nodes):
+        """Starts the platform and the nodes."""
         (self.platform,) = free_ports(1)
         me = os.path.abspath(__file__)
         self.spawn("platform", [sys.executable, me, "platform", "--port", str(self.platform),
@@ -674,14 +685,16 @@
             "max_attempts": attempts, "stretch_factor": 1.6, "public": False,
         }
         config = {
-            "version": version, "routes": [route],
+            "version": version,
+            "routes": [route, {**route, "name": "r-agencies", "path_prefix": OTHER_PREFIX}],
             "services": [{"name": "payroll", "health_path": "/healthz", "max_conns": 64,
                           "protocol": "h1", "tls": False, "enforces_capacity": True,
                           "standby": False}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-            "tenants": [{"name": "families", "api_keys": [KEY], "priority": 1, "weight": 50,
-                         "cap": {"cpu": 0, "mem_mb": 0, "gpu": 0}}],
+            "tenants": [{"name": name, "api_keys": [key], "priority": 1, "weight": 50,
+                         "cap": {"cpu": 0, "mem_mb": 0, "gpu": 0}}
+                        for name, key in (("families", KEY), ("agencies", OTHER_KEY))],
         }
         body = json.dumps({"key": "config", "value": config})
         status, _ = post(self.platform, "/standin/operator", body)
