--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -622,7 +622,8 @@
 
     def __init__(self, folder, nodes=3, seed=1):
         self.folder = folder
-        self.root = os.path.dirname(os.path.dirname(os.path.abspath(folder)))
+        # The root of the repository, two folders above this file's.
+        self.root = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
         self.path = os.path.join(folder, "record.txt")
         open(self.path, "w").close()
         self.record = Record(self.path)
