Acknowledge completions only shortly after a report

Cause: a leader whose process had been paused sent the heartbeat that was due, with an acknowledgement and a lease for the incarnation before; the target had restarted, run the tasks and forgot their completions at it. Change: heartbeats acknowledge, and extend the lease, only within 0.6 s of a report.

--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -25,6 +25,9 @@
 /// Wait of a heartbeat that may not extend the lease yet because the batch row lists the target as
 /// silent.
 const SILENT_TARGET_WAIT: Duration = Duration::from_millis(50);
+/// Time after a report within which no other incarnation can reply that has run anything: longer than the
+/// pauses between heartbeats, and too short for a target to restart and to complete a run.
+const REPORT_VALIDITY: Duration = Duration::from_millis(600);
 /// Longest pause while completions wait to be stored; the lease must be extended meanwhile.
 const UNSTORED_COMPLETION_PAUSE: Duration = Duration::from_millis(500);
 
@@ -68,10 +71,12 @@
         let is_silent = self.silent_targets.contains(&target.record.name);
         let longest_wait = if is_silent { SILENT_TARGET_WAIT } else { longest_wait };
         let wait = if may_wait { longest_wait } else { Duration::ZERO };
-        let may_extend = target.failed_heartbeats == 0 && target.is_same_incarnation && !is_silent;
+        // After a pause of this process, another incarnation may reply.
+        let is_same_incarnation = target.is_same_incarnation && target.has_recent_report(out.now);
+        let may_extend = target.failed_heartbeats == 0 && is_same_incarnation && !is_silent;
         let lease_until_ms =
             if may_extend { target.next_lease(out.now, confirmed_at, &times) } else { None };
-        let acked_completion = if target.is_same_incarnation { target.acked_completion } else { 0 };
+        let acked_completion = if is_same_incarnation { target.acked_completion } else { 0 };
         let request = TargetRequest::Heartbeat { fence, acked_completion, lease_until_ms, wait };
         let timeout = wait + slack;
         let call =
@@ -311,6 +316,11 @@
 }
 
 impl Target {
+    /// Returns whether the incarnation that reported last is the only one that can have run anything.
+    fn has_recent_report(&self, now: Moment) -> bool {
+        self.clock.is_some_and(|reading| now.since(reading.read_at) <= REPORT_VALIDITY)
+    }
+
     /// Returns whether the next heartbeat can be sent without a pause.
     fn is_ready_for_heartbeat(&self) -> bool {
         self.has_reported && self.failed_heartbeats == 0 && self.unstored.is_empty()
--- a/crates/magnoliapin_scheduler/src/leader/incarnations_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations_tests.rs
@@ -23,6 +23,7 @@
 use crate::leader::previous_runs::tests::target_record;
 use crate::leader::previous_runs::tests::FakeSite;
 use crate::leader::registrations::TargetLoss;
+use crate::leader::target::HeartbeatState;
 use crate::leader::target::Run;
 use crate::leader::target::RunStage;
 use crate::leader::target::Target;
@@ -241,6 +242,29 @@
     assert!(!requests.iter().any(|(_, request)| matches!(request, TargetRequest::Start { .. })));
 }
 
+/// Guards against completions that are lost with a stale acknowledgement: after a pause of the process, its
+/// next heartbeat reaches an incarnation that has run something meanwhile.
+#[test]
+fn heartbeats_after_a_pause_acknowledge_nothing() {
+    let mut site = LeaderFixture::new(|_| {});
+    site.requests();
+    site.out.now = site.out.now + Duration::from_secs(1);
+    let now = site.out.now;
+    let target = site.target();
+    target.acked_completion = 4;
+    target.heartbeat = HeartbeatState::Pausing(now);
+    let mut acknowledged = Vec::new();
+    for _ in 0..2 {
+        for (call, request) in site.requests() {
+            if let TargetRequest::Heartbeat { acked_completion, lease_until_ms, .. } = request {
+                acknowledged.push((acked_completion, lease_until_ms.is_some()));
+                site.reply(call, FIRST, &[RUN]);
+            }
+        }
+    }
+    assert_eq!(acknowledged, [(0, false), (4, true)]);
+}
+
 /// Guards against a target that is called under a fence which its earlier calls had as well, once a leader
 /// has used up its fences.
 #[test]
