Stop later attempts of a completed task on the same target too

Cause: a late start of an earlier attempt was carried out and completed on the target on which a later attempt was placed; the later one was left alone, as the completion came from its target. Change: complete_task stops every other run of the task.

--- a/crates/magnoliapin_scheduler/src/leader/completions.rs
+++ b/crates/magnoliapin_scheduler/src/leader/completions.rs
@@ -54,7 +54,7 @@
                 self.record_survival(task);
             }
             match completion.outcome {
-                RunOutcome::Done if !is_long_running => self.complete_task(job_key, key, task, out),
+                RunOutcome::Done if !is_long_running => self.complete_task(job_key, task, out),
                 RunOutcome::Failed if !is_long_running => {
                     self.handle_failure(job_key, key, completion.run, out);
                     self.requeue_if_current(job_key, key, completion, out);
@@ -69,7 +69,7 @@
     }
 
     /// Marks a task as done, and all tasks of its step if it is a gang.
-    fn complete_task(&mut self, job_key: JobKey, key: TargetKey, task: TaskName, out: &mut Outbox) {
+    fn complete_task(&mut self, job_key: JobKey, task: TaskName, out: &mut Outbox) {
         let Some(job) = self.jobs.get_mut(&job_key) else { return };
         let is_gang = job.step_spec(task).is_some_and(|step| step.gang);
         let mut placements = Vec::new();
@@ -85,7 +85,8 @@
             }
         }
         for (placed_on, task) in placements {
-            if placed_on != key && !is_gang {
+            // Another run than the completed one may be placed on the same target.
+            if !is_gang {
                 self.stop_run(placed_on, task);
             }
         }
--- a/crates/magnoliapin_scheduler/src/leader/incarnations_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations_tests.rs
@@ -6,7 +6,9 @@
 use magnoliapin_model::UnixMillis;
 use magnoliapin_site::CallFailure;
 use magnoliapin_site::JobId;
+use magnoliapin_site::RunCompletion;
 use magnoliapin_site::RunId;
+use magnoliapin_site::RunOutcome;
 use magnoliapin_site::RunReport;
 use magnoliapin_site::RunningTask;
 use magnoliapin_site::StartRefusal;
@@ -242,6 +244,27 @@
     assert!(!requests.iter().any(|(_, request)| matches!(request, TargetRequest::Start { .. })));
 }
 
+/// Guards against a task that starts again right after it was done: a late start of an earlier attempt ends on
+/// the target on which a later attempt is placed, and its start is not sent yet.
+#[test]
+fn completed_tasks_do_not_start_again_on_the_same_target() {
+    let mut site = LeaderFixture::new(|run| {
+        run.attempt = 2;
+        run.stage = RunStage::Planned;
+        run.is_sent = false;
+        run.confirmed_at = None;
+    });
+    let job = site.leader.job_keys[&JOB];
+    let task = site.leader.jobs.get_mut(&job).and_then(|job| job.task_mut(RUN.task));
+    task.expect("the task is open").attempt = 2;
+    let completion =
+        RunCompletion { number: 1, run: RUN, outcome: RunOutcome::Done, checkpoint: None };
+    site.leader.handle_completion(KEY, &completion, &mut site.out);
+    let later = RunId { attempt: 2, ..RUN };
+    site.leader.start_planned(KEY, later, &mut site.out);
+    assert_eq!(site.target().runs[&RUN.task].stage, RunStage::Stopping);
+}
+
 /// Guards against completions that are lost with a stale acknowledgement: after a pause of the process, its
 /// next heartbeat reaches an incarnation that has run something meanwhile.
 #[test]
