Wait for late starts of a target that the list shows without a host

Cause: a list that shows an instance down and without a target proves that the incarnation has ended, not that no start is on its way to the next one, which the leader may not have called yet when the start arrives. After moves and maintenance, which end with another name, nothing waits.

--- a/crates/magnoliapin_scheduler/src/leader/completions.rs
+++ b/crates/magnoliapin_scheduler/src/leader/completions.rs
@@ -1,6 +1,7 @@
 //! Handles completed and lost runs, and finishes jobs.
 
 use indexmap::IndexSet;
+use magnoliapin_model::Moment;
 use magnoliapin_site::JobId;
 use magnoliapin_site::JobState;
 use magnoliapin_site::RunCompletion;
@@ -206,16 +207,17 @@
         let run = self.targets.get_mut(&key).and_then(|target| target.remove_run(task));
         if let Some(run) = run {
             self.release_team(&run);
-            self.requeue_lost_run(key, task, run.attempt, out);
+            self.requeue_lost_run(key, task, run.attempt, out.now, out);
         }
     }
 
-    /// Requeues a task whose run is lost.
+    /// Requeues a task whose run is lost from a moment on.
     pub(super) fn requeue_lost_run(
         &mut self,
         key: TargetKey,
         task: TaskName,
         attempt: u32,
+        lost_at: Moment,
         out: &mut Outbox,
     ) {
         let Some(job_key) = self.job_keys.get(&task.job).copied() else { return };
@@ -226,12 +228,15 @@
             });
         if is_current {
             let failures = job.task(task).map_or(0, |task_state| task_state.failed.len());
-            log::info!("event=run_lost task={task} attempt={attempt} failures={failures}");
+            log::info!(
+                "event=run_lost task={task} attempt={attempt} failures={failures} wait_ms={}",
+                lost_at.since(out.now).as_millis()
+            );
             self.requeue_task(job_key, task, out);
             self.unconfirmed_losses.insert(task);
             let task_state = self.jobs.get_mut(&job_key).and_then(|job| job.task_mut(task));
             if let Some(task_state) = task_state {
-                task_state.lost_at = Some(out.now);
+                task_state.lost_at = Some(lost_at);
             }
         }
     }
--- a/crates/magnoliapin_scheduler/src/leader/fleet/listing.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/listing.rs
@@ -167,8 +167,11 @@
         let hosted = self.hosts.targets_of(&record.name).iter().copied();
         let ended: Vec<TargetKey> =
             hosted.filter(|key| self.targets.get(key).is_some_and(has_ended)).collect();
+        // After a move or maintenance, the instance hosts a target with another name.
+        let may_return = record.target.is_none() && record.state == InstanceState::Down;
+        let loss = if may_return { TargetLoss::Unhosted } else { TargetLoss::OtherLife };
         for key in ended {
-            self.remove_target(key, TargetLoss::OtherLife, out);
+            self.remove_target(key, loss, out);
         }
     }
 }
--- a/crates/magnoliapin_scheduler/src/leader/incarnations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations.rs
@@ -228,6 +228,19 @@
         !self.is_sent || (self.is_listed && is_started_once)
     }
 
+    /// Returns the end of the time in which a start of it may begin it on the next incarnation of its target,
+    /// although the last one has ended; `None` if none may. A long-running task only waits for starts
+    /// whose calls were in progress, as its service lacks it meanwhile.
+    pub(super) fn may_arrive_until(
+        &self,
+        last_contact_at: Moment,
+        in_transit: Duration,
+    ) -> Option<Moment> {
+        let delay = if self.is_long_running { in_transit } else { MAX_ORDER_DELAY };
+        let sent_at = self.start_sent_at.filter(|_| !self.is_confined(last_contact_at));
+        sent_at.map(|at| at + delay)
+    }
+
     /// Returns whether the run may start on the current incarnation of its target, whose first report omits
     /// it: it may not have begun on any earlier one. It then counts as not sent.
     pub(super) fn may_start_again(&mut self) -> bool {
--- a/crates/magnoliapin_scheduler/src/leader/incarnations_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations_tests.rs
@@ -244,6 +244,24 @@
     assert!(!requests.iter().any(|(_, request)| matches!(request, TargetRequest::Start { .. })));
 }
 
+/// Guards against a task that starts elsewhere because the list shows its instance without a target, while
+/// a late start may still begin it on the target's next incarnation.
+#[test]
+fn late_starts_of_targets_without_a_host_are_waited_for() {
+    for (open_starts, loss, is_held) in [
+        (1, TargetLoss::Unhosted, true),
+        (1, TargetLoss::OtherLife, false),
+        (0, TargetLoss::Unhosted, false),
+    ] {
+        let mut site = LeaderFixture::new(|run| run.open_starts = open_starts);
+        let now = site.out.now;
+        site.leader.remove_target(KEY, loss, &mut site.out);
+        let job = &site.leader.jobs[&site.leader.job_keys[&JOB]];
+        let task = job.task(RUN.task).expect("the task is open");
+        assert_eq!(task.lost_at.is_some_and(|at| at > now), is_held, "{open_starts} {loss:?}");
+    }
+}
+
 /// Guards against a task that starts again right after it was done: a late start of an earlier attempt ends on
 /// the target on which a later attempt is placed, and its start is not sent yet.
 #[test]
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -9,6 +9,7 @@
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
+use crate::times::LEASE_SLACK;
 use crate::watch::WatchUpdate;
 
 #[cfg(test)]
@@ -21,9 +22,12 @@
 /// Why the leader removes an incarnation of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TargetLoss {
-    /// The incarnation has ended, so it has no runs left: the target or its instance has a newer
-    /// one, or the instance hosts no target.
+    /// The incarnation has ended, so it has no runs left: the target or its instance has a newer one, or
+    /// the instance is not down and hosts no target.
     OtherLife,
+    /// The incarnation has ended, as its instance is down and hosts no target. Its next one may get its
+    /// late starts.
+    Unhosted,
     /// The target is deregistered and silent, and its instance no longer exists.
     InstanceGone,
     /// The target is deregistered and its lease has expired.
@@ -197,14 +201,18 @@
         if let Some(pool) = self.pools.get_mut(&target.record.pool) {
             pool.targets.swap_remove(&key);
         }
-        if matches!(loss, TargetLoss::OtherLife | TargetLoss::InstanceGone) {
+        let may_come_back = matches!(loss, TargetLoss::Unhosted | TargetLoss::InstanceGone);
+        if may_come_back || loss == TargetLoss::OtherLife {
             self.record_crash(&target, out);
         } else {
             self.remember_lapsed_target(&target, out.now);
         }
+        let in_transit = self.identity.times.order_timeout + LEASE_SLACK;
         for (task, run) in target.runs {
             self.release_team(&run);
-            self.requeue_lost_run(key, task, run.attempt, out);
+            let late_until = run.may_arrive_until(target.last_contact_at, in_transit);
+            let ended_at = late_until.filter(|_| may_come_back).unwrap_or(out.now);
+            self.requeue_lost_run(key, task, run.attempt, ended_at.max(out.now), out);
         }
         // A target that has never reported may still execute runs of the previous leader.
         let is_resolved = loss != TargetLoss::NeverHeard;
