--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -1,7 +1,8 @@
 //! The leader: schedules all jobs while this node owns the lease.
 //!
-//! Targets execute only what the leader orders. Every order carries the generation of the leader's
-//! lease as a fencing token, and a target refuses orders with a lower one. The leader reads jobs
+//! Targets execute only what the leader orders. Every order carries a fence, the generation of the
+//! leader's lease or a higher number for an incarnation that began under this leader, and a target
+//! refuses orders with a lower one. The leader reads jobs
 //! from the store, starts their tasks, and stores each completion before it acknowledges it to the
 //! target.
 
--- a/crates/magnoliapin_scheduler/src/leader/incarnations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations.rs
@@ -9,6 +9,9 @@
 //!
 //! This holds for calls of this leader, of its agents, and of leaders before. After the report, none of
 //! them has an effect: the target refuses them by their fence, and the leader ignores their replies.
+//!
+//! What no leader can prevent is that such a call is the first one to reach an incarnation. Whatever it
+//! starts shows in the first report.
 
 use std::time::Duration;
 
@@ -220,8 +223,8 @@
     }
 
     /// Returns whether no other incarnation of its target than the one that was in contact until
-    /// `last_contact_at` can execute it: a reply to a start does not tell which incarnation sent it, so
-    /// that the run must be listed in a report, and no start of it may still arrive.
+    /// `last_contact_at` can execute it: it was not sent, or that incarnation has listed it and no start of
+    /// it may still arrive. A reply to a start alone does not tell which incarnation has sent it.
     fn is_confined(&self, last_contact_at: Moment) -> bool {
         let has_arrived = |at: Moment| last_contact_at >= at + MAX_ORDER_DELAY;
         let is_started_once = self.open_starts == 0 || self.start_sent_at.is_none_or(has_arrived);
