Test nodes and entries against clients beyond the limits

Each test starts the processes, opens a flood of clients, checks VmHWM and the open descriptors against the limits in its own settings, and has an ordinary request answered while the flood is open.

--- /dev/null
+++ b/crates/magnoliapin/tests/floods_support/mod.rs
@@ -0,0 +1,247 @@
+//! A node with its platform, and clients that send more than the limits allow.
+#![allow(unreachable_pub, reason = "each test file is a separate crate")]
+#![allow(clippy::print_stdout, reason = "the figures are part of the result of a run")]
+
+use std::fs;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::process::Child;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::kill_process;
+use rustix::process::Pid;
+use rustix::process::Signal;
+
+use crate::platform::FakePlatform;
+use crate::support::program;
+use crate::support::scratch_file;
+use crate::support::site::wait_for;
+
+/// Longest time for which the clients of a flood send.
+const SEND_TIME: Duration = Duration::from_secs(8);
+/// Time for which a flood stays open after its clients have sent what they could.
+const HOLD_TIME: Duration = Duration::from_millis(500);
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Limits in the settings of a node; the bounds of the tests are these numbers.
+#[derive(Clone, Copy)]
+pub struct MachineLimits {
+    pub memory_mb: u64,
+    pub max_fds: usize,
+}
+
+impl MachineLimits {
+    /// Checks that a process lives and has stayed within these limits.
+    pub fn check(&self, process: u32) {
+        let status = fs::read_to_string(format!("/proc/{process}/status")).expect("it lives");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        let peak = peak.expect("the process has not exited");
+        let open = fs::read_dir(format!("/proc/{process}/fd")).expect("it lives").count();
+        println!("peak_kb={peak} descriptors={open}");
+        assert!(peak < self.memory_mb * 1024, "{peak} KiB of {} MiB", self.memory_mb);
+        // The page reserves 200 descriptors for files.
+        assert!(open < self.max_fds - 200, "{open} descriptors of {}", self.max_fds);
+    }
+}
+
+/// A node with a platform that serves only this node; killed on drop.
+pub struct TestNode {
+    pub platform: Arc<FakePlatform>,
+    pub clients: SocketAddr,
+    pub ready: SocketAddr,
+    pub peers: SocketAddr,
+    limits: MachineLimits,
+    child: Child,
+}
+
+impl TestNode {
+    /// Starts a node and waits until it accepts jobs.
+    pub fn start(name: &str, limits: MachineLimits) -> Self {
+        let platform = FakePlatform::start();
+        platform.put("op", "config", config(1, 1024 * 1024).as_bytes());
+        let free = || TcpListener::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
+        let [clients, ready, peers] =
+            [free(), free(), free()].map(|address| address.expect("a port is free"));
+        let settings = format!(
+            "node_name = \"n\"\nzone = \"z\"\nip = \"127.0.0.1\"\nport_range = [{}, {}]\n\
+             [listen_addrs]\nfrontend = \"{clients}\"\nready = \"{ready}\"\n\
+             [platform]\naddr = \"{}\"\nwrites_per_s = 800\nreads_per_s = 2000\n\
+             [limits]\nmemory_mb = {}\nmax_fds = {}\n",
+            peers.port(),
+            peers.port(),
+            platform.address,
+            limits.memory_mb,
+            limits.max_fds
+        );
+        let settings = scratch_file(&format!("{name}.toml"), &settings);
+        let mut command = program();
+        command.args(["node", "--settings", &settings]);
+        let child = command.stdout(Stdio::null()).spawn().expect("the program starts");
+        let node = Self { platform, clients, ready, peers, limits, child };
+        wait_for("the node accepts a job", || node.accepts_job("00000000000000a1"));
+        node
+    }
+
+    /// Writes a new version of the configuration with this limit on bodies.
+    pub fn set_body_limit(&self, version: u64, bytes: usize) {
+        self.platform.put("op", "config", config(version, bytes).as_bytes());
+    }
+
+    /// Sends an ordinary job; returns whether it is accepted.
+    pub fn accepts_job(&self, job: &str) -> bool {
+        let body = "{\"spec\":\"x\",\"phases\":[{\"count\":1,\"cpu\":100,\"mem_mb\":10}]}";
+        let request = format!(
+            "POST /q/{job} HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: {}\r\n\r\n\
+             {body}",
+            body.len()
+        );
+        status(self.clients, request.as_bytes()) == Some(200)
+    }
+
+    /// Checks that the node lives within its limits and answers ordinary requests.
+    pub fn check(&self) {
+        wait_for("an ordinary job is accepted", || self.accepts_job("00000000000000a2"));
+        let request = b"GET /api/readyz HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+        wait_for("the readiness check answers", || status(self.ready, request) == Some(200));
+        self.limits.check(self.child.id());
+    }
+
+    /// Stops the node with SIGTERM and returns its exit code; `None` if it does not exit.
+    pub fn stop(&mut self) -> Option<i32> {
+        kill_process(Pid::from_child(&self.child), Signal::TERM).expect("the process lives");
+        let deadline = Instant::now() + Duration::from_secs(20);
+        while Instant::now() < deadline {
+            if let Some(status) = self.child.try_wait().expect("the process is a child") {
+                return status.code();
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        None
+    }
+}
+
+impl Drop for TestNode {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn config(version: u64, body_bytes: usize) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"q\",\"host\":\"h\",\
+         \"path_prefix\":\"/q/\",\"service\":\"s\",\"public\":true}},{{\"name\":\"k\",\
+         \"host\":\"h\",\"path_prefix\":\"/k/\",\"service\":\"s\"}}],\
+         \"services\":[{{\"name\":\"s\"}}],\"limits\":{{\"max_body_bytes\":{body_bytes}}}}}"
+    )
+}
+
+/// Sends a request whose response closes the connection, and returns the status.
+pub fn status(address: SocketAddr, request: &[u8]) -> Option<u16> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+    stream.write_all(request).ok()?;
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).ok()?;
+    String::from_utf8_lossy(&response).split(' ').nth(1)?.parse().ok()
+}
+
+/// Waits until the process that listens here has read what its clients have sent, for a limited
+/// time. The cost of a chunk arises when it is read.
+pub fn wait_until_read(address: SocketAddr) {
+    let local = format!(":{:04X}", address.port());
+    for _ in 0..200 {
+        let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        let unread = table.lines().any(|line| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            // State 01 is an established connection; the queues are `sent:received`.
+            fields.len() > 4
+                && fields[1].ends_with(&local)
+                && fields[3] == "01"
+                && !fields[4].ends_with(":00000000")
+        });
+        if !unread {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// Clients that send, as far as they are let, and keep their connections open.
+pub struct Flood {
+    clients: Vec<FloodClient>,
+}
+
+struct FloodClient {
+    stream: Option<TcpStream>,
+    bytes: Arc<Vec<u8>>,
+    sent: usize,
+    piece: usize,
+}
+
+impl Flood {
+    /// Opens connections whose clients send these bytes, at most `piece` at a time.
+    pub fn open(address: SocketAddr, count: usize, bytes: Vec<u8>, piece: usize) -> Self {
+        let bytes = Arc::new(bytes);
+        let connect = |_| {
+            let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok();
+            // Without `TCP_NODELAY`, small pieces would be sent together.
+            let stream = stream.filter(|stream| stream.set_nodelay(true).is_ok());
+            let stream = stream.filter(|stream| stream.set_nonblocking(true).is_ok());
+            FloodClient { stream, bytes: Arc::clone(&bytes), sent: 0, piece }
+        };
+        Self { clients: (0..count).map(connect).collect() }
+    }
+
+    /// Adds the connections of another flood.
+    pub fn join(mut self, other: Self) -> Self {
+        self.clients.extend(other.clients);
+        self
+    }
+
+    /// Sends until each client has sent everything or is refused, for a limited time.
+    pub fn send(self) -> Self {
+        self.send_up_to(usize::MAX)
+    }
+
+    /// Sends like [`Self::send`], at most up to this many bytes of each client.
+    pub fn send_up_to(mut self, end: usize) -> Self {
+        let deadline = Instant::now() + SEND_TIME;
+        while Instant::now() < deadline {
+            let mut is_done = true;
+            for client in &mut self.clients {
+                is_done &= client.send_piece(end);
+            }
+            if is_done {
+                break;
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        thread::sleep(HOLD_TIME);
+        self
+    }
+}
+
+impl FloodClient {
+    /// Sends one piece; returns whether nothing is left to send.
+    fn send_piece(&mut self, end: usize) -> bool {
+        let end = self.bytes.len().min(end);
+        let next = end.min(self.sent + self.piece);
+        let Some(stream) = self.stream.as_mut().filter(|_| self.sent < end) else { return true };
+        match stream.write(&self.bytes[self.sent..next]) {
+            Ok(written) => self.sent += written,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => self.stream = None,
+        }
+        false
+    }
+}
--- a/crates/magnoliapin/tests/support/site.rs
+++ b/crates/magnoliapin/tests/support/site.rs
@@ -48,6 +48,11 @@
         Self { address, child, _output: output }
     }
 
+    /// Returns the identifier of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         let process = rustix::process::Pid::from_child(&self.child);
@@ -86,7 +91,7 @@
 pub struct TestSite {
     pub entries: Vec<SiteProcess>,
     _targets: Vec<SiteProcess>,
-    _platform: SiteProcess,
+    platform: SiteProcess,
 }
 
 impl TestSite {
@@ -113,7 +118,7 @@
             let zone = ZONES[number % ZONES.len()];
             start_entry(&format!("{name}-{number}.toml"), zone, &platform_address)
         });
-        Self { entries: entries.collect(), _targets: targets, _platform: platform }
+        Self { entries: entries.collect(), _targets: targets, platform }
     }
 
     /// Starts all processes, applies the document and waits until every entry is ready with it.
@@ -131,6 +136,11 @@
         self.wait_until_config_active(1);
     }
 
+    /// Returns the address of the platform.
+    pub fn platform_address(&self) -> SocketAddr {
+        self.platform.address
+    }
+
     /// Runs a command with a key against the first entry.
     pub fn run(&self, key: &str, arguments: &[&str]) -> RunOutcome {
         self.run_at(0, key, arguments)
