Limit what clients and peers of a node can take

A node had no limit on heads, connections and bodies together, allocated frames by their length prefix, and kept a buffer for each piece of a body.

The new crate magnoliapin_http registers connections, counts the bytes of bodies before they are read, and evicts the slowest connection when a total is reached. Bodies and frames are read into one buffer. Frames have a total of their own, and connections that have sent a valid frame are not evicted. A request counts as active until its future is dropped, so a node whose client has left stops on SIGTERM.

--- a/crates/magnoliapin_node/src/client_server.rs
+++ b/crates/magnoliapin_node/src/client_server.rs
@@ -4,15 +4,14 @@
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::net::TcpListener;
-use std::net::TcpStream;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Sender;
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use futures_lite::future;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::server::conn::http1;
@@ -20,12 +19,25 @@
 use hyper::Request;
 use hyper::Response;
 use indexmap::IndexMap;
+use magnoliapin_http::linger;
+use magnoliapin_http::read_body;
+use magnoliapin_http::BodyError;
+use magnoliapin_http::ClientLimits;
+use magnoliapin_http::ClientRegistry;
+use magnoliapin_http::ConnectionSlot;
+use magnoliapin_http::LimitReason;
+use magnoliapin_http::MonitoredSocket;
+use magnoliapin_http::MonitoredStream;
 use magnoliapin_scheduler::ClientId;
 use magnoliapin_scheduler::NodeEvent;
 use magnoliapin_site::ClientReply;
 use magnoliapin_site::HttpRequest;
 use magnoliapin_site::HttpResponse;
+use magnoliapin_site::NodeSettings;
+use magnoliapin_site::RequestLimits;
 use magnoliapin_site::SiteProtocol;
+use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
 use smol::Async;
 use smol::LocalExecutor;
 use smol::Timer;
@@ -33,9 +45,17 @@
 
 /// Delay after an accept error, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Maximum size of a request body, in bytes. The limits in the configuration of the site are not
-/// enforced here.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum number of headers of a request.
+const MAX_HEADERS: usize = 100;
+/// Range of the limit on the size of heads; outside it, no client would be served, or few heads
+/// would take all the memory.
+const HEADER_BYTES: (usize, usize) = (1024, 1024 * 1024);
+/// Shortest time limit for a head; a head of several packets needs about as long.
+const MIN_HEADER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time limit for a body; much longer than the usual deadline of a client.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time in seconds after which a client that was refused for lack of memory may try again.
+const RETRY_AFTER_SECONDS: u32 = 1;
 
 /// State shared by all connections.
 #[derive(Debug)]
@@ -49,6 +69,11 @@
     pub(crate) is_closing: Cell<bool>,
     /// Number of requests that are being served.
     pub(crate) active_requests: Cell<usize>,
+    /// Open connections of clients.
+    pub(crate) registry: Arc<ClientRegistry>,
+    memory_bytes: usize,
+    max_descriptors: usize,
+    request_limits: Cell<RequestLimits>,
     /// Requests that wait for a reply.
     pending: RefCell<IndexMap<ClientId, Sender<ClientReply>>>,
     last_client: Cell<u64>,
@@ -60,8 +85,17 @@
         executor: Rc<LocalExecutor<'static>>,
         protocol: Rc<dyn SiteProtocol>,
         events: Sender<NodeEvent>,
+        settings: &NodeSettings,
     ) -> Self {
+        let memory_bytes = settings.memory_mb as usize * 1024 * 1024;
+        let max_descriptors = settings.max_descriptors as usize;
+        let request_limits = RequestLimits::default();
+        let limits = client_limits(&request_limits).with_machine(memory_bytes, max_descriptors);
         Self {
+            registry: Arc::new(ClientRegistry::new(limits)),
+            memory_bytes,
+            max_descriptors,
+            request_limits: Cell::new(request_limits),
             executor,
             protocol,
             events,
@@ -73,6 +107,15 @@
         }
     }
 
+    /// Applies the limits of a configuration, also to bodies that are being received.
+    pub(crate) fn set_request_limits(&self, request_limits: RequestLimits) {
+        if self.request_limits.replace(request_limits) != request_limits {
+            let limits = client_limits(&request_limits)
+                .with_machine(self.memory_bytes, self.max_descriptors);
+            self.registry.set_limits(limits);
+        }
+    }
+
     /// Passes a reply to the request that waits for it.
     pub(crate) fn send_reply(&self, client: ClientId, reply: ClientReply) {
         if let Some(sender) = self.pending.borrow_mut().swap_remove(&client) {
@@ -86,8 +129,13 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let state = Rc::clone(&self);
-                    self.executor.spawn(state.serve(stream)).detach();
+                    let stream = TcpStream::from(stream);
+                    // Without a slot, all connections have a request in progress.
+                    if let Some(slot) = self.registry.register(stream.clone()) {
+                        let state = Rc::clone(&self);
+                        self.executor.spawn(state.serve(stream, slot)).detach();
+                    }
+                    self.registry.settle().await;
                 }
                 Err(error) => {
                     log::warn!("event=accept_failed error={:?}", error.to_string());
@@ -97,38 +145,73 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, slot: ConnectionSlot) {
         // Without `TCP_NODELAY`, small responses wait for the acknowledgement of the client.
-        let _ = stream.get_ref().set_nodelay(true);
-        let state = Rc::clone(&self);
-        let service = service_fn(move |request| {
-            let state = Rc::clone(&state);
-            async move { Ok::<_, Infallible>(state.respond(request).await) }
+        let _ = stream.set_nodelay(true);
+        let limits = self.registry.limits();
+        let monitor = Arc::clone(slot.monitor());
+        let mut socket = MonitoredSocket::new(stream.clone(), Arc::clone(&monitor));
+        let io = MonitoredStream::new(socket.clone(), Arc::clone(&monitor));
+        let client = ClientConnection { slot: &slot, has_refused_body: Cell::new(false) };
+        let (state, client_ref) = (&self, &client);
+        let service = service_fn(|request| async move {
+            Ok::<_, Infallible>(state.respond(request, client_ref).await)
         });
         // An error concerns only this client's connection, which is closed then.
-        let _ = http1::Builder::new().serve_connection(FuturesIo::new(stream), service).await;
+        let result = http1::Builder::new()
+            .max_headers(MAX_HEADERS)
+            .max_header_size(limits.header_bytes)
+            .max_buf_size(limits.read_buffer_bytes())
+            .serve_connection(FuturesIo::new(io), service)
+            .await;
+        let reason = monitor.end_reason();
+        if let Some(reason) = slot.head_refusal() {
+            // Does not wait: a refusal is smaller than the socket's buffer.
+            let _ = future::poll_once(socket.write_all(raw_refusal(reason).as_bytes())).await;
+        }
+        let is_refused = result.is_err() || reason.is_some() || client.has_refused_body.get();
+        if is_refused && !reason.is_some_and(LimitReason::is_eviction) {
+            linger(socket, stream, &monitor).await;
+        }
     }
 
-    async fn respond(self: Rc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        self.active_requests.set(self.active_requests.get() + 1);
-        let site_response = self.handle_request(request).await;
-        self.active_requests.set(self.active_requests.get() - 1);
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        client: &ClientConnection<'_>,
+    ) -> Response<Full<Bytes>> {
+        let monitor = client.slot.monitor();
+        monitor.start_request();
+        let _active = ActiveRequest::new(&self.active_requests);
+        let site_response = self.handle_request(request, client).await;
         let mut response = Response::builder().status(site_response.status);
         for (name, value) in site_response.headers {
             response = response.header(name, value);
         }
-        if self.is_closing.get() {
+        // A connection keeps the limit on heads under which it was opened.
+        let header_bytes = client_limits(&self.request_limits.get()).header_bytes;
+        let has_old_limit = monitor.header_bytes() != header_bytes;
+        if self.is_closing.get() || has_old_limit {
             response = response.header(header::CONNECTION, "close");
         }
+        monitor.finish_request();
         response.body(Full::from(site_response.body)).unwrap_or_default()
     }
 
-    async fn handle_request(&self, request: Request<Incoming>) -> HttpResponse {
+    async fn handle_request(
+        &self,
+        request: Request<Incoming>,
+        client: &ClientConnection<'_>,
+    ) -> HttpResponse {
         let (head, body) = request.into_parts();
-        let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
-            return HttpResponse { status: 413, ..HttpResponse::default() };
+        // The bytes of the body count until the reply is sent.
+        let mut body = match read_body(body, client.slot).await {
+            Ok(body) => body,
+            Err(error) => {
+                client.has_refused_body.set(true);
+                return body_refusal(error);
+            }
         };
-        let body = body.to_bytes();
         let headers: Vec<(String, String)> = head
             .headers
             .iter()
@@ -140,7 +223,7 @@
             method: head.method.as_str(),
             path: head.uri.path(),
             headers: &headers,
-            body: &body,
+            body: body.bytes(),
         };
         if self.protocol.is_readiness_check(&request) {
             let status = if self.is_ready.get() { 200 } else { 503 };
@@ -148,6 +231,7 @@
         }
         match self.protocol.decode_request(&request) {
             Ok(request) => {
+                drop(body.take_bytes());
                 let client = ClientId(self.last_client.get() + 1);
                 self.last_client.set(client.0);
                 let (sender, receiver) = async_channel::bounded(1);
@@ -161,3 +245,58 @@
         }
     }
 }
+
+/// A connection of a client.
+struct ClientConnection<'a> {
+    slot: &'a ConnectionSlot,
+    /// Whether a body was refused, so that the client may still be sending it.
+    has_refused_body: Cell<bool>,
+}
+
+/// Counts a request as active until it is dropped, also if its client disconnects.
+struct ActiveRequest<'a>(&'a Cell<usize>);
+
+impl<'a> ActiveRequest<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for ActiveRequest<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Returns the limits of clients' connections under a configuration.
+fn client_limits(limits: &RequestLimits) -> ClientLimits {
+    ClientLimits {
+        header_bytes: limits.header_bytes.clamp(HEADER_BYTES.0, HEADER_BYTES.1),
+        header_count: MAX_HEADERS,
+        header_timeout: limits.header_timeout.max(MIN_HEADER_TIMEOUT),
+        body_bytes: limits.body_bytes as u64,
+        body_timeout: BODY_TIMEOUT,
+        idle_timeout: limits.idle_timeout,
+        ..ClientLimits::default()
+    }
+}
+
+/// Returns the response to a request whose body was not read. The request has not run.
+fn body_refusal(error: BodyError) -> HttpResponse {
+    let status = match error {
+        BodyError::Limited(reason) => reason.status().0,
+        BodyError::Malformed => 400,
+    };
+    let mut headers = vec![("connection", "close".to_owned())];
+    if status == 503 {
+        headers.push(("retry-after", RETRY_AFTER_SECONDS.to_string()));
+    }
+    HttpResponse { status, headers, ..HttpResponse::default() }
+}
+
+/// Returns the response to a head that is refused.
+fn raw_refusal(reason: LimitReason) -> String {
+    let (status, phrase) = reason.status();
+    format!("HTTP/1.1 {status} {phrase}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n")
+}
--- a/crates/magnoliapin_node/src/node_loop.rs
+++ b/crates/magnoliapin_node/src/node_loop.rs
@@ -77,6 +77,7 @@
                     timer.set_after(tick);
                     self.deadlines.expire(now);
                     self.pool.close_idle(now);
+                    self.sweep_connections();
                     self.machine.handle(now, NodeEvent::WallClock(wall_clock()), &mut actions);
                     self.machine.handle(now, NodeEvent::Tick, &mut actions);
                 }
@@ -90,12 +91,23 @@
                 self.execute(action, now);
             }
             self.server.is_ready.set(self.machine.is_ready());
+            self.server.set_request_limits(self.machine.request_limits());
             if self.machine.is_stopped() && self.server.active_requests.get() == 0 {
                 return;
             }
         }
     }
 
+    /// Ends connections that are too slow, and logs what the limits did.
+    fn sweep_connections(&self) {
+        let registries =
+            [("clients", &self.server.registry), ("peers", &self.peer_server.registry)];
+        for (name, registry) in registries {
+            registry.sweep();
+            registry.log_summary(name);
+        }
+    }
+
     /// Executes an action that was decided at `decided_at`.
     fn execute(&self, action: NodeAction, decided_at: Moment) {
         let protocol = Rc::clone(&self.protocol);
--- a/crates/magnoliapin_node/src/node_service.rs
+++ b/crates/magnoliapin_node/src/node_service.rs
@@ -12,6 +12,7 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 use futures_lite::StreamExt;
+use magnoliapin_http::set_receive_buffer;
 use magnoliapin_scheduler::NodeEvent;
 use magnoliapin_scheduler::NodeMachine;
 use magnoliapin_site::NodeSettings;
@@ -43,12 +44,14 @@
     let clock = NodeClock::new();
     let (sender, receiver) = async_channel::unbounded();
     let server =
-        Rc::new(ServerState::new(Rc::clone(&executor), Rc::clone(&protocol), sender.clone()));
+        ServerState::new(Rc::clone(&executor), Rc::clone(&protocol), sender.clone(), &settings);
+    let server = Rc::new(server);
     for address in [settings.client_listen, settings.ready_listen] {
         let listener = listen(address)?;
         executor.spawn(Rc::clone(&server).accept(listener)).detach();
     }
-    let peer_server = Rc::new(PeerServer::new(Rc::clone(&executor), sender.clone()));
+    let peer_server = PeerServer::new(Rc::clone(&executor), sender.clone());
+    let peer_server = Rc::new(peer_server.with_machine(&settings));
     if let Some(address) = settings.peer_listen {
         let listener = listen(address)?;
         executor.spawn(Rc::clone(&peer_server).accept(listener)).detach();
@@ -99,7 +102,10 @@
 }
 
 fn listen(address: SocketAddr) -> Result<Async<TcpListener>, Report<NodeError>> {
-    Async::<TcpListener>::bind(address).change_context(NodeError::Listen(address))
+    let listener = Async::<TcpListener>::bind(address);
+    let listener = listener.change_context(NodeError::Listen(address))?;
+    set_receive_buffer(listener.get_ref());
+    Ok(listener)
 }
 
 /// Stops the node on SIGTERM, SIGINT or an error; only logs SIGHUP.
--- a/crates/magnoliapin_node/src/peer_server.rs
+++ b/crates/magnoliapin_node/src/peer_server.rs
@@ -2,23 +2,32 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::io;
 use std::net::TcpListener;
-use std::net::TcpStream;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Sender;
 use indexmap::IndexMap;
+use magnoliapin_http::BytePriority;
+use magnoliapin_http::ClientLimits;
+use magnoliapin_http::ClientRegistry;
+use magnoliapin_http::ConnectionSlot;
+use magnoliapin_http::MonitoredSocket;
 use magnoliapin_scheduler::NodeEvent;
 use magnoliapin_scheduler::PeerId;
+use magnoliapin_site::NodeSettings;
 use magnoliapin_site::PeerReply;
 use magnoliapin_site::PeerRequest;
 use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
 use smol::Async;
 use smol::LocalExecutor;
 use smol::Timer;
 
 use crate::frame;
+use crate::frame::FrameGate;
 
 #[cfg(test)]
 #[path = "peer_server_tests.rs"]
@@ -29,11 +38,24 @@
 /// Maximum number of replies queued on a connection; further replies are dropped.
 const MAX_QUEUED_REPLIES: usize = 4_096;
 
+/// Largest number of connections of other nodes; several times the nodes of the largest sites.
+const MAX_CONNECTIONS: usize = 512;
+/// Share of the descriptors for connections of other nodes.
+const DESCRIPTOR_SHARE: usize = 16;
+/// Share of the memory for the frames of other nodes.
+const FRAME_SHARE: usize = 16;
+/// Time limit for a frame.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which a node that waits for memory for a frame tries again.
+const ADMIT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// Receives the requests of other nodes and sends the replies.
 #[derive(Debug)]
 pub(crate) struct PeerServer {
     executor: Rc<LocalExecutor<'static>>,
     events: Sender<NodeEvent>,
+    /// Open connections; those that have sent a valid frame are not evicted.
+    pub(crate) registry: Arc<ClientRegistry>,
     last_peer: Cell<u64>,
     pending: RefCell<IndexMap<PeerId, ReplyRoute>>,
 }
@@ -49,7 +71,23 @@
 impl PeerServer {
     /// Creates a server without connections.
     pub(crate) fn new(executor: Rc<LocalExecutor<'static>>, events: Sender<NodeEvent>) -> Self {
-        Self { executor, events, last_peer: Cell::new(0), pending: RefCell::default() }
+        let registry = Arc::new(ClientRegistry::new(ClientLimits::default()));
+        Self { executor, events, registry, last_peer: Cell::new(0), pending: RefCell::default() }
+    }
+
+    /// Sets the limits of a machine.
+    #[must_use]
+    pub(crate) fn with_machine(mut self, settings: &NodeSettings) -> Self {
+        let memory_bytes = settings.memory_mb as usize * 1024 * 1024;
+        let connections = settings.max_descriptors as usize / DESCRIPTOR_SHARE;
+        let limits = ClientLimits {
+            connections: connections.clamp(1, MAX_CONNECTIONS),
+            all_body_bytes: (memory_bytes / FRAME_SHARE) as u64,
+            body_timeout: FRAME_TIMEOUT,
+            ..ClientLimits::default()
+        };
+        self.registry = Arc::new(ClientRegistry::new(limits));
+        self
     }
 
     /// Sends a reply to the node that waits for it.
@@ -66,8 +104,13 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let server = Rc::clone(&self);
-                    self.executor.spawn(server.serve(stream)).detach();
+                    let stream = TcpStream::from(stream);
+                    // Without a slot, all connections belong to nodes.
+                    if let Some(slot) = self.registry.register(stream.clone()) {
+                        let server = Rc::clone(&self);
+                        self.executor.spawn(server.serve(stream, slot)).detach();
+                    }
+                    self.registry.settle().await;
                 }
                 Err(error) => {
                     log::warn!("event=accept_failed error={:?}", error.to_string());
@@ -77,10 +120,10 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, slot: ConnectionSlot) {
         // Without `TCP_NODELAY`, small replies wait for the acknowledgement of the other node.
-        let _ = stream.get_ref().set_nodelay(true);
-        let stream = smol::net::TcpStream::from(stream);
+        let _ = stream.set_nodelay(true);
+        let stream = MonitoredSocket::new(stream, Arc::clone(slot.monitor()));
         let (sender, receiver) = async_channel::bounded::<Vec<u8>>(MAX_QUEUED_REPLIES);
         let mut writer = stream.clone();
         let write = self.executor.spawn(async move {
@@ -92,9 +135,13 @@
         });
         let mut reader = stream;
         let mut buffer = Vec::new();
+        let gate = PeerGate(&slot);
         while let Ok((number, request)) =
-            frame::read::<(u64, PeerRequest)>(&mut reader, &mut buffer).await
+            frame::read_gated::<(u64, PeerRequest)>(&mut reader, &mut buffer, &gate).await
         {
+            slot.release();
+            slot.monitor().finish_request();
+            slot.monitor().trust();
             let peer = PeerId(self.last_peer.get() + 1);
             self.last_peer.set(peer.0);
             let route = ReplyRoute { frames: sender.clone(), number };
@@ -105,3 +152,31 @@
         write.cancel().await;
     }
 }
+
+/// Counts the bytes of frames before they are read.
+struct PeerGate<'a>(&'a ConnectionSlot);
+
+impl FrameGate for PeerGate<'_> {
+    fn start(&self) {
+        self.0.monitor().start_body();
+    }
+
+    fn record(&self, bytes: usize) {
+        self.0.monitor().record_read(bytes);
+    }
+
+    async fn admit(&self, bytes: usize) -> io::Result<()> {
+        loop {
+            let is_trusted = self.0.monitor().is_trusted();
+            let priority = if is_trusted { BytePriority::Reserved } else { BytePriority::Shared };
+            if self.0.reserve(bytes as u64, priority) {
+                return Ok(());
+            }
+            // Only a node waits for memory; its calls would fail if its connection were closed.
+            if !is_trusted || self.0.monitor().end_reason().is_some() {
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
+            Timer::after(ADMIT_RETRY_DELAY).await;
+        }
+    }
+}
--- a/crates/magnoliapin_scheduler/src/machine.rs
+++ b/crates/magnoliapin_scheduler/src/machine.rs
@@ -8,6 +8,7 @@
 use magnoliapin_site::NodeSettings;
 use magnoliapin_site::PeerReply;
 use magnoliapin_site::PeerRequest;
+use magnoliapin_site::RequestLimits;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::TargetReply;
 use rand::Rng;
@@ -100,6 +101,11 @@
         self.site_watch.config().map(|config| config.version).unwrap_or_default()
     }
 
+    /// Returns the limits on client requests of the configuration in force.
+    pub fn request_limits(&self) -> RequestLimits {
+        self.site_watch.config().map(|config| config.limits).unwrap_or_default()
+    }
+
     /// Returns whether a planned stop is complete: no client waits for a reply, and this node
     /// does not hold the lease, so that another node can take over.
     pub fn is_stopped(&self) -> bool {
--- a/crates/magnoliapin_scheduler/tests/soak/site.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/site.rs
@@ -57,6 +57,8 @@
         peer_listen: Some(node_address(node)),
         cpu_milli: if has_agents { WEAK_NODE_CPU_MILLI } else { STRONG_NODE_CPU_MILLI },
         link_kbps: 1_000_000,
+        memory_mb: 256,
+        max_descriptors: 4_100,
         store: "127.0.0.1:3".parse().expect("an address"),
         instances: None,
         advice: None,
--- a/crates/magnoliapin_site/src/node_settings.rs
+++ b/crates/magnoliapin_site/src/node_settings.rs
@@ -23,6 +23,10 @@
     pub cpu_milli: u32,
     /// Bandwidth of its network link, in kilobits per second.
     pub link_kbps: u64,
+    /// Memory of the machine that the process may use, in mebibytes.
+    pub memory_mb: u32,
+    /// Maximum number of open descriptors of the process.
+    pub max_descriptors: u32,
     /// Address of the store.
     pub store: SocketAddr,
     /// Address of the instance service, which moves and maintains instances; `None` if the site has
