Use the shared limits for callers of an entry

The entry had its own registry, body reader and stream monitor. A connection that was evicted was no longer counted but stayed open for up to a second, bodies were counted after they had been read, and at the total the newest body was refused.

The metric limited_callers counts by reason.

--- a/crates/magnoliapin_entry/src/caller/connection.rs
+++ b/crates/magnoliapin_entry/src/caller/connection.rs
@@ -1,7 +1,6 @@
 //! Serves one caller connection.
 
 use std::convert::Infallible;
-use std::net::TcpStream as StdStream;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +20,13 @@
 use hyper::StatusCode;
 use magnoliapin_fleet::OperatorAnswer;
 use magnoliapin_fleet::OperatorRequest;
+use magnoliapin_http::linger;
+use magnoliapin_http::read_body;
+use magnoliapin_http::BodyError;
+use magnoliapin_http::ConnectionMonitor;
+use magnoliapin_http::ConnectionSlot;
+use magnoliapin_http::LimitReason;
+use magnoliapin_http::MonitoredStream;
 use magnoliapin_model::ErrorKind;
 use magnoliapin_model::KeyHash;
 use magnoliapin_wire::CallerAnswer;
@@ -28,15 +34,11 @@
 use magnoliapin_wire::CallerRequest;
 use magnoliapin_wire::ConfigChange;
 use magnoliapin_wire::RefusalView;
-use smol::io::AsyncReadExt;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
-use smol::Async;
 use smol::Timer;
 use smol_hyper::rt::FuturesIo;
-use smol_hyper::rt::SmolTimer;
 
-use crate::caller::body::BufferedBody;
 use crate::caller::headers::CallerHeaders;
 use crate::caller::request_error::RequestError;
 use crate::caller::response::body_response;
@@ -45,16 +47,9 @@
 use crate::caller::response::CallerReply;
 use crate::caller::route::CallerRoute;
 use crate::caller::socket::CallerSocket;
-use crate::caller::stream::CallerStream;
-use crate::caller::stream::StreamMonitor;
 use crate::caller::CallerShared;
+use crate::EntryLimits;
 
-/// Longest time for which unread bytes are discarded before the socket is dropped.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum number of bytes discarded before the socket is dropped.
-const MAX_LINGER_BYTES: usize = 16 * 1024 * 1024;
-/// Buffer size of a connection, raised to the limit on the size of the headers if that is higher.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Time limit for writing the refusal of invalid or slow headers.
 const REFUSAL_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -63,7 +58,7 @@
 pub(crate) struct CallerConnection {
     shared: Arc<CallerShared>,
     stream: TcpStream,
-    monitor: Arc<StreamMonitor>,
+    slot: ConnectionSlot,
 }
 
 /// Why serving a connection ended.
@@ -71,18 +66,17 @@
     Closed,
     InvalidHeaders,
     SlowHeaders,
-    StalledWrite,
+    Evicted,
 }
 
 impl CallerConnection {
     /// Creates the connection for an accepted socket.
-    pub(crate) fn new(shared: Arc<CallerShared>, stream: Async<StdStream>) -> Self {
-        Self { shared, stream: TcpStream::from(stream), monitor: Arc::new(StreamMonitor::new()) }
+    pub(crate) fn new(shared: Arc<CallerShared>, stream: TcpStream, slot: ConnectionSlot) -> Self {
+        Self { shared, stream, slot }
     }
 
-    /// Returns the monitor of the connection.
-    pub(crate) fn monitor(&self) -> &Arc<StreamMonitor> {
-        &self.monitor
+    fn monitor(&self) -> &Arc<ConnectionMonitor> {
+        self.slot.monitor()
     }
 
     /// Serves requests until the connection ends.
@@ -94,7 +88,7 @@
         };
         let refusal = match self.serve(&socket).await {
             ConnectionEnd::Closed => None,
-            ConnectionEnd::StalledWrite => return,
+            ConnectionEnd::Evicted => return,
             ConnectionEnd::InvalidHeaders => Some(RequestError::new(
                 ErrorKind::BadRequest,
                 "the headers are malformed, too many or too large",
@@ -108,25 +102,13 @@
             self.shared.metrics.count_answer(Some(refusal.kind), Duration::ZERO);
             self.write_refusal(&socket, refusal).await;
         }
-        self.linger(&socket).await;
-    }
-
-    /// Refuses the connection because too many are open.
-    pub(crate) async fn refuse(self) {
-        if self.shared.certificates.is_some() {
-            // A response would cost a handshake, and no request has been received yet.
-            return;
-        }
-        let message = "too many connections are open";
-        let bytes = raw_refusal(RequestError::new(ErrorKind::Overloaded, message));
-        // Does not wait: bytes that do not fit into the socket's buffer are dropped.
-        let _ = future::poll_once(self.stream.clone().write_all(&bytes)).await;
+        linger(socket, self.stream.clone(), self.monitor()).await;
     }
 
     /// Performs the TLS handshake, if TLS is configured, within the timeout for headers. A planned
     /// stop or an eviction aborts the handshake, since no request has been received yet.
     async fn open_socket(&self) -> Option<CallerSocket> {
-        let monitor = Arc::clone(&self.monitor);
+        let monitor = Arc::clone(self.monitor());
         let Some(certificates) = &self.shared.certificates else {
             return Some(CallerSocket::plain(self.stream.clone(), monitor));
         };
@@ -138,7 +120,7 @@
             None
         };
         let stopping = async {
-            self.shared.draining.wait().or(self.monitor.evicted()).await;
+            self.shared.draining.wait().await;
             None
         };
         let socket = handshake.or(timeout).or(stopping).await;
@@ -149,57 +131,40 @@
     }
 
     async fn serve(&self, socket: &CallerSocket) -> ConnectionEnd {
-        let limits = &self.shared.limits;
-        let stream = CallerStream::new(socket.clone(), Arc::clone(&self.monitor));
+        let limits = self.shared.connections.limits();
+        let stream = MonitoredStream::new(socket.clone(), Arc::clone(self.monitor()));
         let service = service_fn(|request| self.respond(request));
         let connection = http1::Builder::new()
-            .timer(SmolTimer::new())
-            .header_read_timeout(limits.idle_timeout)
             .max_headers(limits.header_count)
             .max_header_size(limits.header_bytes)
-            .max_buf_size(READ_BUFFER_BYTES.max(limits.header_bytes))
-            .serve_connection(FuturesIo::new(stream), service);
+            .max_buf_size(limits.read_buffer_bytes())
+            .serve_connection(FuturesIo::new(stream.with_own_refusals()), service);
         let mut connection = pin!(connection);
         let stopping = async {
-            self.shared.draining.wait().or(self.monitor.evicted()).await;
-            None
+            self.shared.draining.wait().await;
+            false
         };
         let serving = async {
             // After an error other than invalid headers, the caller cannot receive a response.
             let _ = connection.as_mut().await;
-            Some(ConnectionEnd::Closed)
-        };
-        let stall = async { Some(self.wait_for_stall().await) };
-        let end = match serving.or(stall).or(stopping).await {
-            Some(end) => end,
-            None => {
-                // A request that has started to arrive is still answered.
-                connection.as_mut().graceful_shutdown();
-                let serving = async {
-                    let _ = connection.await;
-                    ConnectionEnd::Closed
-                };
-                serving.or(self.wait_for_stall()).await
-            }
+            true
         };
-        if self.monitor.has_invalid_headers() {
+        if !serving.or(stopping).await {
+            // A request that has started to arrive is still answered.
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+        if self.monitor().has_invalid_head() {
             return ConnectionEnd::InvalidHeaders;
         }
-        end
-    }
-
-    /// Waits until the headers are too slow or a write is blocked for too long.
-    async fn wait_for_stall(&self) -> ConnectionEnd {
-        let limits = &self.shared.limits;
-        let slow_headers = async {
-            self.monitor.wait_for_slow_headers(limits.header_timeout).await;
-            ConnectionEnd::SlowHeaders
-        };
-        let stalled_write = async {
-            self.monitor.wait_for_stalled_write(limits.write_timeout).await;
-            ConnectionEnd::StalledWrite
-        };
-        slow_headers.or(stalled_write).await
+        match self.slot.head_refusal() {
+            Some(LimitReason::SlowHead) => ConnectionEnd::SlowHeaders,
+            Some(_) => ConnectionEnd::InvalidHeaders,
+            None if self.monitor().end_reason().is_some_and(LimitReason::is_eviction) => {
+                ConnectionEnd::Evicted
+            }
+            None => ConnectionEnd::Closed,
+        }
     }
 
     async fn respond(
@@ -207,7 +172,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let started = Instant::now();
-        self.monitor.start_request();
+        self.monitor().start_request();
         let reply = self.answer(request).await.unwrap_or_else(CallerReply::from);
         let mut response = reply.response;
         if self.shared.driver.state().is_stopping() {
@@ -215,7 +180,7 @@
             response.headers_mut().insert(header::CONNECTION, close);
         }
         self.shared.metrics.count_answer(reply.kind, started.elapsed());
-        self.monitor.finish_request();
+        self.monitor().finish_request();
         Ok(response)
     }
 
@@ -258,8 +223,9 @@
         route: CallerRoute,
         body: Incoming,
     ) -> Result<CallerReply, RequestError> {
+        let limits = &self.shared.limits;
         let mut buffered =
-            BufferedBody::read(body, &self.shared.bodies, &self.shared.limits).await?;
+            read_body(body, &self.slot).await.map_err(|error| body_error(error, limits))?;
         let payload = buffered.take_bytes();
         let body = match route {
             CallerRoute::Run(queue) => {
@@ -313,29 +279,37 @@
         };
         write.or(timeout).await;
     }
+}
 
-    /// Closes the sending side, then discards what the caller still sends. Unread bytes would make
-    /// the operating system reset the connection, and the caller could not read its response.
-    async fn linger(&self, socket: &CallerSocket) {
-        let mut socket = socket.clone();
-        let mut stream = self.stream.clone();
-        let discard = async {
-            if socket.close().await.is_err() {
-                return;
-            }
-            let mut buffer = vec![0; 16 * 1024];
-            let mut discarded = 0;
-            while discarded < MAX_LINGER_BYTES {
-                match stream.read(&mut buffer).await {
-                    Ok(0) | Err(_) => return,
-                    Ok(bytes) => discarded += bytes,
-                }
-            }
-        };
-        let timeout = async {
-            Timer::after(LINGER_TIMEOUT).await;
-        };
-        discard.or(timeout).await;
+/// Refuses a connection because too many are open.
+pub(crate) async fn refuse_connection(shared: Arc<CallerShared>, mut stream: TcpStream) {
+    if shared.certificates.is_some() {
+        // A response would cost a handshake, and no request has been received yet.
+        return;
+    }
+    let message = "too many connections are open";
+    let bytes = raw_refusal(RequestError::new(ErrorKind::Overloaded, message));
+    // Does not wait: bytes that do not fit into the socket's buffer are dropped.
+    let _ = future::poll_once(stream.write_all(&bytes)).await;
+}
+
+fn body_error(error: BodyError, limits: &EntryLimits) -> RequestError {
+    match error {
+        BodyError::Malformed => {
+            RequestError::new(ErrorKind::BadRequest, "the body is malformed or truncated")
+        }
+        BodyError::Limited(LimitReason::LargeBody) => {
+            let message = format!("the body exceeds the limit of {} bytes", limits.body_bytes);
+            RequestError::new(ErrorKind::BodyTooLarge, message)
+        }
+        BodyError::Limited(LimitReason::SlowBody) => {
+            let message = format!("the body was not received within {:?}", limits.body_timeout);
+            RequestError::new(ErrorKind::SlowSender, message)
+        }
+        BodyError::Limited(_) => {
+            let message = "the request bodies in memory exceed the entry's limit";
+            RequestError::new(ErrorKind::Overloaded, message)
+        }
     }
 }
 
--- a/crates/magnoliapin_entry/src/caller/listener.rs
+++ b/crates/magnoliapin_entry/src/caller/listener.rs
@@ -1,7 +1,6 @@
 //! Accepts caller connections, and closes them at the end of a planned stop.
 
 use std::net::TcpListener;
-use std::net::TcpStream;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -12,16 +11,19 @@
 
 use futures_lite::future;
 use futures_lite::FutureExt;
+use magnoliapin_http::ClientRegistry;
+use smol::net::TcpStream;
 use smol::Async;
 use smol::Timer;
 
-use crate::caller::body::BodyBudget;
 use crate::caller::certificates::CertificateStore;
+use crate::caller::connection::refuse_connection;
 use crate::caller::connection::CallerConnection;
-use crate::caller::registry::ConnectionRegistry;
 use crate::descriptor_limit::descriptor_limit;
 use crate::driver::DriverHandle;
+use crate::http_connection::ConnectionGauge;
 use crate::metrics::ChildName;
+use crate::metrics::EndpointKind;
 use crate::stop_signal::StopSignal;
 use crate::supervisor::ChildOutcome;
 use crate::EntryLimits;
@@ -32,6 +34,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Longest wait for connections to close at the end of a planned stop.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Interval at which connections are checked for time limits.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// State shared by all caller connections.
@@ -43,14 +47,12 @@
     pub(crate) metrics: Arc<EntryMetrics>,
     /// Limits on connections and requests.
     pub(crate) limits: EntryLimits,
-    /// Memory budget of the request bodies.
-    pub(crate) bodies: BodyBudget,
     /// TLS configuration; `None` for plain text.
     pub(crate) certificates: Option<Arc<CertificateStore>>,
     /// Raised when connections must close after the response in progress.
     pub(crate) draining: StopSignal,
     /// Registry of the open connections.
-    pub(crate) connections: Arc<ConnectionRegistry>,
+    pub(crate) connections: Arc<ClientRegistry>,
 }
 
 impl CallerShared {
@@ -63,10 +65,10 @@
         // The other half of the descriptors is for targets, the platform and the process itself.
         let limit = descriptor_limit().map_or(usize::MAX, |limit| limit / 2);
         let limit = limit.min(limits.caller_connections);
-        let connections = Arc::new(ConnectionRegistry::new(limit, Arc::clone(&metrics)));
-        let bodies = BodyBudget::default();
+        let connections = ClientRegistry::new(limits.client_limits(limit));
+        let connections = Arc::new(connections.with_observer(Arc::<EntryMetrics>::clone(&metrics)));
         let draining = StopSignal::new();
-        Self { driver, metrics, limits, bodies, certificates: None, draining, connections }
+        Self { driver, metrics, limits, certificates: None, draining, connections }
     }
 
     /// Sets the TLS configuration; `None` serves plain text.
@@ -118,7 +120,10 @@
         let accepting = async {
             loop {
                 match socket.accept().await {
-                    Ok((stream, _)) => self.handle_connection(stream),
+                    Ok((stream, _)) => {
+                        self.handle_connection(TcpStream::from(stream));
+                        self.shared.connections.settle().await;
+                    }
                     Err(error) => {
                         log::warn!("event=accept_failed error={:?}", error.to_string());
                         Timer::after(ACCEPT_RETRY_DELAY).await;
@@ -126,40 +131,47 @@
                 }
             }
         };
+        let sweeping = async {
+            loop {
+                Timer::after(SWEEP_INTERVAL).await;
+                self.shared.connections.sweep();
+            }
+        };
         let stopped = async {
             self.shared.driver.state().stopped().wait().await;
             Timer::after(self.shared.limits.stop_grace_period).await;
         };
-        accepting.or(stopped).await;
+        accepting.or(sweeping).or(stopped).await;
     }
 
     /// Accepts the connections in the socket's backlog.
     async fn accept_backlog(&self, socket: &Async<TcpListener>) {
         while let Some(Ok((stream, _))) = future::poll_once(socket.accept()).await {
-            self.handle_connection(stream);
+            self.handle_connection(TcpStream::from(stream));
         }
     }
 
     async fn wait_until_closed(&self) {
         let deadline = Instant::now() + CLOSE_TIMEOUT;
         while !self.shared.connections.is_empty() && Instant::now() < deadline {
+            self.shared.connections.sweep();
             Timer::after(CLOSE_POLL_INTERVAL).await;
         }
     }
 
-    fn handle_connection(&self, stream: Async<TcpStream>) {
+    fn handle_connection(&self, stream: TcpStream) {
         let shared = Arc::clone(&self.shared);
-        let connection = CallerConnection::new(Arc::clone(&shared), stream);
-        let Some(slot) = shared.connections.register(connection.monitor()) else {
-            shared.metrics.count_refused_connection();
-            self.spawner.detach(connection.refuse());
+        let Some(slot) = shared.connections.register(stream.clone()) else {
+            self.spawner.detach(refuse_connection(shared, stream));
             return;
         };
+        let gauge = ConnectionGauge::new(EndpointKind::Caller, Arc::clone(&shared.metrics));
+        let connection = CallerConnection::new(Arc::clone(&shared), stream, slot);
         self.spawner.detach(async move {
             if AssertUnwindSafe(connection.run()).catch_unwind().await.is_err() {
                 shared.metrics.count_restart(ChildName::CallerConnection);
             }
-            drop(slot);
+            drop(gauge);
         });
     }
 
--- a/crates/magnoliapin_entry/src/caller/socket.rs
+++ b/crates/magnoliapin_entry/src/caller/socket.rs
@@ -11,12 +11,12 @@
 
 use futures_rustls::server::TlsStream;
 use futures_rustls::TlsAcceptor;
+use magnoliapin_http::ConnectionMonitor;
+use magnoliapin_http::MonitoredSocket;
 use smol::io::AsyncRead;
 use smol::io::AsyncWrite;
 use smol::net::TcpStream;
 
-use crate::caller::stream::StreamMonitor;
-
 /// Caller socket, with or without TLS. Clones share the connection.
 #[derive(Clone, Debug)]
 pub(crate) enum CallerSocket {
@@ -28,8 +28,8 @@
 
 impl CallerSocket {
     /// Creates a plain-text socket.
-    pub(crate) fn plain(stream: TcpStream, monitor: Arc<StreamMonitor>) -> Self {
-        Self::Plain(MonitoredSocket { stream, monitor })
+    pub(crate) fn plain(stream: TcpStream, monitor: Arc<ConnectionMonitor>) -> Self {
+        Self::Plain(MonitoredSocket::new(stream, monitor))
     }
 
     /// Performs the TLS handshake on a socket.
@@ -39,10 +39,10 @@
     /// Returns an error if the handshake fails.
     pub(crate) async fn secure(
         stream: TcpStream,
-        monitor: Arc<StreamMonitor>,
+        monitor: Arc<ConnectionMonitor>,
         acceptor: TlsAcceptor,
     ) -> io::Result<Self> {
-        let session = acceptor.accept(MonitoredSocket { stream, monitor }).await?;
+        let session = acceptor.accept(MonitoredSocket::new(stream, monitor)).await?;
         Ok(Self::Secure(Arc::new(Mutex::new(session))))
     }
 }
@@ -90,40 +90,3 @@
 fn lock(session: &Mutex<TlsStream<MonitoredSocket>>) -> MutexGuard<'_, TlsStream<MonitoredSocket>> {
     session.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-/// A TCP socket that records blocked writes. It is below TLS and its buffers.
-#[derive(Clone, Debug)]
-pub(crate) struct MonitoredSocket {
-    stream: TcpStream,
-    monitor: Arc<StreamMonitor>,
-}
-
-impl AsyncRead for MonitoredSocket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
-    }
-}
-
-impl AsyncWrite for MonitoredSocket {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(context, buffer);
-        self.monitor.record_write(result.is_pending());
-        result
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(context)
-    }
-}
--- a/crates/magnoliapin_entry/src/limits.rs
+++ b/crates/magnoliapin_entry/src/limits.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use magnoliapin_http::ClientLimits;
+
 /// Limits of a connection pool towards other processes.
 #[derive(Clone, Debug)]
 pub struct PoolLimits {
@@ -74,6 +76,23 @@
     pub target: PoolLimits,
 }
 
+impl EntryLimits {
+    /// Returns the limits of callers' connections, of which at most this number may be open.
+    pub(crate) fn client_limits(&self, connections: usize) -> ClientLimits {
+        ClientLimits {
+            connections,
+            header_bytes: self.header_bytes,
+            header_count: self.header_count,
+            header_timeout: self.header_timeout,
+            body_bytes: self.body_bytes,
+            all_body_bytes: self.all_body_bytes,
+            body_timeout: self.body_timeout,
+            write_timeout: self.write_timeout,
+            idle_timeout: self.idle_timeout,
+        }
+    }
+}
+
 impl Default for EntryLimits {
     fn default() -> Self {
         Self {
--- a/crates/magnoliapin_entry/src/metrics.rs
+++ b/crates/magnoliapin_entry/src/metrics.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use magnoliapin_http::LimitObserver;
+use magnoliapin_http::LimitReason;
 use magnoliapin_model::ErrorKind;
 use magnoliapin_policy::PolicyCounts;
 use prometheus_client::encoding::text;
@@ -31,6 +33,11 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LimitLabels {
+    reason: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CallLabels {
     border: EndpointKind,
@@ -65,6 +72,7 @@
     calls: Family<CallLabels, Counter>,
     call_seconds: Family<EndpointLabels, Histogram>,
     connections: Family<EndpointLabels, Gauge>,
+    limited_callers: Family<LimitLabels, Counter>,
     refused_connections: Counter,
     evicted_connections: Counter,
     failed_handshakes: Counter,
@@ -89,6 +97,7 @@
             calls: Family::default(),
             call_seconds: Family::new_with_constructor(latency_histogram),
             connections: Family::default(),
+            limited_callers: Family::default(),
             refused_connections: Counter::default(),
             evicted_connections: Counter::default(),
             failed_handshakes: Counter::default(),
@@ -132,14 +141,6 @@
         self.connections.get_or_create(&EndpointLabels { border: endpoint }).inc_by(change);
     }
 
-    pub(crate) fn count_refused_connection(&self) {
-        self.refused_connections.inc();
-    }
-
-    pub(crate) fn count_evicted_connection(&self) {
-        self.evicted_connections.inc();
-    }
-
     pub(crate) fn count_failed_handshake(&self) {
         self.failed_handshakes.inc();
     }
@@ -201,6 +202,11 @@
             self.call_seconds.clone(),
         );
         registry.register("connections", "Open connections, by border", self.connections.clone());
+        registry.register(
+            "limited_callers",
+            "Requests refused and connections of callers closed by a limit, by reason",
+            self.limited_callers.clone(),
+        );
         registry.register(
             "refused_connections",
             "Connections of callers closed because too many were open",
@@ -261,6 +267,17 @@
     }
 }
 
+impl LimitObserver for EntryMetrics {
+    fn record_limit(&self, reason: LimitReason) {
+        self.limited_callers.get_or_create(&LimitLabels { reason: reason.name() }).inc();
+        match reason {
+            LimitReason::EvictedForConnection => self.evicted_connections.inc(),
+            LimitReason::ConnectionRefused => self.refused_connections.inc(),
+            _ => 0,
+        };
+    }
+}
+
 impl Default for EntryMetrics {
     fn default() -> Self {
         Self::new()
--- a/crates/magnoliapin_entry/src/service.rs
+++ b/crates/magnoliapin_entry/src/service.rs
@@ -10,6 +10,7 @@
 use async_channel::Sender;
 use error_stack::Report;
 use error_stack::ResultExt;
+use magnoliapin_http::set_receive_buffer;
 use magnoliapin_model::EntryId;
 use magnoliapin_policy::EntryIdentity;
 use magnoliapin_wire::PeerCodec;
@@ -239,6 +240,7 @@
 fn listen(address: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), Report<EntryError>> {
     let error = EntryError::CallerListen(address);
     let listener = Async::<TcpListener>::bind(address).change_context(error)?;
+    set_receive_buffer(listener.get_ref());
     let address = listener.get_ref().local_addr().change_context(error)?;
     Ok((listener, address))
 }
