Count requests of departed clients and bound the readiness address apart

A decoded request stopped counting when its client disconnected, although the node still served it. It now counts until its reply, twice for the row that is written. The readiness address has connections and bytes of its own, so that a flood of clients does not keep the platform's check from being answered. Where accepting fails, the slowest connection is evicted. The kernel's buffers of a connection are limited in both directions, for other nodes at a larger size.

--- a/crates/magnoliapin_entry/src/caller/listener.rs
+++ b/crates/magnoliapin_entry/src/caller/listener.rs
@@ -126,6 +126,7 @@
                     }
                     Err(error) => {
                         log::warn!("event=accept_failed error={:?}", error.to_string());
+                        self.shared.connections.evict_slowest();
                         Timer::after(ACCEPT_RETRY_DELAY).await;
                     }
                 }
--- a/crates/magnoliapin_entry/src/service.rs
+++ b/crates/magnoliapin_entry/src/service.rs
@@ -10,7 +10,8 @@
 use async_channel::Sender;
 use error_stack::Report;
 use error_stack::ResultExt;
-use magnoliapin_http::set_receive_buffer;
+use magnoliapin_http::set_socket_buffers;
+use magnoliapin_http::SOCKET_BUFFER_BYTES;
 use magnoliapin_model::EntryId;
 use magnoliapin_policy::EntryIdentity;
 use magnoliapin_wire::PeerCodec;
@@ -240,7 +241,7 @@
 fn listen(address: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), Report<EntryError>> {
     let error = EntryError::CallerListen(address);
     let listener = Async::<TcpListener>::bind(address).change_context(error)?;
-    set_receive_buffer(listener.get_ref());
+    set_socket_buffers(listener.get_ref(), SOCKET_BUFFER_BYTES);
     let address = listener.get_ref().local_addr().change_context(error)?;
     Ok((listener, address))
 }
--- a/crates/magnoliapin_http/src/body.rs
+++ b/crates/magnoliapin_http/src/body.rs
@@ -4,6 +4,7 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 
+use crate::ByteCharge;
 use crate::BytePriority;
 use crate::ConnectionSlot;
 use crate::LimitReason;
@@ -13,6 +14,9 @@
 /// First size of the buffer of a body without an announced size.
 const FIRST_STEP_BYTES: u64 = 4 * 1024;
 
+/// How often a decoded request counts: as itself and as the row that is written to the store.
+const DECODED_FACTOR: u64 = 2;
+
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
@@ -40,6 +44,12 @@
         std::mem::take(&mut self.bytes)
     }
 
+    /// Drops the bytes after they were decoded. The result counts for the decoded request and its
+    /// copies, also if the client disconnects.
+    pub fn into_charge(self) -> ByteCharge {
+        self.slot.detach(DECODED_FACTOR)
+    }
+
     /// Makes room for a number of bytes, which count before they are read.
     fn grow(&mut self, capacity: u64, priority: BytePriority) -> Result<(), BodyError> {
         let more = capacity - self.bytes.capacity() as u64;
--- a/crates/magnoliapin_http/src/limits.rs
+++ b/crates/magnoliapin_http/src/limits.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-/// Size of the kernel's receive buffer of a connection, which the kernel doubles. The default of
+/// Size of each of the kernel's buffers of a connection, which the kernel doubles. The default of
 /// several MiB would count towards the memory of the machine.
-pub const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+pub const SOCKET_BUFFER_BYTES: usize = 32 * 1024;
 /// Smallest read buffer that `hyper` supports.
 const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
 /// Memory that a connection takes in the process at most, apart from bodies and a long head.
--- a/crates/magnoliapin_http/src/linger.rs
+++ b/crates/magnoliapin_http/src/linger.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use rustix::net::sockopt;
 use smol::io::AsyncReadExt;
 use smol::io::AsyncWrite;
 use smol::io::AsyncWriteExt;
@@ -11,7 +12,6 @@
 use smol::Timer;
 
 use crate::ConnectionMonitor;
-use crate::RECEIVE_BUFFER_BYTES;
 
 /// Longest time for which unread bytes are discarded before the socket is dropped.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -46,10 +46,11 @@
     discard.or(timeout).await;
 }
 
-/// Limits the kernel's receive buffers of the connections that a listener accepts from now on.
-pub fn set_receive_buffer(listener: &TcpListener) {
-    let result = rustix::net::sockopt::set_socket_recv_buffer_size(listener, RECEIVE_BUFFER_BYTES);
-    if let Err(error) = result {
-        log::warn!("event=receive_buffer_unchanged error={:?}", error.to_string());
+/// Limits the kernel's buffers of the connections that a listener accepts from now on.
+pub fn set_socket_buffers(listener: &TcpListener, bytes: usize) {
+    let received = sockopt::set_socket_recv_buffer_size(listener, bytes);
+    let sent = sockopt::set_socket_send_buffer_size(listener, bytes);
+    if let Err(error) = received.and(sent) {
+        log::warn!("event=socket_buffers_unchanged error={:?}", error.to_string());
     }
 }
--- a/crates/magnoliapin_http/src/registry.rs
+++ b/crates/magnoliapin_http/src/registry.rs
@@ -136,18 +136,10 @@
         if count >= state.limits.connections {
             count = state.open.values().filter(is_open).count();
         }
-        if count >= state.limits.connections {
-            let now = Instant::now();
-            let ranked = state.open.values().filter_map(|connection| {
-                connection.monitor.eviction_rank(now).map(|rank| (rank, connection))
-            });
-            let slowest = ranked.min_by_key(|(rank, _)| *rank).map(|(_, connection)| connection);
-            let Some(slowest) = slowest else {
-                drop(state);
-                self.record(LimitReason::ConnectionRefused);
-                return None;
-            };
-            self.end(&slowest.monitor, LimitReason::EvictedForConnection);
+        if count >= state.limits.connections && !self.evict_slowest_of(&state) {
+            drop(state);
+            self.record(LimitReason::ConnectionRefused);
+            return None;
         }
         state.last_id += 1;
         let id = state.last_id;
@@ -158,6 +150,24 @@
         Some(ConnectionSlot { registry: Arc::clone(self), id, monitor })
     }
 
+    /// Evicts the connection with the slowest progress, for example when descriptors run out.
+    pub fn evict_slowest(&self) {
+        self.evict_slowest_of(&self.lock());
+    }
+
+    /// Returns whether a connection was evicted.
+    fn evict_slowest_of(&self, state: &RegistryState) -> bool {
+        let now = Instant::now();
+        let ranked = state.open.values().filter_map(|connection| {
+            connection.monitor.eviction_rank(now).map(|rank| (rank, connection))
+        });
+        let slowest = ranked.min_by_key(|(rank, _)| *rank);
+        if let Some((_, slowest)) = slowest {
+            self.end(&slowest.monitor, LimitReason::EvictedForConnection);
+        }
+        slowest.is_some()
+    }
+
     /// Waits until the evicted connections are closed, so that accepting does not outrun closing.
     pub async fn settle(&self) {
         let is_over = || {
@@ -303,6 +313,16 @@
         }
     }
 
+    /// Detaches the bytes of a complete body from the connection. They count `factor` times, for
+    /// the copies that are made of them, until the result is dropped.
+    pub(crate) fn detach(&self, factor: u64) -> ByteCharge {
+        let mut state = self.registry.lock();
+        let connection = state.open.get_mut(&self.id);
+        let own = connection.map_or(0, |open| std::mem::take(&mut open.used_bytes));
+        state.used_bytes += own * (factor - 1);
+        ByteCharge { registry: Arc::clone(&self.registry), bytes: own * factor }
+    }
+
     /// Stops counting the bytes of the body.
     pub fn release(&self) {
         let mut state = self.registry.lock();
@@ -314,6 +334,19 @@
     }
 }
 
+/// Bytes that count until they are dropped, also after their connection has closed.
+#[derive(Debug)]
+pub struct ByteCharge {
+    registry: Arc<ClientRegistry>,
+    bytes: u64,
+}
+
+impl Drop for ByteCharge {
+    fn drop(&mut self) {
+        self.registry.lock().used_bytes -= self.bytes;
+    }
+}
+
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
         self.release();
--- a/crates/magnoliapin_http/src/registry_tests.rs
+++ b/crates/magnoliapin_http/src/registry_tests.rs
@@ -67,6 +67,19 @@
     assert_eq!(registry.lock().used_bytes, 0);
 }
 
+/// Guards against requests that no longer count when their clients disconnect.
+#[test]
+fn detached_bytes_count_after_the_connection_has_closed() {
+    let registry = registry(ClientLimits::default());
+    let slot = connect(&registry).expect("a slot");
+    assert!(slot.reserve(100, BytePriority::Shared));
+    let charge = slot.detach(2);
+    drop(slot);
+    assert_eq!(registry.lock().used_bytes, 200);
+    drop(charge);
+    assert_eq!(registry.lock().used_bytes, 0);
+}
+
 /// Guards against a connection of another node that is evicted in favor of unknown clients.
 #[test]
 fn trusted_connections_are_not_evicted() {
--- a/crates/magnoliapin_node/src/client_server.rs
+++ b/crates/magnoliapin_node/src/client_server.rs
@@ -22,6 +22,7 @@
 use magnoliapin_http::linger;
 use magnoliapin_http::read_body;
 use magnoliapin_http::BodyError;
+use magnoliapin_http::ByteCharge;
 use magnoliapin_http::ClientLimits;
 use magnoliapin_http::ClientRegistry;
 use magnoliapin_http::ConnectionSlot;
@@ -52,6 +53,10 @@
 const HEADER_BYTES: (usize, usize) = (1024, 1024 * 1024);
 /// Shortest time limit for a head; a head of several packets needs about as long.
 const MIN_HEADER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Largest number of connections to the readiness address; the platform needs one.
+const READINESS_CONNECTIONS: usize = 32;
+/// Maximum total size of bodies on the readiness address, in bytes; a check has none.
+const READINESS_BODY_BYTES: u64 = 64 * 1024;
 /// Time limit for a body; much longer than the usual deadline of a client.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time in seconds after which a client that was refused for lack of memory may try again.
@@ -70,15 +75,25 @@
     /// Number of requests that are being served.
     pub(crate) active_requests: Cell<usize>,
     /// Open connections of clients.
-    pub(crate) registry: Arc<ClientRegistry>,
+    pub(crate) clients: Arc<ClientRegistry>,
+    /// Open connections to the readiness address, which floods of clients do not use up.
+    pub(crate) readiness: Arc<ClientRegistry>,
     memory_bytes: usize,
     max_descriptors: usize,
     request_limits: Cell<RequestLimits>,
     /// Requests that wait for a reply.
-    pending: RefCell<IndexMap<ClientId, Sender<ClientReply>>>,
+    pending: RefCell<IndexMap<ClientId, PendingReply>>,
     last_client: Cell<u64>,
 }
 
+/// A request that waits for a reply.
+#[derive(Debug)]
+struct PendingReply {
+    sender: Sender<ClientReply>,
+    /// The request counts until its reply, also if its client disconnects.
+    _charge: ByteCharge,
+}
+
 impl ServerState {
     /// Creates the state of a server without connections.
     pub(crate) fn new(
@@ -92,7 +107,8 @@
         let request_limits = RequestLimits::default();
         let limits = client_limits(&request_limits).with_machine(memory_bytes, max_descriptors);
         Self {
-            registry: Arc::new(ClientRegistry::new(limits)),
+            clients: Arc::new(ClientRegistry::new(limits)),
+            readiness: Arc::new(ClientRegistry::new(readiness_limits(limits))),
             memory_bytes,
             max_descriptors,
             request_limits: Cell::new(request_limits),
@@ -112,33 +128,42 @@
         if self.request_limits.replace(request_limits) != request_limits {
             let limits = client_limits(&request_limits)
                 .with_machine(self.memory_bytes, self.max_descriptors);
-            self.registry.set_limits(limits);
+            self.clients.set_limits(limits);
+            self.readiness.set_limits(readiness_limits(limits));
         }
     }
 
     /// Passes a reply to the request that waits for it.
     pub(crate) fn send_reply(&self, client: ClientId, reply: ClientReply) {
-        if let Some(sender) = self.pending.borrow_mut().swap_remove(&client) {
+        if let Some(pending) = self.pending.borrow_mut().swap_remove(&client) {
             // Fails only if the request was dropped because the client disconnected.
-            let _ = sender.try_send(reply);
+            let _ = pending.sender.try_send(reply);
         }
     }
 
     /// Accepts connections for as long as the process runs.
-    pub(crate) async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
+    pub(crate) async fn accept(
+        self: Rc<Self>,
+        listener: Async<TcpListener>,
+        registry: Arc<ClientRegistry>,
+    ) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let stream = TcpStream::from(stream);
-                    // Without a slot, all connections have a request in progress.
-                    if let Some(slot) = self.registry.register(stream.clone()) {
+                    let mut stream = TcpStream::from(stream);
+                    if let Some(slot) = registry.register(stream.clone()) {
                         let state = Rc::clone(&self);
                         self.executor.spawn(state.serve(stream, slot)).detach();
+                    } else {
+                        // All connections have a request in progress.
+                        let refusal = raw_refusal(LimitReason::ConnectionRefused);
+                        let _ = future::poll_once(stream.write_all(refusal.as_bytes())).await;
                     }
-                    self.registry.settle().await;
+                    registry.settle().await;
                 }
                 Err(error) => {
                     log::warn!("event=accept_failed error={:?}", error.to_string());
+                    registry.evict_slowest();
                     Timer::after(ACCEPT_RETRY_DELAY).await;
                 }
             }
@@ -148,7 +173,7 @@
     async fn serve(self: Rc<Self>, stream: TcpStream, slot: ConnectionSlot) {
         // Without `TCP_NODELAY`, small responses wait for the acknowledgement of the client.
         let _ = stream.set_nodelay(true);
-        let limits = self.registry.limits();
+        let limits = slot.registry().limits();
         let monitor = Arc::clone(slot.monitor());
         let mut socket = MonitoredSocket::new(stream.clone(), Arc::clone(&monitor));
         let io = MonitoredStream::new(socket.clone(), Arc::clone(&monitor));
@@ -204,8 +229,7 @@
         client: &ClientConnection<'_>,
     ) -> HttpResponse {
         let (head, body) = request.into_parts();
-        // The bytes of the body count until the reply is sent.
-        let mut body = match read_body(body, client.slot).await {
+        let body = match read_body(body, client.slot).await {
             Ok(body) => body,
             Err(error) => {
                 client.has_refused_body.set(true);
@@ -231,11 +255,12 @@
         }
         match self.protocol.decode_request(&request) {
             Ok(request) => {
-                drop(body.take_bytes());
+                let charge = body.into_charge();
                 let client = ClientId(self.last_client.get() + 1);
                 self.last_client.set(client.0);
                 let (sender, receiver) = async_channel::bounded(1);
-                self.pending.borrow_mut().insert(client, sender);
+                let pending = PendingReply { sender, _charge: charge };
+                self.pending.borrow_mut().insert(client, pending);
                 let event = NodeEvent::Client(client, Box::new(request));
                 let _ = self.events.try_send(event);
                 let reply = receiver.recv().await.unwrap_or(ClientReply::OutcomeUnknown);
@@ -282,6 +307,12 @@
     }
 }
 
+/// Returns the limits of the readiness address, which takes a small part of the memory.
+fn readiness_limits(limits: ClientLimits) -> ClientLimits {
+    let connections = limits.connections.min(READINESS_CONNECTIONS);
+    ClientLimits { connections, all_body_bytes: READINESS_BODY_BYTES, ..limits }
+}
+
 /// Returns the response to a request whose body was not read. The request has not run.
 fn body_refusal(error: BodyError) -> HttpResponse {
     let status = match error {
@@ -295,8 +326,13 @@
     HttpResponse { status, headers, ..HttpResponse::default() }
 }
 
-/// Returns the response to a head that is refused.
+/// Returns the response to a head or a connection that is refused.
 fn raw_refusal(reason: LimitReason) -> String {
     let (status, phrase) = reason.status();
-    format!("HTTP/1.1 {status} {phrase}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n")
+    let retry = if status == 503 {
+        format!("retry-after: {RETRY_AFTER_SECONDS}\r\n")
+    } else {
+        String::new()
+    };
+    format!("HTTP/1.1 {status} {phrase}\r\ncontent-length: 0\r\n{retry}connection: close\r\n\r\n")
 }
--- a/crates/magnoliapin_node/src/node_loop.rs
+++ b/crates/magnoliapin_node/src/node_loop.rs
@@ -100,8 +100,11 @@
 
     /// Ends connections that are too slow, and logs what the limits did.
     fn sweep_connections(&self) {
-        let registries =
-            [("clients", &self.server.registry), ("peers", &self.peer_server.registry)];
+        let registries = [
+            ("clients", &self.server.clients),
+            ("readiness", &self.server.readiness),
+            ("peers", &self.peer_server.registry),
+        ];
         for (name, registry) in registries {
             registry.sweep();
             registry.log_summary(name);
--- a/crates/magnoliapin_node/src/node_service.rs
+++ b/crates/magnoliapin_node/src/node_service.rs
@@ -5,6 +5,7 @@
 use std::net::TcpListener;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use async_channel::Sender;
 use async_signal::Signal;
@@ -12,7 +13,8 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 use futures_lite::StreamExt;
-use magnoliapin_http::set_receive_buffer;
+use magnoliapin_http::set_socket_buffers;
+use magnoliapin_http::SOCKET_BUFFER_BYTES;
 use magnoliapin_scheduler::NodeEvent;
 use magnoliapin_scheduler::NodeMachine;
 use magnoliapin_site::NodeSettings;
@@ -32,6 +34,10 @@
 use crate::peer_server::PeerServer;
 use crate::NodeError;
 
+/// Size of each of the kernel's buffers of a connection of another node; larger than that of a
+/// client, as the leader and its agents exchange batches.
+const PEER_BUFFER_BYTES: usize = 128 * 1024;
+
 /// Runs a node with the settings in a file until a signal stops it.
 ///
 /// # Errors
@@ -46,14 +52,16 @@
     let server =
         ServerState::new(Rc::clone(&executor), Rc::clone(&protocol), sender.clone(), &settings);
     let server = Rc::new(server);
-    for address in [settings.client_listen, settings.ready_listen] {
-        let listener = listen(address)?;
-        executor.spawn(Rc::clone(&server).accept(listener)).detach();
+    for (address, registry) in
+        [(settings.client_listen, &server.clients), (settings.ready_listen, &server.readiness)]
+    {
+        let listener = listen(address, SOCKET_BUFFER_BYTES)?;
+        executor.spawn(Rc::clone(&server).accept(listener, Arc::clone(registry))).detach();
     }
     let peer_server = PeerServer::new(Rc::clone(&executor), sender.clone());
     let peer_server = Rc::new(peer_server.with_machine(&settings));
     if let Some(address) = settings.peer_listen {
-        let listener = listen(address)?;
+        let listener = listen(address, PEER_BUFFER_BYTES)?;
         executor.spawn(Rc::clone(&peer_server).accept(listener)).detach();
     }
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
@@ -101,10 +109,13 @@
     protocol.read_settings(&text).map_err(|errors| Report::new(NodeError::SettingsInvalid(errors)))
 }
 
-fn listen(address: SocketAddr) -> Result<Async<TcpListener>, Report<NodeError>> {
+fn listen(
+    address: SocketAddr,
+    buffer_bytes: usize,
+) -> Result<Async<TcpListener>, Report<NodeError>> {
     let listener = Async::<TcpListener>::bind(address);
     let listener = listener.change_context(NodeError::Listen(address))?;
-    set_receive_buffer(listener.get_ref());
+    set_socket_buffers(listener.get_ref(), buffer_bytes);
     Ok(listener)
 }
 
--- a/crates/magnoliapin_node/src/peer_server.rs
+++ b/crates/magnoliapin_node/src/peer_server.rs
@@ -114,6 +114,7 @@
                 }
                 Err(error) => {
                     log::warn!("event=accept_failed error={:?}", error.to_string());
+                    self.registry.evict_slowest();
                     Timer::after(ACCEPT_RETRY_DELAY).await;
                 }
             }
