--- a/crates/magnoliapin/tests/floods.rs
+++ b/crates/magnoliapin/tests/floods.rs
@@ -163,6 +163,26 @@
     drop(flood);
 }
 
+/// Guards against events that queue up because frames are read faster than they are handled, and
+/// against replies that are kept for nodes that do not read them.
+#[test]
+fn a_node_survives_valid_frames_whose_replies_are_not_read() {
+    let _guard = lock();
+    let node = TestNode::start("pings", SMALL_MEMORY);
+    // The length, the number of the request and the variant of a ping.
+    let ping = [2, 0, 0, 0, 0, 0];
+    let flood = Flood::open(node.peers, CLIENTS / 4, ping.repeat(100_000), 600_000).send();
+    node.check();
+    drop(flood);
+}
+
+/// Guards against responses that are kept for clients that do not read them.
+#[test]
+fn a_node_survives_clients_that_do_not_read() {
+    let request = b"GET /q/00000000000000b1 HTTP/1.1\r\nhost: h\r\n\r\n";
+    flood_node("unread", |node| node.clients, request.repeat(5_000), 64 * 1024);
+}
+
 /// Guards against connections that use up the descriptors.
 #[test]
 fn a_node_survives_connections_that_send_nothing() {
--- a/crates/magnoliapin_node/src/peer_server.rs
+++ b/crates/magnoliapin_node/src/peer_server.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use async_channel::Sender;
+use futures_lite::future;
 use indexmap::IndexMap;
 use magnoliapin_http::BytePriority;
 use magnoliapin_http::ClientLimits;
@@ -38,6 +39,9 @@
 /// Maximum number of replies queued on a connection; further replies are dropped.
 const MAX_QUEUED_REPLIES: usize = 4_096;
 
+/// Number of queued events above which no more frames are read, so that they wait in the buffers of
+/// their senders.
+const MAX_QUEUED_EVENTS: usize = 4_096;
 /// Largest number of connections of other nodes; several times the nodes of the largest sites.
 const MAX_CONNECTIONS: usize = 512;
 /// Share of the descriptors for connections of other nodes.
@@ -149,6 +153,9 @@
             self.pending.borrow_mut().insert(peer, route);
             // Fails only after the node has stopped.
             let _ = self.events.try_send(NodeEvent::PeerRequest(peer, request));
+            while self.events.len() > MAX_QUEUED_EVENTS {
+                future::yield_now().await;
+            }
         }
         write.cancel().await;
     }
