Decode evacuations of zones and test them in the soak

The row evacuate/ZONE, its removal, bounds.evacuate_ms, cold_left_ms, cold_start_s and cold_per_s are decoded. The scheduler does not use them yet, so that runs go on beginning in an evacuated zone. The soak evacuates zones, and checks that no run begins there later than 5 s after the acknowledgement, that services stay within their budget and leave the zone, and that it is used again.

--- a/crates/magnoliapin_scheduler/src/leader/agent_links_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/agent_links_tests.rs
@@ -56,6 +56,7 @@
         capacity: Resources::NONE,
         labels: Vec::new(),
         instance: None,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
@@ -56,6 +56,7 @@
         capacity: Resources::NONE,
         labels: Vec::new(),
         instance: Some(FakeSite::instance()),
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/target_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target_tests.rs
@@ -33,6 +33,7 @@
         notice_time: Duration::from_millis(4_500),
         heartbeat: Duration::from_millis(1_500),
         impact_time: Duration::from_secs(4),
+        evacuation_time: None,
     }
 }
 
@@ -47,6 +48,7 @@
         capacity: Resources { cpu_milli: 16_000, memory_mb: 32_768, accelerators: 0 },
         labels: Vec::new(),
         instance: None,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/site_watch.rs
+++ b/crates/magnoliapin_scheduler/src/site_watch.rs
@@ -102,6 +102,7 @@
                     log::info!("event=wave_withdrawn wave={wave}");
                 }
             }
+            SiteChange::ZoneEvacuated(_) | SiteChange::ZoneRestored(_) => {}
             SiteChange::Unreadable(why) => log::error!("event=site_row_unreadable why={why:?}"),
         }
         false
--- a/crates/magnoliapin_scheduler/src/watch_tests.rs
+++ b/crates/magnoliapin_scheduler/src/watch_tests.rs
@@ -41,6 +41,7 @@
         notice_time: SECOND,
         heartbeat: SECOND,
         impact_time: SECOND,
+        evacuation_time: None,
     }
 }
 
--- a/crates/magnoliapin_scheduler/tests/soak/instances.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/instances.rs
@@ -17,7 +17,6 @@
 use magnoliapin_site::PoolName;
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetState;
-use magnoliapin_site::ZoneName;
 use rand::Rng;
 
 use crate::faults::StoreMode;
@@ -166,7 +165,7 @@
                     name: instance_name(number),
                     pool: instance.pool.clone(),
                     state: instance.state,
-                    zone: ZoneName::new(&format!("zone-{}", target.zone)),
+                    zone: site::zone_name(target.zone),
                     labels: target.record.labels.clone(),
                     capacity: site::target_capacity(),
                     target: target.is_up.then(|| target.record.name.clone()),
--- a/crates/magnoliapin_scheduler/tests/soak/long_running.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/long_running.rs
@@ -28,6 +28,12 @@
 const FAULT_FREE_TIME: Duration = Duration::from_secs(7);
 
 impl World {
+    /// Returns whether orders that interrupt tasks are checked: where instances move, or zones are
+    /// evacuated.
+    pub(crate) fn checks_interruptions(&self) -> bool {
+        self.has_fleet() || self.evacuations.bound().is_some()
+    }
+
     /// Checks an order that interrupts what a target runs: the task `only`, or all tasks.
     pub(crate) fn check_interruption(&mut self, number: usize, only: Option<TaskName>) {
         let incarnation = self.targets[number].record.started_at.0;
@@ -94,7 +100,7 @@
 
     /// Returns whether a target has room for twice the demand of a task, its team uses less than
     /// half of its cap, and, unless `may_be_full`, less than half of the pool's CPU is used.
-    fn has_room(&self, task: TaskName, may_be_full: bool) -> bool {
+    pub(crate) fn has_room(&self, task: TaskName, may_be_full: bool) -> bool {
         let job = &self.checker.jobs[&task.job];
         if job.team == 1 && self.checker.team_use(1).0 * 2 >= site::TEAM_CAP_CPU_MILLI {
             return false;
@@ -105,7 +111,8 @@
         for target in &self.targets {
             let is_usable = target.is_up
                 && target.record.pool == pool
-                && target.record.state == TargetState::Ready;
+                && target.record.state == TargetState::Ready
+                && !self.evacuations.includes(target.zone);
             if !is_usable {
                 continue;
             }
--- a/crates/magnoliapin_scheduler/tests/soak/main.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/main.rs
@@ -17,6 +17,7 @@
 mod store;
 mod target;
 mod world;
+mod zone_evacuations;
 
 use crate::crashing_tasks::CRASH_STORM;
 use crate::crashing_tasks::FEW_CRASHES;
--- a/crates/magnoliapin_scheduler/tests/soak/network.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/network.rs
@@ -210,6 +210,7 @@
                 if has_started {
                     let may_be_stale = is_late || !self.has_store_contact(node);
                     self.checker.record_start(now, number, current_incarnation, *run, may_be_stale);
+                    self.check_zone(number, *run, is_late);
                     let is_in_touch = !is_late && self.is_in_touch(node);
                     self.handle_crashing_start(number, *run, is_in_touch);
                     self.check_capacity(number, *run, is_in_touch);
@@ -218,10 +219,8 @@
             }
             TargetRequest::Stop { run, fence } => {
                 let may_be_stale = is_late || !self.has_store_contact(node);
-                if self.has_fleet()
-                    && self.targets[number].would_stop(*run, *fence)
-                    && !may_be_stale
-                {
+                let would_stop = self.targets[number].would_stop(*run, *fence);
+                if self.checks_interruptions() && would_stop && !may_be_stale {
                     self.check_interruption(number, Some(run.task));
                 }
                 self.targets[number].stop(*run, *fence, now)
--- a/crates/magnoliapin_scheduler/tests/soak/site.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/site.rs
@@ -48,10 +48,14 @@
 const WEAK_NODE_CPU_MILLI: u32 = 12;
 
 /// Returns the settings of a node; with `has_agents`, the leader has other nodes call the targets.
-pub(crate) fn settings(node: usize, has_agents: bool) -> NodeSettings {
+pub(crate) fn settings(
+    node: usize,
+    has_agents: bool,
+    evacuation_time: Option<Duration>,
+) -> NodeSettings {
     NodeSettings {
         name: NodeName::new(&format!("node-{node}")),
-        zone: ZoneName::new(&format!("zone-{}", node % ZONES)),
+        zone: zone_name(node % ZONES),
         client_listen: "127.0.0.1:1".parse().expect("an address"),
         ready_listen: "127.0.0.1:2".parse().expect("an address"),
         peer_listen: Some(node_address(node)),
@@ -83,6 +87,7 @@
             notice_time: Duration::from_millis(4500),
             heartbeat: REGISTRATION_INTERVAL,
             impact_time: Duration::from_secs(4),
+            evacuation_time,
         },
     }
 }
@@ -91,6 +96,10 @@
     format!("10.1.0.{}:7000", node + 1).parse().expect("an address")
 }
 
+pub(crate) fn zone_name(zone: usize) -> ZoneName {
+    ZoneName::new(&format!("zone-{zone}"))
+}
+
 pub(crate) fn pool_name(pool: usize) -> PoolName {
     PoolName::new(&format!("pool-{pool}"))
 }
@@ -130,7 +139,7 @@
             ..Resources::NONE
         },
     };
-    let rule = PoolRule { enforces_capacity: true, is_standby: false };
+    let rule = PoolRule { enforces_capacity: true, ..PoolRule::default() };
     let standby = (standby_pool(), PoolRule { is_standby: true, ..rule });
     let pools = (0..POOLS).map(|pool| (pool_name(pool), rule));
     SiteConfig {
--- a/crates/magnoliapin_scheduler/tests/soak/store.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/store.rs
@@ -17,6 +17,7 @@
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetRecord;
 use magnoliapin_site::WaveState;
+use magnoliapin_site::ZoneName;
 
 /// Default number of rows in a reply.
 const PAGE_ROWS: usize = 50;
@@ -34,8 +35,12 @@
     history_start: u64,
     config: Option<(u64, SiteConfig)>,
     wave: Option<(u64, MaintenanceWave)>,
+    /// Evacuations of zones, each with the version of its last change and whether its row exists.
+    evacuations: BTreeMap<ZoneName, (u64, bool)>,
     /// Waves that were reported as completed.
     completed_waves: BTreeSet<u64>,
+    /// Whether the simulation has evacuations of zones.
+    pub(crate) tracks_evacuations: bool,
     registrations: BTreeMap<String, (u64, TargetRecord)>,
     registration_history: Vec<(u64, TargetName, Option<TargetRecord>)>,
 }
@@ -51,6 +56,12 @@
         self.wave = Some((self.version, wave));
     }
 
+    /// Writes or removes the row of an evacuation.
+    pub(crate) fn set_evacuated(&mut self, zone: ZoneName, is_evacuated: bool) {
+        self.version += 1;
+        self.evacuations.insert(zone, (self.version, is_evacuated));
+    }
+
     pub(crate) fn is_wave_completed(&self, wave: u64) -> bool {
         self.completed_waves.contains(&wave)
     }
@@ -76,6 +87,7 @@
     pub(crate) fn drop_history(&mut self) {
         self.history.clear();
         self.registration_history.clear();
+        self.evacuations.retain(|_, (_, is_evacuated)| *is_evacuated);
         self.history_start = self.version;
     }
 
@@ -86,6 +98,12 @@
             StoreRequest::Read(range) => self.read(range),
             StoreRequest::Watch { table, after, .. } => return self.watch(table, after.0),
             StoreRequest::ReadSite => self.site_changes(0)?,
+            // Without evacuations, simulations run as if no change of the operator were ever missed.
+            StoreRequest::WatchSite { after, .. }
+                if self.tracks_evacuations && after.0 < self.history_start =>
+            {
+                StoreReply::HistoryLost
+            }
             StoreRequest::WatchSite { after, .. } => return self.site_changes(after.0),
             StoreRequest::ReadTargets { .. } => self.all_targets(),
             StoreRequest::WatchTargets { after, .. } => return self.watch_targets(after.0),
@@ -180,6 +198,13 @@
         if let Some((_, wave)) = self.wave.as_ref().filter(|(version, _)| *version > after) {
             changes.push(SiteChange::Wave(wave.clone()));
         }
+        for (zone, (version, is_evacuated)) in &self.evacuations {
+            if *version > after && *is_evacuated {
+                changes.push(SiteChange::ZoneEvacuated(zone.clone()));
+            } else if *version > after && after > 0 {
+                changes.push(SiteChange::ZoneRestored(zone.clone()));
+            }
+        }
         let version = RowVersion(self.version);
         (!changes.is_empty()).then_some(StoreReply::Site { changes, version })
     }
--- a/crates/magnoliapin_scheduler/tests/soak/world.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/world.rs
@@ -30,7 +30,6 @@
 use magnoliapin_site::TargetRequest;
 use magnoliapin_site::TargetState;
 use magnoliapin_site::TaskName;
-use magnoliapin_site::ZoneName;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -48,6 +47,7 @@
 use crate::store::FakeStore;
 use crate::target::FakeTarget;
 use crate::target::RunPlan;
+use crate::zone_evacuations::ZoneEvacuations;
 
 /// Time between two ticks of a node.
 pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -98,6 +98,7 @@
     Client(ClientOperation),
     Fault(FaultChange),
     FailLeader(u64),
+    ZoneEvacuation(usize, bool),
 }
 
 /// Receiver of a call.
@@ -165,6 +166,7 @@
     /// Probes of the configuration without a reply: the node, and a version that it must know or
     /// know to be dropped.
     pub(crate) config_probes: BTreeMap<ClientId, (usize, ConfigVersion, bool)>,
+    pub(crate) evacuations: ZoneEvacuations,
 }
 
 impl World {
@@ -192,6 +194,7 @@
             has_long_runs: false,
             config_changes: Vec::new(),
             config_probes: BTreeMap::new(),
+            evacuations: ZoneEvacuations::default(),
         };
         world.store.set_config(site::config(1, has_fleet));
         for number in 0..site::POOLS * site::TARGETS_PER_POOL {
@@ -235,11 +238,12 @@
             started_at: UnixMillis(START_WALL_CLOCK_MS + number as u64),
             pool: site::pool_name(number % site::POOLS),
             address: format!("10.0.0.{}:80", number + 1).parse().expect("an address"),
-            zone: ZoneName::new(&format!("zone-{zone}")),
+            zone: site::zone_name(zone),
             state: TargetState::Ready,
             capacity: site::target_capacity(),
             labels: vec![format!("r{zone}")],
             instance: Some(InstanceName::new(&format!("m-{number}"))),
+            cold_left: Duration::ZERO,
         };
         let clock_rate = 1.0 - self.random.random_range(0.0..0.02);
         let mut target = FakeTarget::new(record, zone, self.now, clock_rate);
@@ -254,12 +258,13 @@
 
     pub(crate) fn start_node(&mut self, node: usize) {
         let seed = self.random.random();
+        let evacuation_time = self.evacuations.bound();
         let simulated_node = &mut self.nodes[node];
         simulated_node.incarnation += 1;
         simulated_node.started_at = self.now;
         simulated_node.pending_calls.clear();
         simulated_node.machine =
-            Some(NodeMachine::new(&site::settings(node, self.has_agents), seed));
+            Some(NodeMachine::new(&site::settings(node, self.has_agents, evacuation_time), seed));
         let incarnation = simulated_node.incarnation;
         self.schedule_after(Duration::ZERO, Event::Tick(node, incarnation));
     }
@@ -287,6 +292,7 @@
     /// Returns the first violations, including those that only show at the end.
     pub(crate) fn take_violations(&mut self) -> Vec<String> {
         self.checker.check_starts_after_completions();
+        self.check_restored_zones();
         let mut violations = std::mem::take(&mut self.checker.violations);
         for (job, client_job) in &self.checker.jobs {
             let is_owed = client_job.accepted_at.is_some() && !self.checker.has_crashing_task(*job);
@@ -370,6 +376,7 @@
             Event::Client(operation) => self.perform_client_operation(operation),
             Event::Fault(change) => self.apply_fault_change(change),
             Event::FailLeader(duration_ms) => self.fail_leader(duration_ms),
+            Event::ZoneEvacuation(zone, is_evacuated) => self.change_zone(zone, is_evacuated),
         }
     }
 
--- a/crates/magnoliapin_site/src/node_settings.rs
+++ b/crates/magnoliapin_site/src/node_settings.rs
@@ -94,4 +94,6 @@
     pub heartbeat: Duration,
     /// How long a task that serves users may exceed its latency target.
     pub impact_time: Duration,
+    /// Time after which nothing may start in an evacuated zone; `None` on sites that evacuate none.
+    pub evacuation_time: Option<Duration>,
 }
--- a/crates/magnoliapin_site/src/site_config.rs
+++ b/crates/magnoliapin_site/src/site_config.rs
@@ -10,6 +10,7 @@
 use crate::QueueName;
 use crate::Resources;
 use crate::TeamName;
+use crate::ZoneName;
 
 /// The whole configuration, as of one version.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -64,12 +65,16 @@
 }
 
 /// Configuration of a pool.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PoolRule {
     /// Whether the targets refuse starts that exceed their capacity.
     pub enforces_capacity: bool,
     /// Whether its instances are powered off until they are moved to another pool.
     pub is_standby: bool,
+    /// How long its targets remain slow after their start.
+    pub cold_time: Duration,
+    /// Starts per second that a target accepts while it is slow; 0 if there is no limit.
+    pub cold_starts_per_s: f64,
 }
 
 /// Configuration of a team.
@@ -141,6 +146,10 @@
     Wave(MaintenanceWave),
     /// A wave was withdrawn.
     WaveRemoved(u64),
+    /// A zone is evacuated.
+    ZoneEvacuated(ZoneName),
+    /// The evacuation of a zone has ended.
+    ZoneRestored(ZoneName),
     /// A row could not be decoded; holds the reason.
     Unreadable(String),
 }
--- a/crates/magnoliapin_site/src/target_record.rs
+++ b/crates/magnoliapin_site/src/target_record.rs
@@ -1,6 +1,7 @@
 //! Registrations of targets.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use magnoliapin_model::UnixMillis;
 
@@ -31,6 +32,8 @@
     pub labels: Vec<String>,
     /// Instance that hosts it.
     pub instance: Option<InstanceName>,
+    /// How much longer it remains slow after its start; zero at full speed.
+    pub cold_left: Duration,
 }
 
 /// Whether a target accepts new runs.
