Evacuate zones that the operator names

Nothing read the row evacuate/ZONE, so that runs went on beginning in the zone. The watch of the operator's rows now keeps the set of evacuated zones; a full read replaces it, as the removal of a row may have been missed. The leader places nothing in these zones, drops runs there whose start was never sent, and resolves those whose start may have been executed by a stop. Where the settings have evacuate_ms, starts are held while the rows are not known as of a moment recent enough. Long-running tasks move out within their budget, one of each step at a time, as far as there is room elsewhere. Pools, moves and waves leave out the zone. A wave keeps no target reserved that it cannot empty while a zone is evacuated, as the tasks that move out need it.

Cold targets rank behind others and get starts at cold_per_s at most.

--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -7,6 +7,7 @@
 //! target.
 
 mod agent_links;
+mod cold_targets;
 mod commit;
 mod completions;
 mod crashes;
@@ -30,6 +31,7 @@
 mod registrations;
 mod submissions;
 mod target;
+mod zone_evacuation;
 
 use std::rc::Rc;
 
@@ -75,6 +77,7 @@
 pub(crate) use self::submissions::Requester;
 use self::target::Target;
 use self::target::TargetKey;
+use self::zone_evacuation::ZoneEvacuation;
 use crate::election::AcquiredLease;
 use crate::outbox::Outbox;
 use crate::watch::Watch;
@@ -161,6 +164,7 @@
     /// Statistics of the jobs of each queue.
     queue_statistics: IndexMap<QueueName, QueueStatistics>,
     fleet: Fleet,
+    zone_evacuation: ZoneEvacuation,
     update: LeaderUpdate,
 }
 
@@ -306,6 +310,7 @@
             delayed_orders: Vec::new(),
             queue_statistics: IndexMap::new(),
             fleet: Fleet::new(out.now),
+            zone_evacuation: ZoneEvacuation::new(out.now),
             update: LeaderUpdate::default(),
         };
         leader.set_config(config);
@@ -349,6 +354,7 @@
         self.send_due_heartbeats(out);
         self.check_targets(out);
         self.check_previous_runs(out);
+        self.poll_zones(out);
         self.poll_fleet(out);
         self.refuse_expired_submissions(out);
     }
--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -21,6 +21,7 @@
 use magnoliapin_site::OrderSender;
 use magnoliapin_site::PoolName;
 use magnoliapin_site::TargetName;
+use magnoliapin_site::ZoneName;
 
 use self::pool_demand::PoolDemand;
 use self::waves::WaveProgress;
@@ -198,6 +199,16 @@
         Some(format!("{:?}:{target}", record.state))
     }
 
+    /// Returns the zone of an instance; `None` if it is not listed.
+    pub(crate) fn zone_of(&self, name: &InstanceName) -> Option<&ZoneName> {
+        Some(&self.instances.get(name)?.record.zone)
+    }
+
+    /// Returns the number of listed instances in a zone.
+    pub(crate) fn count_instances_in(&self, zone: &ZoneName) -> usize {
+        self.instances.values().filter(|instance| instance.record.zone == *zone).count()
+    }
+
     fn has_orders_in_progress(&self) -> bool {
         self.instances.values().any(|instance| instance.order.is_some())
     }
@@ -348,6 +359,12 @@
         self.call_instances(FleetCall::Order(order.instance), order.request, out);
     }
 
+    /// Returns whether an order moves an instance whose zone has been evacuated since it was planned.
+    pub(super) fn is_move_outdated(&self, order: &PlannedOrder) -> bool {
+        matches!(order.request, InstanceRequest::Move { .. })
+            && self.is_instance_evacuated(&order.instance)
+    }
+
     /// Drops an order that could not be recorded; a later plan may give it again.
     pub(super) fn drop_order(&mut self, order: &PlannedOrder, now: Moment) {
         if let Some(instance) = self.fleet.instances.get_mut(&order.instance) {
--- a/crates/magnoliapin_scheduler/src/leader/fleet/evacuation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/evacuation.rs
@@ -61,7 +61,11 @@
             // Any target that is reserved may be the one that the stuck task needs.
             return Evacuation::Postponed;
         }
-        let mut is_moving = long_running.is_empty() || is_started;
+        // While a zone is evacuated, a target that cannot be emptied now is needed by the tasks that move
+        // out of the zone.
+        let stays_reserved =
+            is_started && (!self.has_evacuated_zones() || self.is_instance_evacuated(name));
+        let mut is_moving = long_running.is_empty() || stays_reserved;
         for (task, is_stopping) in &long_running {
             is_moving |= *is_stopping;
             if !is_stopping
@@ -136,7 +140,12 @@
 
     /// Returns whether a long-running task may be stopped without exceeding the number of tasks of
     /// its step that may be unavailable.
-    fn may_interrupt(&self, key: TargetKey, task: TaskName, now: Moment) -> bool {
+    pub(in crate::leader) fn may_interrupt(
+        &self,
+        key: TargetKey,
+        task: TaskName,
+        now: Moment,
+    ) -> bool {
         // Tasks that the previous leader has ordered to stop may still look available.
         let times = &self.identity.times;
         let settled_at =
--- a/crates/magnoliapin_scheduler/src/leader/fleet/moves.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/moves.rs
@@ -61,6 +61,9 @@
         let mut busy: IndexMap<&PoolName, Vec<(bool, u32, &InstanceName)>> = IndexMap::new();
         for (name, instance) in &self.fleet.instances {
             capacity = capacity.component_max(instance.record.capacity);
+            if self.is_instance_evacuated(name) {
+                continue;
+            }
             let pool = match instance.order.as_ref().map(|order| &order.kind) {
                 Some(OrderKind::Move(pool)) => pool,
                 _ => &instance.record.pool,
--- a/crates/magnoliapin_scheduler/src/leader/fleet/pool_demand.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/pool_demand.rs
@@ -97,7 +97,10 @@
         let mut current: IndexMap<PoolName, CurrentDemand> = IndexMap::new();
         for target in self.targets.values() {
             let pool = current.entry(target.record.pool.clone()).or_default();
-            for run in target.runs.values() {
+            let is_evacuated = self.zone_evacuation.includes(&target.record.zone);
+            // Tasks that end by themselves finish in an evacuated zone and need nothing elsewhere.
+            let needed = target.runs.values().filter(|run| !is_evacuated || run.is_long_running);
+            for run in needed {
                 pool.all.add(run.demand, 1.0);
                 if run.job.is_some_and(|job| can_be_in_time.contains(&job)) {
                     pool.in_time.add(run.demand, 1.0);
--- a/crates/magnoliapin_scheduler/src/leader/fleet/waves.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/waves.rs
@@ -176,18 +176,20 @@
         // Vacant instances go first. Among the others, those that are being evacuated go first, as
         // tasks would be placed on them again otherwise.
         let evacuating = wave.evacuating.clone();
-        let mut ranked: Vec<(u8, InstanceName)> = waiting
+        let rank = |name: &InstanceName| match self.evacuation_cost(name) {
+            0 => 0,
+            _ if evacuating.contains(name) => 1,
+            evacuation_cost => evacuation_cost + 1,
+        };
+        // Of equal ones, those go first that cannot be used now, as their zone is evacuated.
+        let mut ranked: Vec<(u8, bool, InstanceName)> = waiting
             .into_iter()
-            .map(|name| match self.evacuation_cost(&name) {
-                0 => (0, name),
-                _ if evacuating.contains(&name) => (1, name),
-                evacuation_cost => (evacuation_cost + 1, name),
-            })
+            .map(|name| (rank(&name), !self.is_instance_evacuated(&name), name))
             .collect();
         ranked.sort();
         let mut still_evacuating = IndexSet::new();
         let mut evacuated: IndexMap<PoolName, usize> = IndexMap::new();
-        for (rank, name) in ranked {
+        for (rank, _, name) in ranked {
             if room == 0 {
                 break;
             }
@@ -235,7 +237,8 @@
     ) -> bool {
         let Some(instance) = self.fleet.instances.get(name) else { return false };
         let pool = &instance.record.pool;
-        let target_count = self.pools.get(pool).map_or(0, |pool| pool.targets.len());
+        let targets = self.pools.get(pool).into_iter().flat_map(|pool| &pool.targets);
+        let target_count = targets.filter(|key| !self.is_evacuated(**key)).count();
         let evacuated = evacuated.entry(pool.clone()).or_default();
         *evacuated += 1;
         *evacuated <= target_count.div_ceil(EVACUATED_INSTANCES_DIVISOR)
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -160,6 +160,7 @@
         let fence = target.fence;
         let mut record = target.record.clone();
         record.started_at = report.started_at;
+        record.cold_left = self.cold_time(&record.pool);
         self.replace_incarnation(key, record, out);
         if !self.is_outdated(key, fence) {
             // An agent does not repeat the completions of a report that it has passed on.
--- a/crates/magnoliapin_scheduler/src/leader/incarnations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations.rs
@@ -110,7 +110,9 @@
         // An agent must not leave out of the next report what this one contained.
         self.agents.forget_report(key);
         if report.started_at > target.started_at() {
-            let record = TargetRecord { started_at: report.started_at, ..target.record.clone() };
+            let cold_left = self.cold_time(&target.record.pool);
+            let started_at = report.started_at;
+            let record = TargetRecord { started_at, cold_left, ..target.record.clone() };
             self.replace_incarnation(key, record, out);
         }
     }
--- a/crates/magnoliapin_scheduler/src/leader/isolation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/isolation.rs
@@ -183,11 +183,12 @@
             let runs = &self.targets[&candidate.target].runs;
             (runs.values().filter(|run| run.is_long_running).count(), runs.len())
         };
+        let rank = |candidate: &Candidate| (candidate.is_cold(), runs_of(candidate));
         let fitting = candidates.iter().enumerate().filter(|(_, candidate)| {
             let has_long_running = runs_of(candidate).0 > 0;
             let empty = if has_long_running { **candidate } else { candidate.emptied() };
             !self.is_isolating(candidate.target, now) && self.fits_candidate(spec, task, &empty, 0)
         });
-        fitting.min_by_key(|(_, candidate)| runs_of(candidate)).map(|(index, _)| index)
+        fitting.min_by_key(|(_, candidate)| rank(candidate)).map(|(index, _)| index)
     }
 }
--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -31,8 +31,12 @@
 impl Leader {
     /// Sends the start of a run to its target, unless another leader may have taken over since the
     /// store last confirmed this one: the target's next incarnation knows no fence, so that only the
-    /// time protects it from the start.
+    /// time protects it from the start. Nothing is sent to an evacuated zone, or while it is not known
+    /// which zones are evacuated.
     pub(super) fn send_start(&mut self, key: TargetKey, run: RunId, out: &mut Outbox) {
+        if self.is_evacuated(key) {
+            return self.withdraw_start(key, run.task, out);
+        }
         if !self.is_confirmed(out.now) {
             log::warn!(
                 "event=start_held task={} attempt={} target={} confirmed_ms_ago={}",
@@ -43,6 +47,9 @@
             );
             return self.plan_again(key, run);
         }
+        if self.holds_starts(out.now) {
+            return self.retry_order_at(key, run.task, out.now + RETRY_DELAY);
+        }
         let times = self.identity.times;
         let confirmed_at = self.confirmed_at;
         let job = self.job_keys.get(&run.task.job).and_then(|job| self.jobs.get(job));
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -34,6 +34,8 @@
     capacity: Resources,
     /// Tasks on it under which targets have crashed.
     suspects: u32,
+    /// Starts that it accepts now; `None` if it is at full speed.
+    cold_starts: Option<u32>,
 }
 
 impl Candidate {
@@ -42,6 +44,16 @@
         Self { free: self.capacity, ..*self }
     }
 
+    /// Returns whether the candidate is slow.
+    pub(super) fn is_cold(&self) -> bool {
+        self.cold_starts.is_some()
+    }
+
+    /// Counts a start.
+    fn count_start(&mut self) {
+        self.cold_starts = self.cold_starts.map(|left| left.saturating_sub(1));
+    }
+
     /// Returns the sum of the free shares of processor and memory, from 0 to 2.
     fn free_share(&self) -> f64 {
         let share = |free: u32, whole: u32| f64::from(free) / f64::from(whole.max(1));
@@ -68,12 +80,15 @@
         };
         let targets = pool.targets.iter().filter_map(|key| Some((*key, self.targets.get(key)?)));
         targets
-            .filter(|(_, target)| target.accepts_work(now, &self.identity.times))
+            .filter(|(_, target)| {
+                target.accepts_work(now, &self.identity.times, &self.zone_evacuation)
+            })
             .map(|(key, target)| Candidate {
                 target: key,
                 free: target.free(),
                 capacity: target.record.capacity,
                 suspects: self.count_suspects(target),
+                cold_starts: self.cold_starts_left(target, now),
             })
             .collect()
     }
@@ -218,6 +233,7 @@
             room = room.saturating_sub(spec.demand);
             candidates[candidate].free = candidates[candidate].free.saturating_sub(spec.demand);
             candidates[candidate].suspects += u32::from(!task.crashes.is_empty());
+            candidates[candidate].count_start();
             placements.push(Placement { task: name, candidate });
         }
         // A gang is started as a whole or not at all.
@@ -234,6 +250,7 @@
     pub(super) fn refresh_candidate(&self, candidate: &mut Candidate) {
         if let Some(target) = self.targets.get(&candidate.target) {
             candidate.free = target.free();
+            candidate.count_start();
         }
     }
 
@@ -283,7 +300,12 @@
         let target = &self.targets[&candidate.target];
         let has_label = spec.requirement.as_deref().is_none_or(|label| target.has_label(label));
         // A second run of the same task would replace the first in the target's map of runs.
-        if !spec.demand.fits_in(candidate.free) || !has_label || target.runs.contains_key(&name) {
+        let is_limited = candidate.cold_starts == Some(0);
+        if is_limited
+            || !spec.demand.fits_in(candidate.free)
+            || !has_label
+            || target.runs.contains_key(&name)
+        {
             return false;
         }
         if spec.anti_affinity == 0 {
@@ -301,7 +323,10 @@
         task: &Task,
         candidate: &Candidate,
     ) -> f64 {
-        /// Cost of the target on which the task last failed, higher than all other costs together.
+        /// Cost of a slow target, higher than all other costs together: it gets work only when the
+        /// others have no capacity.
+        const COLD_COST: f64 = 1_000.0;
+        /// Cost of the target on which the task last failed, higher than the costs below together.
         const FAILED_BEFORE_COST: f64 = 100.0;
         /// Cost of a target that is not on the rack of the task's data.
         const REMOTE_DATA_COST: f64 = 10.0;
@@ -312,6 +337,9 @@
         if !task.crashes.is_empty() {
             cost += SUSPECT_COST * f64::from(candidate.suspects);
         }
+        if candidate.is_cold() {
+            cost += COLD_COST;
+        }
         if task.avoided_target == Some(candidate.target) {
             cost += FAILED_BEFORE_COST;
         }
@@ -426,6 +454,7 @@
         self.charge_team(&run);
         if let Some(target) = self.targets.get_mut(&target_key) {
             target.add_run(name, run);
+            target.record_placement(out.now);
         }
         self.unrecorded.insert(target_key);
         let has_row = self.targets.get(&target_key).is_some_and(|target| target.has_row);
--- a/crates/magnoliapin_scheduler/src/leader/records.rs
+++ b/crates/magnoliapin_scheduler/src/leader/records.rs
@@ -272,7 +272,8 @@
         self.records.has_unrecorded_runs = batch.row.has_unrecorded_runs;
         for order in batch.orders {
             // The reply may have waited while this process was paused.
-            match self.may_order(out.now) {
+            let may_send = self.may_order(out.now) && !self.is_move_outdated(&order);
+            match may_send {
                 true => self.send_order(order, out),
                 false => self.drop_order(&order, out.now),
             }
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -138,6 +138,7 @@
         target.missing_since = None;
         self.hosts.remove(target.record.instance.as_ref(), key);
         self.hosts.add(record.instance.as_ref(), key);
+        target.cold_until = out.now + record.cold_left;
         target.record = record;
         let pool = target.record.pool.clone();
         self.mark_for_dispatch(&pool);
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -16,6 +16,7 @@
 
 use crate::leader::crashes::CrashedRun;
 use crate::leader::job::JobKey;
+use crate::leader::zone_evacuation::ZoneEvacuation;
 use crate::times::CLOCK_DRIFT;
 use crate::times::LEASE_SLACK;
 use crate::CallId;
@@ -49,6 +50,10 @@
     /// Whether the incarnation that reported last is still the one that replies. If not, no
     /// completions may be acknowledged, as each incarnation numbers its completions from 1.
     pub(crate) is_same_incarnation: bool,
+    /// Until when it is slow after its start.
+    pub(crate) cold_until: Moment,
+    /// When runs were placed on it while it was cold.
+    pub(crate) cold_starts: VecDeque<Moment>,
     /// Whether its instance is to be moved or maintained, so that it gets no new work.
     pub(crate) is_reserved: bool,
     /// Runs that are or may be on it.
@@ -176,6 +181,8 @@
     /// Creates a target that has not reported yet.
     pub(crate) fn new(record: TargetRecord, now: Moment) -> Self {
         Self {
+            cold_until: now + record.cold_left,
+            cold_starts: VecDeque::new(),
             record,
             discovered_at: now,
             fence: 0,
@@ -219,13 +226,19 @@
         self.record.capacity.saturating_sub(self.used)
     }
 
-    /// Returns whether the target may be given new work.
-    pub(crate) fn accepts_work(&self, now: Moment, times: &NodeTimes) -> bool {
+    /// Returns whether the target may be given new work, unless its zone is among those evacuated.
+    pub(crate) fn accepts_work(
+        &self,
+        now: Moment,
+        times: &NodeTimes,
+        evacuation: &ZoneEvacuation,
+    ) -> bool {
         let is_registered =
             self.missing_since.is_none_or(|since| now.since(since) < times.registration_grace);
         self.has_reported
             && self.is_same_incarnation
             && !self.is_reserved
+            && !evacuation.includes(&self.record.zone)
             && self.failed_heartbeats == 0
             && is_registered
             && self.is_responsive(now, times)
--- a/crates/magnoliapin_scheduler/src/machine.rs
+++ b/crates/magnoliapin_scheduler/src/machine.rs
@@ -171,6 +171,7 @@
             }
             if let Some(leader) = &mut self.leader {
                 leader.set_waves(self.site_watch.waves(), &mut self.out);
+                leader.set_evacuated_zones(self.site_watch.evacuated_zones(), self.out.now);
             }
             self.site_watch.poll(&self.identity.times, &mut self.out);
             return;
@@ -232,6 +233,7 @@
         let identity = self.identity.clone();
         let mut leader = Leader::new(identity, lease, config, waiting_jobs, &mut self.out);
         leader.set_waves(self.site_watch.waves(), &mut self.out);
+        leader.set_evacuated_zones(self.site_watch.evacuated_zones(), self.out.now);
         self.leader = Some(Box::new(leader));
         self.update_leader_location();
     }
--- a/crates/magnoliapin_scheduler/src/site_watch.rs
+++ b/crates/magnoliapin_scheduler/src/site_watch.rs
@@ -1,14 +1,17 @@
-//! Watches the rows that the operator writes: the configuration and the maintenance waves.
+//! Watches the rows that the operator writes: the configuration, the maintenance waves and the
+//! evacuations of zones.
 
 use std::rc::Rc;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use magnoliapin_model::Moment;
 use magnoliapin_model::UnixMillis;
 use magnoliapin_site::MaintenanceWave;
 use magnoliapin_site::SiteChange;
 use magnoliapin_site::SiteConfig;
 use magnoliapin_site::StoreReply;
+use magnoliapin_site::ZoneName;
 
 use crate::outbox::Outbox;
 use crate::watch::Watch;
@@ -17,12 +20,25 @@
 use crate::CallId;
 use crate::NodeTimes;
 
-/// Watches the configuration and the maintenance waves.
+#[cfg(test)]
+#[path = "site_watch_tests.rs"]
+mod tests;
+
+/// Watches the configuration, the maintenance waves and the evacuations of zones.
 #[derive(Debug)]
 pub(crate) struct SiteWatch {
     watch: Watch,
     config: Option<Rc<SiteConfig>>,
     waves: IndexMap<u64, RequestedWave>,
+    evacuated: EvacuatedZones,
+}
+
+/// Zones that are evacuated.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct EvacuatedZones {
+    pub(crate) zones: IndexSet<ZoneName>,
+    /// Every evacuation that was acknowledged before this moment is known; `None` before the first read.
+    pub(crate) known_at: Option<Moment>,
 }
 
 /// A maintenance wave, and when this node first saw it.
@@ -35,7 +51,12 @@
 impl SiteWatch {
     /// Creates a watch that has not read anything.
     pub(crate) fn new() -> Self {
-        Self { watch: Watch::new(WatchKind::Site), config: None, waves: IndexMap::new() }
+        Self {
+            watch: Watch::new(WatchKind::Site),
+            config: None,
+            waves: IndexMap::new(),
+            evacuated: EvacuatedZones::default(),
+        }
     }
 
     /// Returns the configuration in force.
@@ -48,6 +69,11 @@
         &self.waves
     }
 
+    /// Returns the zones that are evacuated.
+    pub(crate) fn evacuated_zones(&self) -> &EvacuatedZones {
+        &self.evacuated
+    }
+
     /// Returns when the last answered call was sent.
     pub(crate) fn last_contact_at(&self) -> Option<Moment> {
         self.watch.last_contact_at()
@@ -67,12 +93,18 @@
         out: &Outbox,
     ) -> Option<bool> {
         let update = self.watch.handle_reply(call, reply, out)?;
-        let (WatchUpdate::Read(reply) | WatchUpdate::Changed(reply)) = update else {
-            return Some(false);
-        };
-        let StoreReply::Site { changes, .. } = reply else {
-            return Some(false);
+        let is_read = matches!(update, WatchUpdate::Read(_));
+        let changes = match update {
+            WatchUpdate::Read(StoreReply::Site { changes, .. })
+            | WatchUpdate::Changed(StoreReply::Site { changes, .. }) => changes,
+            WatchUpdate::Unchanged => Vec::new(),
+            // The reply does not show the state of the rows.
+            _ => return Some(false),
         };
+        self.evacuated.known_at = self.watch.last_contact_at();
+        if is_read {
+            self.restore_unlisted_zones(&changes);
+        }
         let mut has_new_config = false;
         for change in changes {
             has_new_config |= self.apply_change(change, out.wall_now());
@@ -102,12 +134,37 @@
                     log::info!("event=wave_withdrawn wave={wave}");
                 }
             }
-            SiteChange::ZoneEvacuated(_) | SiteChange::ZoneRestored(_) => {}
+            SiteChange::ZoneEvacuated(zone) => {
+                if self.evacuated.zones.insert(zone.clone()) {
+                    log::info!("event=zone_evacuated zone={zone}");
+                }
+            }
+            SiteChange::ZoneRestored(zone) => self.restore_zone(&zone),
             SiteChange::Unreadable(why) => log::error!("event=site_row_unreadable why={why:?}"),
         }
         false
     }
 
+    /// Ends the evacuations that a full read does not contain: their rows were removed while changes
+    /// were missed.
+    fn restore_unlisted_zones(&mut self, changes: &[SiteChange]) {
+        let is_listed = |zone: &ZoneName| {
+            changes
+                .iter()
+                .any(|change| matches!(change, SiteChange::ZoneEvacuated(listed) if listed == zone))
+        };
+        let unlisted = self.evacuated.zones.iter().filter(|zone| !is_listed(zone));
+        for zone in unlisted.cloned().collect::<Vec<_>>() {
+            self.restore_zone(&zone);
+        }
+    }
+
+    fn restore_zone(&mut self, zone: &ZoneName) {
+        if self.evacuated.zones.shift_remove(zone) {
+            log::info!("event=zone_restored zone={zone}");
+        }
+    }
+
     /// Applies a configuration if it is newer than the current one. Returns whether it was applied.
     fn apply_config(&mut self, config: SiteConfig) -> bool {
         let current = self.config.as_ref().map(|config| config.version);
--- a/crates/magnoliapin_scheduler/src/times.rs
+++ b/crates/magnoliapin_scheduler/src/times.rs
@@ -42,6 +42,8 @@
     pub maintenance_time: Duration,
     /// How long the outcome of a job is kept.
     pub outcome_retention: Duration,
+    /// Time after which nothing may start in an evacuated zone; `None` on sites that evacuate none.
+    pub evacuation_time: Option<Duration>,
 }
 
 impl NodeTimes {
@@ -65,6 +67,7 @@
             order_spacing: bounds.order_spacing,
             maintenance_time: bounds.maintenance_time,
             outcome_retention: bounds.outcome_retention,
+            evacuation_time: bounds.evacuation_time,
         }
     }
 }
