--- a/crates/magnoliapin_scheduler/src/leader/fleet/evacuation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/evacuation.rs
@@ -61,6 +61,14 @@
             // Any target that is reserved may be the one that the stuck task needs.
             return Evacuation::Postponed;
         }
+        if !is_urgent
+            && !long_running.is_empty()
+            && !self.is_instance_evacuated(name)
+            && self.has_tasks_to_move_out(&target.record.pool)
+        {
+            // Both would use up the budgets of the jobs; the evacuation of the zone goes first.
+            return Evacuation::Postponed;
+        }
         // While a zone is evacuated, a target that cannot be emptied now is needed by the tasks that move
         // out of the zone.
         let stays_reserved =
--- a/crates/magnoliapin_scheduler/src/leader/zone_evacuation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/zone_evacuation.rs
@@ -141,6 +141,16 @@
         !self.zone_evacuation.is_empty()
     }
 
+    /// Returns whether long-running tasks of a pool are in an evacuated zone.
+    pub(super) fn has_tasks_to_move_out(&self, pool: &PoolName) -> bool {
+        let Some(pool) = self.pools.get(pool).filter(|_| self.has_evacuated_zones()) else {
+            return false;
+        };
+        let in_zones = pool.targets.iter().filter(|key| self.is_evacuated(**key));
+        let mut targets = in_zones.filter_map(|key| self.targets.get(key));
+        targets.any(|target| target.runs.values().any(|run| run.is_long_running))
+    }
+
     /// Returns whether a target is in an evacuated zone.
     pub(super) fn is_evacuated(&self, key: TargetKey) -> bool {
         let target = self.targets.get(&key);
