Test evacuations whose rows cannot be read

The soak did not show that starts must be held while the zones are not known: without the hold, the other tests of zone_evacuations pass. In the new one the store answers all calls but those for the operator's rows for 9 s.

--- a/crates/magnoliapin_scheduler/tests/soak/network.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/network.rs
@@ -83,7 +83,8 @@
         call: CallId,
         request: StoreRequest,
     ) {
-        if self.faults.is_cut_from_store(node, self.nodes[node].zone) {
+        let is_cut = self.faults.is_cut_from_store(node, self.nodes[node].zone);
+        if is_cut || self.evacuations.is_unreadable(&request, self.now) {
             return;
         }
         match self.faults.store {
--- a/crates/magnoliapin_scheduler/tests/soak/zone_evacuations.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/zone_evacuations.rs
@@ -6,6 +6,7 @@
 
 use magnoliapin_model::Moment;
 use magnoliapin_site::RunId;
+use magnoliapin_site::StoreRequest;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -41,6 +42,8 @@
     zones: BTreeMap<usize, Option<Moment>>,
     /// Zones that have returned, when, and whether a run has begun there since.
     restored: BTreeMap<usize, (Moment, bool)>,
+    /// When calls for the operator's rows get no reply, while the store answers all others.
+    unreadable: Option<std::ops::Range<Moment>>,
 }
 
 impl ZoneEvacuations {
@@ -49,6 +52,12 @@
         self.is_enabled.then_some(EVACUATION_TIME)
     }
 
+    /// Returns whether a call gets no reply as it asks for the operator's rows.
+    pub(crate) fn is_unreadable(&self, request: &StoreRequest, now: Moment) -> bool {
+        let is_site = matches!(request, StoreRequest::ReadSite | StoreRequest::WatchSite { .. });
+        is_site && self.unreadable.as_ref().is_some_and(|unreadable| unreadable.contains(&now))
+    }
+
     pub(crate) fn includes(&self, zone: usize) -> bool {
         self.zones.contains_key(&zone)
     }
@@ -232,3 +241,19 @@
         run_world(world.with_zone_evacuations(seed, 2).0)
     });
 }
+
+/// Guards against a leader that the store confirms, and that goes on starting runs although it cannot read
+/// which zones are evacuated.
+#[test]
+fn zones_are_evacuated_while_their_rows_cannot_be_read() {
+    assert_no_violations(|seed| {
+        let (mut world, times) = world(seed).with_zone_evacuations(seed, 1);
+        let (begin, _) = times[0];
+        let at = |millis| Moment::START + Duration::from_millis(millis);
+        world.evacuations.unreadable = Some(at(begin - 100)..at(begin + 9_000));
+        world.schedule_fault(begin - 100, FaultChange::LosePendingWatches);
+        // The fault ends here, so that the checks that need time without faults count from now on.
+        world.schedule_fault(begin + 9_000, FaultChange::LosePendingWatches);
+        run_world(world)
+    });
+}
