Test where cold targets are told from others

Cold targets rank behind others only on sites whose settings have evacuate_ms or whose pools have cold_start_s. The tests so far cover the rate of starts alone.

--- a/crates/magnoliapin_scheduler/src/leader/zone_evacuation_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/zone_evacuation_tests.rs
@@ -170,3 +170,17 @@
     set_zones(&mut leader, &[], out.now);
     assert!(leader.pools[&pool].needs_dispatch);
 }
+
+/// Guards against a cold target that is treated like the others, and against one that is treated
+/// differently on a site without evacuations.
+#[test]
+fn targets_are_cold_only_where_zones_may_be_evacuated() {
+    let (mut leader, out) = lead_with_run(RunStage::Running, true);
+    let mut record = target_record("i-8", 1);
+    record.cold_left = Duration::from_secs(3);
+    let target = Target::new(record, out.now);
+    assert_eq!(leader.cold_starts_left(&target, out.now), Some(u32::MAX));
+    assert_eq!(leader.cold_starts_left(&target, out.now + Duration::from_secs(3)), None);
+    leader.identity.times.evacuation_time = None;
+    assert_eq!(leader.cold_starts_left(&target, out.now), None);
+}
