--- a/crates/magnoliapin_scheduler/tests/soak/network.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/network.rs
@@ -83,7 +83,8 @@
         call: CallId,
         request: StoreRequest,
     ) {
-        if self.faults.is_cut_from_store(node, self.nodes[node].zone) {
+        let is_cut = self.faults.is_cut_from_store(node, self.nodes[node].zone);
+        if is_cut || self.evacuations.is_unreadable(&request, self.now) {
             return;
         }
         match self.faults.store {
@@ -210,6 +211,7 @@
                 if has_started {
                     let may_be_stale = is_late || !self.has_store_contact(node);
                     self.checker.record_start(now, number, current_incarnation, *run, may_be_stale);
+                    self.check_zone(number, *run, is_late);
                     let is_in_touch = !is_late && self.is_in_touch(node);
                     self.handle_crashing_start(number, *run, is_in_touch);
                     self.check_capacity(number, *run, is_in_touch);
@@ -218,10 +220,8 @@
             }
             TargetRequest::Stop { run, fence } => {
                 let may_be_stale = is_late || !self.has_store_contact(node);
-                if self.has_fleet()
-                    && self.targets[number].would_stop(*run, *fence)
-                    && !may_be_stale
-                {
+                let would_stop = self.targets[number].would_stop(*run, *fence);
+                if self.checks_interruptions() && would_stop && !may_be_stale {
                     self.check_interruption(number, Some(run.task));
                 }
                 self.targets[number].stop(*run, *fence, now)
