Decode weights of teams as fractions

Cause: the weight of a team, a share in jobs a second, was rounded to a whole number, so that a weight of 0.4 became 0. Nothing used it yet. Change: the newtype TeamWeight keeps fractions. An absent weight is 1; 0 is valid and is no share; a negative one is replaced by the team's last valid weight, with event=team_weight_invalid. Separable: changes no order by itself; the shares of teams build on it.

--- a/crates/magnoliapin_scheduler/src/site_watch.rs
+++ b/crates/magnoliapin_scheduler/src/site_watch.rs
@@ -17,6 +17,10 @@
 use crate::CallId;
 use crate::NodeTimes;
 
+#[cfg(test)]
+#[path = "site_watch_tests.rs"]
+mod tests;
+
 /// Watches the configuration and the maintenance waves.
 #[derive(Debug)]
 pub(crate) struct SiteWatch {
@@ -108,11 +112,12 @@
     }
 
     /// Applies a configuration if it is newer than the current one. Returns whether it was applied.
-    fn apply_config(&mut self, config: SiteConfig) -> bool {
+    fn apply_config(&mut self, mut config: SiteConfig) -> bool {
         let current = self.config.as_ref().map(|config| config.version);
         if current.is_some_and(|current| config.version <= current) {
             return false;
         }
+        self.complete_weights(&mut config);
         log::info!(
             "event=config_in_force version={} queues={} pools={} teams={}",
             config.version,
@@ -123,4 +128,19 @@
         self.config = Some(Rc::new(config));
         true
     }
+
+    /// Replaces invalid weights of teams with their last valid ones.
+    fn complete_weights(&self, config: &mut SiteConfig) {
+        for team in config.teams.iter_mut().filter(|team| team.weight.is_none()) {
+            let teams = self.config.iter().flat_map(|config| &config.teams);
+            let last = teams.filter(|last| last.name == team.name).find_map(|last| last.weight);
+            let weight = last.unwrap_or_default();
+            log::error!(
+                "event=team_weight_invalid team={} used={}",
+                team.name,
+                weight.jobs_per_s()
+            );
+            team.weight = Some(weight);
+        }
+    }
 }
--- a/crates/magnoliapin_scheduler/tests/soak/site.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/site.rs
@@ -17,6 +17,7 @@
 use magnoliapin_site::StoreLimits;
 use magnoliapin_site::TeamName;
 use magnoliapin_site::TeamRule;
+use magnoliapin_site::TeamWeight;
 use magnoliapin_site::ZoneName;
 
 /// Minimum time between orders to one instance from different nodes.
@@ -124,7 +125,7 @@
     let team = |team: usize| TeamRule {
         name: TeamName::new(&format!("team-{team}")),
         keys: vec![team_key(team)],
-        weight: 1,
+        weight: Some(TeamWeight::default()),
         cap: Resources {
             cpu_milli: if team == 1 { TEAM_CAP_CPU_MILLI } else { 0 },
             ..Resources::NONE
--- a/crates/magnoliapin_site/src/lib.rs
+++ b/crates/magnoliapin_site/src/lib.rs
@@ -69,6 +69,7 @@
 pub use site_config::SiteChange;
 pub use site_config::SiteConfig;
 pub use site_config::TeamRule;
+pub use site_config::TeamWeight;
 pub use site_config::WaveState;
 pub use site_protocol::HttpCall;
 pub use site_protocol::HttpRequest;
--- a/crates/magnoliapin_site/src/site_config.rs
+++ b/crates/magnoliapin_site/src/site_config.rs
@@ -73,18 +73,41 @@
 }
 
 /// Configuration of a team.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct TeamRule {
     /// Its name.
     pub name: TeamName,
     /// API keys of its clients.
     pub keys: Vec<String>,
-    /// Weight of its share relative to other teams when resources are scarce.
-    pub weight: u32,
+    /// Its share under full load; `None` if the configuration has an invalid one.
+    pub weight: Option<TeamWeight>,
     /// Maximum resources of its running tasks; 0 in a field sets no limit.
     pub cap: Resources,
 }
 
+/// Share of a team under full load, in jobs a second.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct TeamWeight(f64);
+
+impl TeamWeight {
+    /// Creates a weight; `None` if it is negative or not finite. A team of weight 0 has no share.
+    pub fn new(jobs_per_s: f64) -> Option<Self> {
+        (jobs_per_s.is_finite() && jobs_per_s >= 0.0).then_some(Self(jobs_per_s))
+    }
+
+    /// Returns the weight in jobs a second.
+    pub fn jobs_per_s(self) -> f64 {
+        self.0
+    }
+}
+
+impl Default for TeamWeight {
+    /// Weight of a team for which the configuration has none.
+    fn default() -> Self {
+        Self(1.0)
+    }
+}
+
 /// Limits on client requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestLimits {
