Extract the order of jobs as a pure function

Cause: the ranks of jobs were computed in the leader's dispatch and could not be replayed alone. Change: decisions/job_order.rs holds classes, deadlines and ranks; leader/dispatch.rs passes what it knows of each job. The order is the same as before.

--- a/crates/magnoliapin_scheduler/src/decisions.rs
+++ b/crates/magnoliapin_scheduler/src/decisions.rs
@@ -4,4 +4,5 @@
 
 pub(crate) mod amount;
 pub(crate) mod arrival_forecast;
+pub(crate) mod job_order;
 pub(crate) mod pool_moves;
--- a/crates/magnoliapin_scheduler/src/leader/dispatch.rs
+++ b/crates/magnoliapin_scheduler/src/leader/dispatch.rs
@@ -1,16 +1,15 @@
-//! Decides the order in which jobs get their tasks started.
-//!
-//! Jobs are ranked by the priority of their queue. Within one priority, long-running jobs come
-//! first, then jobs that can still be in time, then late ones; within one class, the value per
-//! remaining work decides, then the age.
+//! Starts the waiting tasks of pools, in the order of `decisions/job_order.rs`.
 
-use std::cmp::Ordering;
 use std::time::Duration;
 
 use magnoliapin_model::Moment;
 use magnoliapin_site::JobSpec;
 use magnoliapin_site::PoolName;
 
+use crate::decisions::job_order::Deadline;
+use crate::decisions::job_order::JobOutlook;
+use crate::decisions::job_order::JobRank;
+use crate::decisions::job_order::RankClass;
 use crate::leader::job::Job;
 use crate::leader::job::JobKey;
 use crate::leader::job::Occurrence;
@@ -24,43 +23,6 @@
 #[path = "dispatch_tests.rs"]
 mod tests;
 
-/// Order in which jobs get their tasks started.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct JobRank {
-    /// Priority of the queue; lower numbers go first.
-    priority: u32,
-    class: RankClass,
-    /// Value of the job per core-second of remaining work.
-    density: f64,
-    accepted_at: Moment,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum RankClass {
-    /// Its tasks run until the job is cancelled.
-    LongRunning,
-    /// It can still finish in time.
-    InTime,
-    /// It will finish late, but still has value.
-    Late,
-    /// It will finish so late that it has no value.
-    Worthless,
-}
-
-/// Multiple of its allowed time up to which a late job still has value.
-const LATE_FACTOR: u32 = 3;
-
-impl JobRank {
-    fn compare(&self, other: &Self) -> Ordering {
-        let density = other.density.total_cmp(&self.density);
-        self.priority
-            .cmp(&other.priority)
-            .then(self.class.cmp(&other.class))
-            .then(density)
-            .then(self.accepted_at.cmp(&other.accepted_at))
-    }
-}
-
 impl Leader {
     /// Starts tasks in the pools that have been marked for dispatch. A pool whose capacities are not
     /// known stays marked.
@@ -85,7 +47,7 @@
         for key in &state.jobs {
             let Some(job) = self.jobs.get(key) else { continue };
             if !self.is_blocked(job) && job.has_waiting() {
-                ranked.push((self.rank(job, now), *key));
+                ranked.push((self.outlook(job, now).rank(), *key));
             }
         }
         if ranked.is_empty() {
@@ -108,32 +70,31 @@
         job.is_inherited && self.may_have_unrecorded_runs()
     }
 
-    fn rank(&self, job: &Job, now: Moment) -> JobRank {
+    fn outlook(&self, job: &Job, now: Moment) -> JobOutlook {
+        let priority = job.rule.priority;
+        if job.spec.is_long_running() {
+            return JobOutlook::long_running(priority, job.accepted_at);
+        }
         let statistics = self.queue_statistics.get(&job.queue).copied().unwrap_or_default();
-        let mut rank = JobRank {
-            priority: job.rule.priority,
-            class: RankClass::LongRunning,
-            density: 0.0,
+        let work = statistics.work_of(job.spec.steps.iter());
+        let mut outlook = JobOutlook {
+            priority,
+            class: RankClass::Worthless,
+            value: statistics.relative_value(work),
+            remaining_work: 0.0,
             accepted_at: job.accepted_at,
         };
-        if job.spec.is_long_running() {
-            return rank;
-        }
-        let mut class = RankClass::Worthless;
-        let mut remaining = 0.0;
         for occurrence in &job.occurrences {
-            class = class.min(classify_occurrence(job, occurrence, &statistics, now));
-            remaining += remaining_work(job, occurrence, &statistics);
+            let deadline = deadline_of(job, occurrence, &statistics);
+            let work = remaining_work(job, occurrence, &statistics);
+            outlook.add_occurrence(&deadline, work, now);
         }
-        let work = statistics.work_of(job.spec.steps.iter());
-        rank.class = class;
-        rank.density = statistics.relative_value(work) / remaining.max(0.001);
-        rank
+        outlook
     }
 
     /// Returns whether a job can still finish in time, or is long-running.
     pub(super) fn can_be_in_time(&self, job: &Job, now: Moment) -> bool {
-        self.rank(job, now).class <= RankClass::InTime
+        self.outlook(job, now).class <= RankClass::InTime
     }
 
     /// Updates the run time estimate of a queue from a successful run.
@@ -148,22 +109,13 @@
     }
 }
 
-fn classify_occurrence(
-    job: &Job,
-    occurrence: &Occurrence,
-    statistics: &QueueStatistics,
-    now: Moment,
-) -> RankClass {
+fn deadline_of(job: &Job, occurrence: &Occurrence, statistics: &QueueStatistics) -> Deadline {
     let ideal = critical_path(&job.spec, statistics, |_| true);
-    let allowed = allowed_time(ideal, &job.rule);
-    let remaining = critical_path(&job.spec, statistics, |step| !occurrence.steps[step].is_done());
-    let finish_at = now + remaining;
-    if finish_at <= occurrence.due_at + allowed {
-        RankClass::InTime
-    } else if finish_at <= occurrence.due_at + allowed.saturating_mul(LATE_FACTOR) {
-        RankClass::Late
-    } else {
-        RankClass::Worthless
+    let is_open = |step: usize| !occurrence.steps[step].is_done();
+    Deadline {
+        due_at: occurrence.due_at,
+        allowed: allowed_time(ideal, &job.rule),
+        remaining: critical_path(&job.spec, statistics, is_open),
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/dispatch_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/dispatch_tests.rs
@@ -11,6 +11,9 @@
 
 use super::allowed_time;
 use super::critical_path;
+use crate::decisions::job_order::Deadline;
+use crate::decisions::job_order::RankClass;
+use crate::decisions::job_order::LATE_FACTOR;
 use crate::leader::queue_statistics::QueueStatistics;
 use crate::rows::JobRule;
 
@@ -45,8 +48,11 @@
         for factor in [-1.0, 0.0, 1.6, 1e300, f64::NAN, f64::INFINITY, f64::NEG_INFINITY] {
             let ideal = critical_path(&spec, &statistics, |_| true);
             let allowed = allowed_time(ideal, &JobRule::new(&queue(factor)));
-            let late = allowed.saturating_mul(super::LATE_FACTOR);
+            let late = allowed.saturating_mul(LATE_FACTOR);
             assert!(Moment::START + late >= Moment::START, "{factor}: {late:?}");
+            let deadline = Deadline { due_at: Moment::START, allowed, remaining: ideal };
+            let class = deadline.class(Moment::START);
+            assert!(class >= RankClass::InTime, "{factor}: {class:?}");
         }
         statistics.record_run(u64::MAX, Duration::MAX);
     }
