Rank jobs of teams over their share behind the others

Cause: a team that submits six times its weight costs the teams beside it. Change: decisions/team_shares.rs keeps the recent starts and arrivals of each team, which decay with 3 s, and computes weighted max-min shares of what the site starts. A team is over its share if it demands more than it and got more than it, than its weight, and than one standard deviation of the count above both. In a contended pool, its jobs rank behind the others of their priority and class. A successor counts the accept times of the jobs that it loads; jobs that have finished are lost. Without a team over its share, or in a pool that is not contended, the order is as before.

--- a/crates/magnoliapin_scheduler/src/decisions/job_order.rs
+++ b/crates/magnoliapin_scheduler/src/decisions/job_order.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: more work waits in a pool than it can start. Jobs are ranked by the priority of
 //! their queue. Within one priority, long-running jobs come first, then jobs that can still be in
-//! time, then late ones; within one class, the value per remaining work decides, then the age.
+//! time, then late ones. Within one class, jobs of teams over their share come last; then the value
+//! per remaining work decides, then the age.
 
 use std::cmp::Ordering;
 use std::time::Duration;
@@ -61,6 +62,8 @@
     /// Priority of the queue; lower numbers go first.
     pub(crate) priority: u32,
     pub(crate) class: RankClass,
+    /// Whether its pool is contended and its team uses more than its share.
+    pub(crate) is_over_share: bool,
     /// Value relative to the average job of its queue.
     pub(crate) value: f64,
     /// Remaining work, in core-seconds.
@@ -72,7 +75,7 @@
     /// Creates the outlook of a job whose tasks run until it is cancelled.
     pub(crate) fn long_running(priority: u32, accepted_at: Moment) -> Self {
         let class = RankClass::LongRunning;
-        Self { priority, class, value: 0.0, remaining_work: 0.0, accepted_at }
+        Self { priority, class, is_over_share: false, value: 0.0, remaining_work: 0.0, accepted_at }
     }
 
     /// Adds an occurrence of the job: the one that can still be most decides the class.
@@ -86,6 +89,7 @@
         JobRank {
             priority: self.priority,
             class: self.class,
+            is_over_share: self.is_over_share,
             urgency: self.value / self.remaining_work.max(MIN_WORK),
             accepted_at: self.accepted_at,
         }
@@ -97,6 +101,7 @@
 pub(crate) struct JobRank {
     priority: u32,
     class: RankClass,
+    is_over_share: bool,
     /// Value for each core-second of remaining work; the highest goes first.
     urgency: f64,
     accepted_at: Moment,
@@ -108,6 +113,7 @@
         self.priority
             .cmp(&other.priority)
             .then(self.class.cmp(&other.class))
+            .then(self.is_over_share.cmp(&other.is_over_share))
             .then(other.urgency.total_cmp(&self.urgency))
             .then(self.accepted_at.cmp(&other.accepted_at))
     }
--- a/crates/magnoliapin_scheduler/src/decisions/job_order_tests.rs
+++ b/crates/magnoliapin_scheduler/src/decisions/job_order_tests.rs
@@ -15,6 +15,7 @@
     JobOutlook {
         priority: 0,
         class,
+        is_over_share: false,
         value: 1.0,
         remaining_work,
         accepted_at: Moment::from_millis(accepted_ms),
@@ -25,11 +26,13 @@
 #[test]
 fn jobs_are_ordered_by_priority_then_class_then_urgency_then_age() {
     let lower = JobOutlook { priority: 1, ..outlook(RankClass::InTime, 0.1, 0) };
+    let over = |outlook| JobOutlook { is_over_share: true, ..outlook };
     let expected = [
         JobOutlook::long_running(0, Moment::from_millis(9)),
         outlook(RankClass::InTime, 1.0, 5),
         outlook(RankClass::InTime, 8.0, 3),
         outlook(RankClass::InTime, 8.0, 4),
+        over(outlook(RankClass::InTime, 1.0, 0)),
         outlook(RankClass::Late, 0.0, 0),
         outlook(RankClass::Worthless, 0.0, 0),
         lower,
--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -75,6 +75,7 @@
 pub(crate) use self::submissions::Requester;
 use self::target::Target;
 use self::target::TargetKey;
+use crate::decisions::team_shares::TeamRates;
 use crate::election::AcquiredLease;
 use crate::outbox::Outbox;
 use crate::watch::Watch;
@@ -125,6 +126,7 @@
     last_target_key: u64,
     pools: IndexMap<PoolName, Pool>,
     team_use: IndexMap<TeamName, Resources>,
+    team_rates: TeamRates,
     /// Incarnations of targets that may execute runs of the previous leader and have not reported
     /// yet.
     previous_incarnations: IndexMap<TargetName, PreviousIncarnation>,
@@ -286,6 +288,7 @@
             last_target_key: 0,
             pools: IndexMap::new(),
             team_use: IndexMap::new(),
+            team_rates: TeamRates::default(),
             previous_incarnations: IndexMap::new(),
             unconfirmed_runs: IndexMap::new(),
             previous_runs_resolved: false,
@@ -326,6 +329,9 @@
     /// Sets the configuration and marks every pool for dispatch.
     pub(crate) fn set_config(&mut self, config: Rc<SiteConfig>) {
         self.config = config;
+        let teams = self.config.teams.iter();
+        let weights = teams.map(|team| (team.name.clone(), team.weight.unwrap_or_default()));
+        self.team_rates.set_weights(weights);
         for pool in self.config.pools.keys() {
             self.pools.entry(pool.clone()).or_default().needs_dispatch = true;
         }
--- a/crates/magnoliapin_scheduler/src/leader/dispatch.rs
+++ b/crates/magnoliapin_scheduler/src/leader/dispatch.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use magnoliapin_model::Moment;
 use magnoliapin_site::JobSpec;
 use magnoliapin_site::PoolName;
+use magnoliapin_site::TeamName;
 
+use crate::decisions::amount::Amount;
 use crate::decisions::job_order::Deadline;
 use crate::decisions::job_order::JobOutlook;
 use crate::decisions::job_order::JobRank;
@@ -13,6 +16,7 @@
 use crate::leader::job::Job;
 use crate::leader::job::JobKey;
 use crate::leader::job::Occurrence;
+use crate::leader::placement::Candidate;
 use crate::leader::queue_statistics::QueueStatistics;
 use crate::leader::target::Run;
 use crate::leader::Leader;
@@ -32,31 +36,52 @@
             .filter(|(name, _)| !self.awaits_capacities(name, out.now))
             .map(|(name, _)| name.clone())
             .collect();
+        if pending.is_empty() {
+            return;
+        }
+        let over_share = self.team_rates.teams_over_share(out.now);
         for pool in pending {
             if let Some(state) = self.pools.get_mut(&pool) {
                 state.needs_dispatch = false;
             }
-            self.dispatch_pool(&pool, out);
+            self.dispatch_pool(&pool, &over_share, out);
         }
     }
 
-    fn dispatch_pool(&mut self, pool: &PoolName, out: &mut Outbox) {
+    fn dispatch_pool(
+        &mut self,
+        pool: &PoolName,
+        over_share: &IndexSet<TeamName>,
+        out: &mut Outbox,
+    ) {
         let Some(state) = self.pools.get(pool) else { return };
         let now = out.now;
-        let mut ranked: Vec<(JobRank, JobKey)> = Vec::new();
+        let mut waiting: Vec<JobKey> = Vec::new();
         for key in &state.jobs {
             let Some(job) = self.jobs.get(key) else { continue };
             if !self.is_blocked(job) && job.has_waiting() {
-                ranked.push((self.outlook(job, now).rank(), *key));
+                waiting.push(*key);
             }
         }
-        if ranked.is_empty() {
+        if waiting.is_empty() {
             return;
         }
-        ranked.sort_by(|(rank, _), (next_rank, _)| rank.compare(next_rank));
         let mut candidates = self.candidate_targets(pool, now);
         self.place_isolated(pool, &mut candidates, out);
         candidates.retain(|candidate| !self.is_isolating(candidate.target, now));
+        if candidates.is_empty() {
+            return;
+        }
+        let is_contended = self.is_contended(&waiting, &candidates);
+        let mut ranked: Vec<(JobRank, JobKey)> = Vec::with_capacity(waiting.len());
+        for key in waiting {
+            let Some(job) = self.jobs.get(&key) else { continue };
+            let mut outlook = self.outlook(job, now);
+            let is_over_share = job.team.as_ref().is_some_and(|team| over_share.contains(team));
+            outlook.is_over_share = is_contended && is_over_share;
+            ranked.push((outlook.rank(), key));
+        }
+        ranked.sort_by(|(rank, _), (next_rank, _)| rank.compare(next_rank));
         for (_, key) in ranked {
             if candidates.is_empty() {
                 break;
@@ -65,6 +90,25 @@
         }
     }
 
+    /// Returns whether waiting jobs need more than the candidates have left.
+    fn is_contended(&self, waiting: &[JobKey], candidates: &[Candidate]) -> bool {
+        let mut free = Amount::default();
+        for candidate in candidates {
+            free.add(candidate.free, 1.0);
+        }
+        let mut needed = Amount::default();
+        for job in waiting.iter().filter_map(|key| self.jobs.get(key)) {
+            for occurrence in &job.occurrences {
+                for (spec, step) in job.spec.steps.iter().zip(&occurrence.steps) {
+                    if step.is_open {
+                        needed.add(spec.demand, f64::from(step.waiting));
+                    }
+                }
+            }
+        }
+        needed.cpu_milli > free.cpu_milli || needed.memory_mb > free.memory_mb
+    }
+
     /// Returns whether the tasks of a job may still run somewhere without a record.
     pub(super) fn is_blocked(&self, job: &Job) -> bool {
         job.is_inherited && self.may_have_unrecorded_runs()
@@ -80,6 +124,7 @@
         let mut outlook = JobOutlook {
             priority,
             class: RankClass::Worthless,
+            is_over_share: false,
             value: statistics.relative_value(work),
             remaining_work: 0.0,
             accepted_at: job.accepted_at,
--- a/crates/magnoliapin_scheduler/src/leader/intake.rs
+++ b/crates/magnoliapin_scheduler/src/leader/intake.rs
@@ -171,6 +171,9 @@
         if !is_inherited {
             self.record_arrival(&job.pool, &job.spec, &statistics, out.now);
         }
+        if !job.spec.is_long_running() {
+            self.team_rates.add_arrival(job.team.as_ref(), job.accepted_at, out.now);
+        }
         let pool = job.pool.clone();
         self.job_keys.insert(id, key);
         self.pools.entry(pool.clone()).or_default().jobs.insert(key);
@@ -207,6 +210,9 @@
             crashed.iter().any(|name| job.task(*name).is_some_and(Task::is_given_up));
         self.crashed_tasks.extend(crashed);
         job.has_started = true;
+        if !job.spec.is_long_running() {
+            self.team_rates.add_start(job.team.as_ref(), accepted_at, out.now);
+        }
         let is_open = job.final_state.is_none();
         let key = self.job_keys[&id];
         if is_open && job.is_done() {
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -30,7 +30,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Candidate {
     pub(super) target: TargetKey,
-    free: Resources,
+    pub(super) free: Resources,
     capacity: Resources,
     /// Tasks on it under which targets have crashed.
     suspects: u32,
@@ -415,6 +415,9 @@
         };
         task.attempt = run.attempt;
         task.lost_at = None;
+        if !job.has_started && !run.is_long_running {
+            self.team_rates.add_start(job.team.as_ref(), out.now, out.now);
+        }
         job.has_started = true;
         let id = RunId { task: name, attempt: run.attempt };
         log::info!(
