Mark jobs beyond the share of their team by buckets

Cause: the max-min shares took the rate of started jobs for the capacity. Change: each team has a bucket that is filled at its weight, or at the load of the median team if that is over 1. A job without a token is beyond the share if its team has also submitted more than chance explains; in a contended pool it ranks behind the others of its priority and class.

--- a/crates/magnoliapin_scheduler/src/decisions/team_shares.rs
+++ b/crates/magnoliapin_scheduler/src/decisions/team_shares.rs
@@ -1,16 +1,16 @@
-//! Shares of teams in the capacity of a site, and the teams that use more than theirs.
+//! Shares of teams: which jobs are beyond the share of their team.
 //!
-//! Load pattern: one team submits six times its weight beside nineteen others, while the demand of
-//! all peaks at five times its mean. In such a peak every team exceeds its weight, so that the
-//! weight alone tells nothing: a team is over its share only if it gets more than the weighted
-//! max-min share of what the site starts, while it demands still more. Jobs of a team arrive one by
-//! one and at random, so that a count of a few seconds exceeds the share by chance; one standard
-//! deviation is tolerated.
+//! Load pattern: one team submits four to six times its usual rate beside nineteen others, while the
+//! queues peak one after the other. What a team submits beyond its weight is only served with
+//! capacity that nobody else can use in time. In a common peak, where every team exceeds its weight,
+//! the weight alone would mark jobs of all teams at random; so a team's share is its weight times
+//! the load of the median team, if that is over 1. Each team has a bucket of tokens that is filled at
+//! the rate of its share. A job that finds none is beyond the share if its team has also submitted
+//! more than chance explains.
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 use magnoliapin_model::Moment;
 use magnoliapin_site::TeamName;
 use magnoliapin_site::TeamWeight;
@@ -19,142 +19,127 @@
 #[path = "team_shares_tests.rs"]
 mod tests;
 
-/// Time constant of recent use and demand. In the replay, 5 s and 10 s protect the other teams no
-/// better, and cost the heavy team more.
+/// Time constant of the recent demand.
 const DECAY_TIME: Duration = Duration::from_secs(3);
-/// Excess over a share that is taken for chance, in standard deviations of a count of jobs. In the
-/// replay, 2 protects the other teams only half as well.
-const TOLERATED_DEVIATIONS: f64 = 1.0;
-/// Least time between two lists of the teams over their shares in the log.
+/// Time for which a full bucket suffices at the rate of the share: jobs arrive at random.
+const BUCKET_TIME: Duration = Duration::from_millis(1_500);
+/// Least number of jobs in a full bucket.
+const MIN_BUCKET: f64 = 2.0;
+/// Excess of a team's recent jobs over its share that is taken for chance, in standard deviations of
+/// their count.
+const TOLERATED_DEVIATIONS: f64 = 3.0;
+/// Least time between two log messages about teams beyond their shares.
 const LOG_PAUSE: Duration = Duration::from_secs(1);
 
-/// Weight, use and demand of a team.
+/// Weight, recent demand and bucket of a team.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct TeamLoad {
     pub(crate) weight: TeamWeight,
-    /// Jobs that were started recently, a second.
-    pub(crate) use_per_s: f64,
     /// Jobs that arrived recently, a second.
     pub(crate) demand_per_s: f64,
+    /// Jobs that may still arrive within the share.
+    tokens: f64,
 }
 
 impl TeamLoad {
-    /// Returns whether the team uses more than a share of which it demands more.
-    fn exceeds(&self, share: f64) -> bool {
-        let owed = share.max(self.weight.jobs_per_s());
+    /// Returns whether the recent jobs are more than the share, which is the weight times `factor`, and
+    /// than chance explains.
+    fn exceeds_share(&self, factor: f64) -> bool {
         let time = DECAY_TIME.as_secs_f64();
-        let tolerated = TOLERATED_DEVIATIONS * (owed / time).sqrt() + 1.0 / time;
-        self.demand_per_s > share && self.use_per_s > owed + tolerated
+        let expected = self.weight.jobs_per_s() * factor * time;
+        self.demand_per_s * time > expected + TOLERATED_DEVIATIONS * expected.sqrt() + 1.0
     }
-}
 
-/// Returns the weighted max-min share of each team, in jobs a second: a team gets what it demands,
-/// up to a level for each unit of weight that is the same for all teams and uses up the capacity.
-pub(crate) fn max_min_shares(teams: &[TeamLoad], capacity_per_s: f64) -> Vec<f64> {
-    // A team of weight 0 gets something only if nobody else is cut.
-    let level_of = |team: &TeamLoad| team.demand_per_s / team.weight.jobs_per_s().max(f64::EPSILON);
-    let mut order: Vec<usize> = (0..teams.len()).collect();
-    order.sort_by(|left, right| level_of(&teams[*left]).total_cmp(&level_of(&teams[*right])));
-    // Sums from the back, as a huge weight would absorb the others in a running difference.
-    let mut open_weights = vec![0.0; teams.len() + 1];
-    for (place, number) in order.iter().enumerate().rev() {
-        open_weights[place] = open_weights[place + 1] + teams[*number].weight.jobs_per_s();
+    /// Returns the demand as a multiple of the weight. A team of weight 0 exceeds it with any job.
+    fn load(&self) -> f64 {
+        self.demand_per_s / self.weight.jobs_per_s().max(f64::MIN_POSITIVE)
     }
-    let mut left = capacity_per_s;
-    let mut shares = vec![0.0; teams.len()];
-    for (number, open_weight) in order.into_iter().zip(open_weights) {
-        let team = &teams[number];
-        let part = if open_weight > 0.0 { team.weight.jobs_per_s() / open_weight } else { 1.0 };
-        shares[number] = team.demand_per_s.min(left * part);
-        left = (left - shares[number]).max(0.0);
+}
+
+/// Returns the load of the median team, where each team counts by its weight.
+pub(crate) fn median_load(teams: &[TeamLoad]) -> f64 {
+    let mut order: Vec<&TeamLoad> = teams.iter().collect();
+    order.sort_by(|left, right| left.load().total_cmp(&right.load()));
+    let total: f64 = teams.iter().map(|team| team.weight.jobs_per_s()).sum();
+    let mut below = 0.0;
+    for team in order {
+        below += team.weight.jobs_per_s();
+        if below * 2.0 >= total {
+            return team.load();
+        }
     }
-    shares
+    0.0
 }
 
-/// Recent use and demand of each team, which decay with time.
+/// Recent demand of each team, and the jobs that it may submit within its share.
 #[derive(Debug, Default)]
-pub(crate) struct TeamRates {
+pub(crate) struct TeamShares {
     teams: IndexMap<TeamName, TeamLoad>,
+    /// Multiple of its weight that each team gets.
+    share_factor: f64,
     updated_at: Moment,
-    /// When the log last listed the teams over their shares.
-    logged_at: Moment,
+    logged_at: Option<Moment>,
 }
 
-impl TeamRates {
+impl TeamShares {
     /// Sets the teams and their weights. Teams that are no longer listed have no share, so that
     /// their jobs are ordered like those without a team.
     pub(crate) fn set_weights(&mut self, weights: impl Iterator<Item = (TeamName, TeamWeight)>) {
         let weighted = weights.map(|(team, weight)| {
-            let load = self.teams.get(&team).copied().unwrap_or_default();
+            let full = TeamLoad { weight, demand_per_s: 0.0, tokens: bucket_size(weight, 1.0) };
+            let load = self.teams.get(&team).copied().unwrap_or(full);
             (team, TeamLoad { weight, ..load })
         });
         self.teams = weighted.collect();
     }
 
-    /// Adds a job that arrived at a moment, which may be some time ago.
-    pub(crate) fn add_arrival(&mut self, team: Option<&TeamName>, at: Moment, now: Moment) {
-        let added = self.recent_job(at, now);
-        if let Some(load) = team.and_then(|team| self.teams.get_mut(team)) {
-            load.demand_per_s += added;
-        }
-    }
-
-    /// Adds a job whose first task was started at a moment, which may be some time ago.
-    pub(crate) fn add_start(&mut self, team: Option<&TeamName>, at: Moment, now: Moment) {
-        let added = self.recent_job(at, now);
-        if let Some(load) = team.and_then(|team| self.teams.get_mut(team)) {
-            load.use_per_s += added;
-        }
-    }
-
-    /// Returns what a job of a moment adds to a rate now.
-    fn recent_job(&mut self, at: Moment, now: Moment) -> f64 {
+    /// Adds a job that arrives now. Returns whether it is beyond the share of its team.
+    pub(crate) fn add_arrival(&mut self, team: Option<&TeamName>, now: Moment) -> bool {
         self.update(now);
-        decay(now.since(at)) / DECAY_TIME.as_secs_f64()
+        let Some(load) = team.and_then(|team| self.teams.get_mut(team)) else { return false };
+        load.demand_per_s += 1.0 / DECAY_TIME.as_secs_f64();
+        let has_token = load.tokens >= 1.0;
+        load.tokens -= if has_token { 1.0 } else { 0.0 };
+        let is_beyond = !has_token && load.exceeds_share(self.share_factor);
+        if is_beyond && self.logged_at.is_none_or(|at| now.since(at) >= LOG_PAUSE) {
+            self.logged_at = Some(now);
+            log::info!(
+                "event=team_over_share team={} weight={} demand_per_s={:.2}",
+                team.map_or("", TeamName::as_str),
+                load.weight.jobs_per_s(),
+                load.demand_per_s
+            );
+        }
+        is_beyond
     }
 
-    /// Lets use and demand decay until a moment.
+    /// Lets the demand decay, and fills the buckets, until a moment.
     fn update(&mut self, now: Moment) {
         if now <= self.updated_at {
             return;
         }
-        let factor = decay(now.since(self.updated_at));
+        let elapsed = now.since(self.updated_at).as_secs_f64();
+        let decay = (-elapsed / DECAY_TIME.as_secs_f64()).exp();
         for load in self.teams.values_mut() {
-            load.use_per_s *= factor;
-            load.demand_per_s *= factor;
+            load.demand_per_s *= decay;
         }
-        self.updated_at = now;
-    }
-
-    /// Returns the teams that use more than their share of what the site starts, and logs them
-    /// at most once a second.
-    pub(crate) fn teams_over_share(&mut self, now: Moment) -> IndexSet<TeamName> {
-        self.update(now);
         let loads: Vec<TeamLoad> = self.teams.values().copied().collect();
-        let capacity = loads.iter().map(|load| load.use_per_s).sum();
-        let shares = max_min_shares(&loads, capacity);
-        let is_logged = now.since(self.logged_at) >= LOG_PAUSE;
-        let mut over = IndexSet::new();
-        for ((team, load), share) in self.teams.iter().zip(shares) {
-            if !load.exceeds(share) {
-                continue;
-            }
-            if is_logged {
-                self.logged_at = now;
-                log::info!(
-                    "event=team_over_share team={team} weight={} use_per_s={:.2} \
-                     demand_per_s={:.2} share_per_s={share:.2}",
-                    load.weight.jobs_per_s(),
-                    load.use_per_s,
-                    load.demand_per_s
-                );
-            }
-            over.insert(team.clone());
+        let factor = median_load(&loads).max(1.0);
+        self.share_factor = factor;
+        for load in self.teams.values_mut() {
+            let filled = load.tokens + load.weight.jobs_per_s() * factor * elapsed;
+            load.tokens = filled.min(bucket_size(load.weight, factor));
         }
-        over
+        self.updated_at = now;
     }
 }
 
-fn decay(elapsed: Duration) -> f64 {
-    (-elapsed.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp()
+/// Returns the number of jobs in a full bucket. A team of weight 0 has none.
+fn bucket_size(weight: TeamWeight, factor: f64) -> f64 {
+    let per_s = weight.jobs_per_s() * factor;
+    if per_s > 0.0 {
+        (per_s * BUCKET_TIME.as_secs_f64()).max(MIN_BUCKET)
+    } else {
+        0.0
+    }
 }
--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -75,7 +75,7 @@
 pub(crate) use self::submissions::Requester;
 use self::target::Target;
 use self::target::TargetKey;
-use crate::decisions::team_shares::TeamRates;
+use crate::decisions::team_shares::TeamShares;
 use crate::election::AcquiredLease;
 use crate::outbox::Outbox;
 use crate::watch::Watch;
@@ -126,7 +126,7 @@
     last_target_key: u64,
     pools: IndexMap<PoolName, Pool>,
     team_use: IndexMap<TeamName, Resources>,
-    team_rates: TeamRates,
+    team_shares: TeamShares,
     /// Incarnations of targets that may execute runs of the previous leader and have not reported
     /// yet.
     previous_incarnations: IndexMap<TargetName, PreviousIncarnation>,
@@ -288,7 +288,7 @@
             last_target_key: 0,
             pools: IndexMap::new(),
             team_use: IndexMap::new(),
-            team_rates: TeamRates::default(),
+            team_shares: TeamShares::default(),
             previous_incarnations: IndexMap::new(),
             unconfirmed_runs: IndexMap::new(),
             previous_runs_resolved: false,
@@ -331,7 +331,7 @@
         self.config = config;
         let teams = self.config.teams.iter();
         let weights = teams.map(|team| (team.name.clone(), team.weight.unwrap_or_default()));
-        self.team_rates.set_weights(weights);
+        self.team_shares.set_weights(weights);
         for pool in self.config.pools.keys() {
             self.pools.entry(pool.clone()).or_default().needs_dispatch = true;
         }
--- a/crates/magnoliapin_scheduler/src/leader/dispatch.rs
+++ b/crates/magnoliapin_scheduler/src/leader/dispatch.rs
@@ -2,11 +2,9 @@
 
 use std::time::Duration;
 
-use indexmap::IndexSet;
 use magnoliapin_model::Moment;
 use magnoliapin_site::JobSpec;
 use magnoliapin_site::PoolName;
-use magnoliapin_site::TeamName;
 
 use crate::decisions::amount::Amount;
 use crate::decisions::job_order::Deadline;
@@ -36,24 +34,15 @@
             .filter(|(name, _)| !self.awaits_capacities(name, out.now))
             .map(|(name, _)| name.clone())
             .collect();
-        if pending.is_empty() {
-            return;
-        }
-        let over_share = self.team_rates.teams_over_share(out.now);
         for pool in pending {
             if let Some(state) = self.pools.get_mut(&pool) {
                 state.needs_dispatch = false;
             }
-            self.dispatch_pool(&pool, &over_share, out);
+            self.dispatch_pool(&pool, out);
         }
     }
 
-    fn dispatch_pool(
-        &mut self,
-        pool: &PoolName,
-        over_share: &IndexSet<TeamName>,
-        out: &mut Outbox,
-    ) {
+    fn dispatch_pool(&mut self, pool: &PoolName, out: &mut Outbox) {
         let Some(state) = self.pools.get(pool) else { return };
         let now = out.now;
         let mut waiting: Vec<JobKey> = Vec::new();
@@ -77,8 +66,7 @@
         for key in waiting {
             let Some(job) = self.jobs.get(&key) else { continue };
             let mut outlook = self.outlook(job, now);
-            let is_over_share = job.team.as_ref().is_some_and(|team| over_share.contains(team));
-            outlook.is_over_share = is_contended && is_over_share;
+            outlook.is_over_share = is_contended && job.is_over_share;
             ranked.push((outlook.rank(), key));
         }
         ranked.sort_by(|(rank, _), (next_rank, _)| rank.compare(next_rank));
--- a/crates/magnoliapin_scheduler/src/leader/intake.rs
+++ b/crates/magnoliapin_scheduler/src/leader/intake.rs
@@ -137,6 +137,8 @@
         }
         self.last_job_key += 1;
         let key = JobKey(self.last_job_key);
+        let is_counted = !is_inherited && !row.spec.is_long_running();
+        let is_over_share = is_counted && self.team_shares.add_arrival(row.team.as_ref(), out.now);
         let job = Job {
             id,
             partition: rows::partition_of(id, self.identity.partition_count),
@@ -146,6 +148,7 @@
             spec: row.spec,
             accepted_at: out.moment_of(row.accepted_at),
             is_inherited,
+            is_over_share,
             occurrences: Vec::new(),
             next_occurrence: 0,
             done_occurrences: 0,
@@ -171,9 +174,6 @@
         if !is_inherited {
             self.record_arrival(&job.pool, &job.spec, &statistics, out.now);
         }
-        if !job.spec.is_long_running() {
-            self.team_rates.add_arrival(job.team.as_ref(), job.accepted_at, out.now);
-        }
         let pool = job.pool.clone();
         self.job_keys.insert(id, key);
         self.pools.entry(pool.clone()).or_default().jobs.insert(key);
@@ -210,9 +210,6 @@
             crashed.iter().any(|name| job.task(*name).is_some_and(Task::is_given_up));
         self.crashed_tasks.extend(crashed);
         job.has_started = true;
-        if !job.spec.is_long_running() {
-            self.team_rates.add_start(job.team.as_ref(), accepted_at, out.now);
-        }
         let is_open = job.final_state.is_none();
         let key = self.job_keys[&id];
         if is_open && job.is_done() {
--- a/crates/magnoliapin_scheduler/src/leader/job.rs
+++ b/crates/magnoliapin_scheduler/src/leader/job.rs
@@ -37,6 +37,9 @@
     pub(crate) accepted_at: Moment,
     /// Whether it was accepted before this leader took over.
     pub(crate) is_inherited: bool,
+    /// Whether it arrived beyond the share of its team. A leader does not know this of the jobs that it
+    /// inherits.
+    pub(crate) is_over_share: bool,
     /// Occurrences that have started and are not done.
     pub(crate) occurrences: Vec<Occurrence>,
     /// Number of the next occurrence to start.
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -415,9 +415,6 @@
         };
         task.attempt = run.attempt;
         task.lost_at = None;
-        if !job.has_started && !run.is_long_running {
-            self.team_rates.add_start(job.team.as_ref(), out.now, out.now);
-        }
         job.has_started = true;
         let id = RunId { task: name, attempt: run.attempt };
         log::info!(
--- a/crates/magnoliapin_scheduler/src/leader/reconciliation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/reconciliation.rs
@@ -88,7 +88,7 @@
         // nothing is started beside it.
         run.demand =
             self.targets.get(&key).map_or(Resources::NONE, |target| target.record.capacity);
-        let is_adopted = self.adopt_run(key, task, &mut run, out.now);
+        let is_adopted = self.adopt_run(key, task, &mut run);
         if !is_adopted {
             run.stage = RunStage::Stopping;
             self.due_orders.push((key, task));
@@ -109,7 +109,7 @@
 
     /// Completes a run that this leader has not started with what its job states, and assigns it to
     /// its task if that is waiting. Returns whether it was.
-    fn adopt_run(&mut self, key: TargetKey, task: TaskName, run: &mut Run, now: Moment) -> bool {
+    fn adopt_run(&mut self, key: TargetKey, task: TaskName, run: &mut Run) -> bool {
         let job_key = self.job_keys.get(&task.job).copied();
         let Some(job) = job_key.and_then(|job_key| self.jobs.get_mut(&job_key)) else {
             return false;
@@ -122,9 +122,6 @@
         let is_waiting = job.final_state.is_none()
             && job.task(task).is_some_and(|task_state| task_state.state == TaskState::Waiting);
         if is_waiting {
-            if !job.has_started && !run.is_long_running {
-                self.team_rates.add_start(job.team.as_ref(), job.accepted_at, now);
-            }
             job.has_started = true;
             run.job = job_key;
             if let Some(step) = job.step_mut(task) {
@@ -172,7 +169,7 @@
         for id in runs {
             let reported = RunningTask { run: *id, ..RunningTask::default() };
             let mut run = Run::from_report(&reported, out.now);
-            if !self.adopt_run(key, id.task, &mut run, out.now) {
+            if !self.adopt_run(key, id.task, &mut run) {
                 continue;
             }
             // It is not in progress: it takes no resources, a crash is not its effect, and how long it
