--- a/crates/magnoliapin_scheduler/src/leader/dispatch.rs
+++ b/crates/magnoliapin_scheduler/src/leader/dispatch.rs
@@ -1,19 +1,20 @@
-//! Decides the order in which jobs get their tasks started.
-//!
-//! Jobs are ranked by the priority of their queue. Within one priority, long-running jobs come
-//! first, then jobs that can still be in time, then late ones; within one class, the value per
-//! remaining work decides, then the age.
+//! Starts the waiting tasks of pools, in the order of `decisions/job_order.rs`.
 
-use std::cmp::Ordering;
 use std::time::Duration;
 
 use magnoliapin_model::Moment;
 use magnoliapin_site::JobSpec;
 use magnoliapin_site::PoolName;
 
+use crate::decisions::amount::Amount;
+use crate::decisions::job_order::Deadline;
+use crate::decisions::job_order::JobOutlook;
+use crate::decisions::job_order::JobRank;
+use crate::decisions::job_order::RankClass;
 use crate::leader::job::Job;
 use crate::leader::job::JobKey;
 use crate::leader::job::Occurrence;
+use crate::leader::placement::Candidate;
 use crate::leader::queue_statistics::QueueStatistics;
 use crate::leader::target::Run;
 use crate::leader::Leader;
@@ -24,43 +25,6 @@
 #[path = "dispatch_tests.rs"]
 mod tests;
 
-/// Order in which jobs get their tasks started.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct JobRank {
-    /// Priority of the queue; lower numbers go first.
-    priority: u32,
-    class: RankClass,
-    /// Value of the job per core-second of remaining work.
-    density: f64,
-    accepted_at: Moment,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum RankClass {
-    /// Its tasks run until the job is cancelled.
-    LongRunning,
-    /// It can still finish in time.
-    InTime,
-    /// It will finish late, but still has value.
-    Late,
-    /// It will finish so late that it has no value.
-    Worthless,
-}
-
-/// Multiple of its allowed time up to which a late job still has value.
-const LATE_FACTOR: u32 = 3;
-
-impl JobRank {
-    fn compare(&self, other: &Self) -> Ordering {
-        let density = other.density.total_cmp(&self.density);
-        self.priority
-            .cmp(&other.priority)
-            .then(self.class.cmp(&other.class))
-            .then(density)
-            .then(self.accepted_at.cmp(&other.accepted_at))
-    }
-}
-
 impl Leader {
     /// Starts tasks in the pools that have been marked for dispatch. A pool whose capacities are not
     /// known stays marked.
@@ -81,20 +45,31 @@
     fn dispatch_pool(&mut self, pool: &PoolName, out: &mut Outbox) {
         let Some(state) = self.pools.get(pool) else { return };
         let now = out.now;
-        let mut ranked: Vec<(JobRank, JobKey)> = Vec::new();
+        let mut waiting: Vec<JobKey> = Vec::new();
         for key in &state.jobs {
             let Some(job) = self.jobs.get(key) else { continue };
             if !self.is_blocked(job) && job.has_waiting() {
-                ranked.push((self.rank(job, now), *key));
+                waiting.push(*key);
             }
         }
-        if ranked.is_empty() {
+        if waiting.is_empty() {
             return;
         }
-        ranked.sort_by(|(rank, _), (next_rank, _)| rank.compare(next_rank));
         let mut candidates = self.candidate_targets(pool, now);
         self.place_isolated(pool, &mut candidates, out);
         candidates.retain(|candidate| !self.is_isolating(candidate.target, now));
+        if candidates.is_empty() {
+            return;
+        }
+        let is_contended = self.is_contended(&waiting, &candidates);
+        let mut ranked: Vec<(JobRank, JobKey)> = Vec::with_capacity(waiting.len());
+        for key in waiting {
+            let Some(job) = self.jobs.get(&key) else { continue };
+            let mut outlook = self.outlook(job, now);
+            outlook.is_over_share = is_contended && job.is_over_share;
+            ranked.push((outlook.rank(), key));
+        }
+        ranked.sort_by(|(rank, _), (next_rank, _)| rank.compare(next_rank));
         for (_, key) in ranked {
             if candidates.is_empty() {
                 break;
@@ -103,37 +78,56 @@
         }
     }
 
+    /// Returns whether waiting jobs need more than the candidates have left.
+    fn is_contended(&self, waiting: &[JobKey], candidates: &[Candidate]) -> bool {
+        let mut free = Amount::default();
+        for candidate in candidates {
+            free.add(candidate.free, 1.0);
+        }
+        let mut needed = Amount::default();
+        for job in waiting.iter().filter_map(|key| self.jobs.get(key)) {
+            for occurrence in &job.occurrences {
+                for (spec, step) in job.spec.steps.iter().zip(&occurrence.steps) {
+                    if step.is_open {
+                        needed.add(spec.demand, f64::from(step.waiting));
+                    }
+                }
+            }
+        }
+        needed.cpu_milli > free.cpu_milli || needed.memory_mb > free.memory_mb
+    }
+
     /// Returns whether the tasks of a job may still run somewhere without a record.
     pub(super) fn is_blocked(&self, job: &Job) -> bool {
         job.is_inherited && self.may_have_unrecorded_runs()
     }
 
-    fn rank(&self, job: &Job, now: Moment) -> JobRank {
+    fn outlook(&self, job: &Job, now: Moment) -> JobOutlook {
+        let priority = job.rule.priority;
+        if job.spec.is_long_running() {
+            return JobOutlook::long_running(priority, job.accepted_at);
+        }
         let statistics = self.queue_statistics.get(&job.queue).copied().unwrap_or_default();
-        let mut rank = JobRank {
-            priority: job.rule.priority,
-            class: RankClass::LongRunning,
-            density: 0.0,
+        let work = statistics.work_of(job.spec.steps.iter());
+        let mut outlook = JobOutlook {
+            priority,
+            class: RankClass::Worthless,
+            is_over_share: false,
+            value: statistics.relative_value(work),
+            remaining_work: 0.0,
             accepted_at: job.accepted_at,
         };
-        if job.spec.is_long_running() {
-            return rank;
-        }
-        let mut class = RankClass::Worthless;
-        let mut remaining = 0.0;
         for occurrence in &job.occurrences {
-            class = class.min(classify_occurrence(job, occurrence, &statistics, now));
-            remaining += remaining_work(job, occurrence, &statistics);
+            let deadline = deadline_of(job, occurrence, &statistics);
+            let work = remaining_work(job, occurrence, &statistics);
+            outlook.add_occurrence(&deadline, work, now);
         }
-        let work = statistics.work_of(job.spec.steps.iter());
-        rank.class = class;
-        rank.density = statistics.relative_value(work) / remaining.max(0.001);
-        rank
+        outlook
     }
 
     /// Returns whether a job can still finish in time, or is long-running.
     pub(super) fn can_be_in_time(&self, job: &Job, now: Moment) -> bool {
-        self.rank(job, now).class <= RankClass::InTime
+        self.outlook(job, now).class <= RankClass::InTime
     }
 
     /// Updates the run time estimate of a queue from a successful run.
@@ -148,22 +142,13 @@
     }
 }
 
-fn classify_occurrence(
-    job: &Job,
-    occurrence: &Occurrence,
-    statistics: &QueueStatistics,
-    now: Moment,
-) -> RankClass {
+fn deadline_of(job: &Job, occurrence: &Occurrence, statistics: &QueueStatistics) -> Deadline {
     let ideal = critical_path(&job.spec, statistics, |_| true);
-    let allowed = allowed_time(ideal, &job.rule);
-    let remaining = critical_path(&job.spec, statistics, |step| !occurrence.steps[step].is_done());
-    let finish_at = now + remaining;
-    if finish_at <= occurrence.due_at + allowed {
-        RankClass::InTime
-    } else if finish_at <= occurrence.due_at + allowed.saturating_mul(LATE_FACTOR) {
-        RankClass::Late
-    } else {
-        RankClass::Worthless
+    let is_open = |step: usize| !occurrence.steps[step].is_done();
+    Deadline {
+        due_at: occurrence.due_at,
+        allowed: allowed_time(ideal, &job.rule),
+        remaining: critical_path(&job.spec, statistics, is_open),
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/intake.rs
+++ b/crates/magnoliapin_scheduler/src/leader/intake.rs
@@ -137,6 +137,8 @@
         }
         self.last_job_key += 1;
         let key = JobKey(self.last_job_key);
+        let is_counted = !is_inherited && !row.spec.is_long_running();
+        let is_over_share = is_counted && self.team_shares.add_arrival(row.team.as_ref(), out.now);
         let job = Job {
             id,
             partition: rows::partition_of(id, self.identity.partition_count),
@@ -146,6 +148,7 @@
             spec: row.spec,
             accepted_at: out.moment_of(row.accepted_at),
             is_inherited,
+            is_over_share,
             occurrences: Vec::new(),
             next_occurrence: 0,
             done_occurrences: 0,
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -30,7 +30,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Candidate {
     pub(super) target: TargetKey,
-    free: Resources,
+    pub(super) free: Resources,
     capacity: Resources,
     /// Tasks on it under which targets have crashed.
     suspects: u32,
