Keep targets at full speed when registrations are read again

After changes were missed, all registrations are read again, and each row with cold_left_ms made its target cold once more, however long ago it had started. With cold_per_s, one lost watch throttled the starts of a whole site.

The time is now set only when cold_left_ms of the same incarnation has changed. The new test fails without this: cold until 65 s instead of 5 s.

--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -138,7 +138,10 @@
         target.missing_since = None;
         self.hosts.remove(target.record.instance.as_ref(), key);
         self.hosts.add(record.instance.as_ref(), key);
-        target.cold_until = out.now + record.cold_left;
+        // The same row may be read again much later, after changes were missed.
+        if target.record.cold_left != record.cold_left {
+            target.cold_until = out.now + record.cold_left;
+        }
         target.record = record;
         let pool = target.record.pool.clone();
         self.mark_for_dispatch(&pool);
--- a/crates/magnoliapin_scheduler/src/leader/registrations_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations_tests.rs
@@ -61,3 +61,22 @@
         assert_eq!(leader.targets.len(), 1);
     }
 }
+
+/// Guards against targets at full speed that count as cold again, because all registrations are read
+/// again after changes were missed.
+#[test]
+fn a_registration_that_is_read_again_does_not_make_its_target_cold() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    let cold_left = Duration::from_secs(3);
+    let record = TargetRecord { cold_left, ..target_record("i-7", 1) };
+    leader.apply_record(record.clone(), &mut out);
+    let key = leader.target_keys[&TargetName::new("i-7")];
+    let cold_until = leader.targets[&key].cold_until;
+    assert_eq!(cold_until, out.now + cold_left);
+    out.now = out.now + Duration::from_secs(60);
+    leader.apply_record(record.clone(), &mut out);
+    assert_eq!(leader.targets[&key].cold_until, cold_until);
+    let cold_left = Duration::from_secs(1);
+    leader.apply_record(TargetRecord { cold_left, ..record }, &mut out);
+    assert_eq!(leader.targets[&key].cold_until, out.now + cold_left);
+}
