Pause between checks whether evicted connections are closed

ClientRegistry::settle polled without a pause for up to 100 ms after each accepted connection while more connections were open than allowed. A node with an eighth of a core spent its processor time on this while it was under load.

It now waits 1 ms between two checks.

--- a/crates/magnoliapin_http/src/registry.rs
+++ b/crates/magnoliapin_http/src/registry.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use futures_lite::future;
 use indexmap::IndexMap;
 use smol::net::TcpStream;
+use smol::Timer;
 
 use crate::ClientLimits;
 use crate::ConnectionMonitor;
@@ -29,6 +29,9 @@
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
 /// Longest time for which accepting waits until evicted connections are closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time between two checks whether they are closed. Checking without a pause would take all the
+/// processor time of a node.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Part of the bytes that a body may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -179,7 +182,7 @@
         }
         let deadline = Instant::now() + CLOSE_TIMEOUT;
         while is_over() && Instant::now() < deadline {
-            future::yield_now().await;
+            Timer::after(CLOSE_POLL_INTERVAL).await;
         }
     }
 
--- a/crates/magnoliapin_http/src/registry_tests.rs
+++ b/crates/magnoliapin_http/src/registry_tests.rs
@@ -1,10 +1,14 @@
 //! Tests of the totals of a registry and of the order of evictions.
 
+use std::future::Future;
 use std::net::TcpListener;
+use std::pin::pin;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
+use futures_lite::future;
+
 use super::ClientRegistry;
 use super::ConnectionSlot;
 use crate::BytePriority;
@@ -80,6 +84,27 @@
     assert_eq!(registry.lock().used_bytes, 0);
 }
 
+/// Guards against a node that spends its processor time on waiting for an evicted connection that does
+/// not close.
+#[test]
+fn waiting_for_evicted_connections_is_not_busy() {
+    let registry = registry(ClientLimits { connections: 1, ..ClientLimits::default() });
+    let evicted = connect(&registry).expect("a slot");
+    let _new = connect(&registry).expect("a slot");
+    assert_eq!(evicted.monitor().end_reason(), Some(LimitReason::EvictedForConnection));
+    let mut polls = 0;
+    smol::block_on(async {
+        let mut settled = pin!(registry.settle());
+        future::poll_fn(|context| {
+            polls += 1;
+            settled.as_mut().poll(context)
+        })
+        .await;
+    });
+    // The wait ends after 100 ms.
+    assert!(polls <= 200, "polled {polls} times");
+}
+
 /// Guards against a connection of another node that is evicted in favor of unknown clients.
 #[test]
 fn trusted_connections_are_not_evicted() {
