Reserve no room for tasks that are given up when a zone is evacuated

A long-running task moves out of a zone only if targets outside have more room than the tasks that wait need. Tasks that are given up after crashes never start again but stay in the state of waiting, so that they took the room of those that were to move out.

They no longer count. The new test fails without this: 2 competitors instead of 1.

--- a/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
@@ -40,7 +40,7 @@
 }
 
 /// Returns the row of a job.
-fn job_row_with(tasks: u32, long_running: bool) -> JobRow {
+pub(in crate::leader) fn job_row_with(tasks: u32, long_running: bool) -> JobRow {
     let step = StepSpec { tasks, long_running, ..StepSpec::default() };
     JobRow {
         spec: JobSpec { steps: vec![step], ..JobSpec::default() },
--- a/crates/magnoliapin_scheduler/src/leader/zone_evacuation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/zone_evacuation.rs
@@ -280,7 +280,8 @@
         for job in long_running {
             for occurrence in &job.occurrences {
                 for ((number, spec), step) in (0..).zip(&job.spec.steps).zip(&occurrence.steps) {
-                    let is_waiting = |task: &Task| task.state == TaskState::Waiting;
+                    let is_waiting =
+                        |task: &Task| task.state == TaskState::Waiting && !task.is_given_up();
                     let Some(index) = step.tasks.iter().position(is_waiting) else { continue };
                     let index = index as u32;
                     let name = TaskName {
@@ -293,7 +294,7 @@
                         self.fits_candidate(spec, name, &candidate.emptied(), 0)
                     };
                     if step.is_open && candidates.iter().any(fits) {
-                        waiting += step.waiting as usize;
+                        waiting += step.tasks.iter().filter(|task| is_waiting(task)).count();
                     }
                 }
             }
--- a/crates/magnoliapin_scheduler/src/leader/zone_evacuation_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/zone_evacuation_tests.rs
@@ -10,6 +10,7 @@
 use super::may_move_out;
 use super::may_send_start;
 use crate::leader::crashes::tests::job_row;
+use crate::leader::crashes::tests::job_row_with;
 use crate::leader::crashes::tests::running;
 use crate::leader::crashes::tests::task;
 use crate::leader::crashes::tests::JOB;
@@ -171,6 +172,31 @@
     assert!(leader.pools[&pool].needs_dispatch);
 }
 
+/// Guards against long-running tasks that stay in the zone, because a task that does not start again
+/// counts as one that needs the room outside.
+#[test]
+fn tasks_that_are_given_up_need_no_room() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    leader.add_job(JOB, job_row_with(2, true), false, &mut out);
+    let mut target = Target::new(target_record("i-7", 1), out.now);
+    target.has_reported = true;
+    target.is_same_incarnation = true;
+    target.last_contact_at = out.now;
+    leader.targets.insert(KEY, target);
+    let job_key = leader.job_keys[&JOB];
+    let pool = leader.jobs[&job_key].pool.clone();
+    leader.pools.entry(pool.clone()).or_default().targets.insert(KEY);
+    let candidates = leader.candidate_targets(&pool, out.now);
+    assert_eq!(leader.count_competitors(&pool, &candidates), 2);
+    for attempt in 1..=5 {
+        let mut crashed = Target::new(target_record("i-9", u64::from(attempt)), out.now);
+        let run = Run { is_long_running: true, is_isolated: true, ..running(attempt, out.now) };
+        crashed.add_run(RUN.task, run);
+        leader.record_crash(&crashed, &mut out);
+    }
+    assert_eq!(leader.count_competitors(&pool, &candidates), 1);
+}
+
 /// Guards against a cold target that is treated like the others, and against one that is treated
 /// differently on a site without evacuations.
 #[test]
