Let unused connections of other nodes be evicted

A connection that has sent a valid frame was never evicted nor closed for idleness. A node that disappears without closing its connections, as in a partition, leaves them open for good, and at the limit (256 with 4,100 descriptors) no node could connect any more until a restart.

Such a connection may now be evicted at the limit, after all others, once it has sent no frame for 60 s. A node that still has it opens a new one for its next call. The new test fails without this.

--- a/crates/magnoliapin_http/src/monitor.rs
+++ b/crates/magnoliapin_http/src/monitor.rs
@@ -19,6 +19,10 @@
 /// not meet one that is being closed.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 
+/// Time without a request after which a connection that belongs to the system may be evicted. Its
+/// other end may have gone without closing it, and a client that still has it opens a new one.
+const UNUSED_TIME: Duration = Duration::from_secs(60);
+
 /// What a connection waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -79,7 +83,8 @@
         self.lock().end
     }
 
-    /// Records that the client has proved to belong to the system. It is not evicted then.
+    /// Records that the client has proved to belong to the system. Its connection is not evicted
+    /// then, unless it is unused.
     pub fn trust(&self) {
         self.lock().is_trusted = true;
     }
@@ -189,12 +194,16 @@
     /// `None` if this one is not evicted.
     pub(crate) fn eviction_rank(&self, now: Instant) -> Option<(u8, u64, Duration)> {
         let state = self.lock();
-        if state.is_trusted || state.end.is_some() {
+        if state.end.is_some() {
             return None;
         }
         let age = now.duration_since(state.since);
         // Of equal connections, the oldest has the lowest rank.
         let youth = Duration::MAX - age;
+        if state.is_trusted {
+            let is_unused = state.phase == Phase::Idle && age > UNUSED_TIME;
+            return is_unused.then_some((4, 0, youth));
+        }
         let is_slow = age > GRACE_PERIOD;
         match state.phase {
             Phase::Closing => Some((0, 0, youth)),
--- a/crates/magnoliapin_http/src/registry_tests.rs
+++ b/crates/magnoliapin_http/src/registry_tests.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_lite::future;
 
@@ -115,6 +116,23 @@
     assert_eq!(node.monitor().end_reason(), None);
 }
 
+/// Guards against nodes that can no longer connect, because the connections of nodes that have gone
+/// without closing them take all places.
+#[test]
+fn trusted_connections_without_frames_are_evicted_last() {
+    let registry = registry(ClientLimits::default());
+    let [node, unknown] = [(); 2].map(|()| connect(&registry).expect("a slot"));
+    node.monitor().finish_request();
+    node.monitor().trust();
+    let now = Instant::now();
+    assert_eq!(node.monitor().eviction_rank(now + Duration::from_secs(10)), None);
+    let later = now + Duration::from_secs(70);
+    let rank = node.monitor().eviction_rank(later).expect("it can be evicted");
+    assert!(unknown.monitor().eviction_rank(later).expect("it can be evicted") < rank);
+    node.monitor().start_body();
+    assert_eq!(node.monitor().eviction_rank(later), None);
+}
+
 /// Guards against incomplete bodies that outlive the configuration that allowed them.
 #[test]
 fn a_lowered_limit_refuses_incomplete_bodies_only() {
--- a/crates/magnoliapin_node/src/peer_server.rs
+++ b/crates/magnoliapin_node/src/peer_server.rs
@@ -58,7 +58,8 @@
 pub(crate) struct PeerServer {
     executor: Rc<LocalExecutor<'static>>,
     events: Sender<NodeEvent>,
-    /// Open connections; those that have sent a valid frame are not evicted.
+    /// Open connections; those that have sent a valid frame are evicted only if they are
+    /// unused.
     pub(crate) registry: Arc<ClientRegistry>,
     last_peer: Cell<u64>,
     pending: RefCell<IndexMap<PeerId, ReplyRoute>>,
