Count heads that hyper refuses

hyper itself refuses heads over the limit, except for empty lines, so that such heads were neither counted as large_head nor logged, on the node and the entry, although docs/OPERATIONS.md lists the reason.

ConnectionSlot::record_error counts them. The new test of the entry's metrics fails without this: 0 instead of 2.

--- a/crates/magnoliapin_entry/src/caller/connection.rs
+++ b/crates/magnoliapin_entry/src/caller/connection.rs
@@ -146,13 +146,17 @@
         };
         let serving = async {
             // After an error other than invalid headers, the caller cannot receive a response.
-            let _ = connection.as_mut().await;
+            if let Err(error) = connection.as_mut().await {
+                self.slot.record_error(&error);
+            }
             true
         };
         if !serving.or(stopping).await {
             // A request that has started to arrive is still answered.
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            if let Err(error) = connection.await {
+                self.slot.record_error(&error);
+            }
         }
         if self.monitor().has_invalid_head() {
             return ConnectionEnd::InvalidHeaders;
--- a/crates/magnoliapin_entry/tests/callers.rs
+++ b/crates/magnoliapin_entry/tests/callers.rs
@@ -77,6 +77,19 @@
     assert_refused(&response_to(&handle, path.as_bytes()), 400, "bad_request");
 }
 
+/// Guards against heads that `hyper` refuses by itself and that no counter shows.
+#[test]
+fn oversized_headers_are_counted() {
+    let handle = start();
+    let long = format!("GET /healthz HTTP/1.1\r\nlong: {}\r\n\r\n", "x".repeat(100_000));
+    let many = format!("GET /healthz HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(1_000));
+    for bytes in [long, many] {
+        assert_refused(&response_to(&handle, bytes.as_bytes()), 400, "bad_request");
+    }
+    let name = "magnoliapin_limited_callers_total{reason=\"large_head\"}";
+    assert_eq!(metric(&handle.metrics_text(), name), 2.0);
+}
+
 #[test]
 fn incomplete_headers_time_out_with_408() {
     let handle = start();
--- a/crates/magnoliapin_http/src/registry.rs
+++ b/crates/magnoliapin_http/src/registry.rs
@@ -303,6 +303,13 @@
         reason.filter(|reason| matches!(reason, LimitReason::LargeHead | LimitReason::SlowHead))
     }
 
+    /// Counts the refusal of a head if it is why `hyper` has ended the connection.
+    pub fn record_error(&self, error: &hyper::Error) {
+        if error.is_parse_too_large() {
+            self.registry.record(LimitReason::LargeHead);
+        }
+    }
+
     /// Counts bytes of a body before they are read. Returns whether they are available.
     #[must_use]
     pub fn reserve(&self, bytes: u64, priority: BytePriority) -> bool {
--- a/crates/magnoliapin_node/src/client_server.rs
+++ b/crates/magnoliapin_node/src/client_server.rs
@@ -189,6 +189,9 @@
             .max_buf_size(limits.read_buffer_bytes())
             .serve_connection(FuturesIo::new(io), service)
             .await;
+        if let Err(error) = &result {
+            slot.record_error(error);
+        }
         let reason = monitor.end_reason();
         if let Some(reason) = slot.head_refusal() {
             // Does not wait: a refusal is smaller than the socket's buffer.
