--- a/crates/magnoliapin/tests/floods_support/mod.rs
+++ b/crates/magnoliapin/tests/floods_support/mod.rs
@@ -48,7 +48,7 @@
         let open = fs::read_dir(format!("/proc/{process}/fd")).expect("it lives").count();
         println!("peak_kb={peak} descriptors={open}");
         assert!(peak < self.memory_mb * 1024, "{peak} KiB of {} MiB", self.memory_mb);
-        // The page reserves 200 descriptors for files.
+        // The machine counts up to 200 files among its descriptors.
         assert!(open < self.max_fds - 200, "{open} descriptors of {}", self.max_fds);
     }
 }
--- a/crates/magnoliapin_http/src/body.rs
+++ b/crates/magnoliapin_http/src/body.rs
@@ -84,7 +84,7 @@
     }
     slot.monitor().start_body();
     let result = fill(&mut buffered, body).await;
-    // What the limit did takes precedence over the error that follows from it.
+    // A connection that a limit has ended also reads a truncated body.
     let ended = slot.monitor().end_reason();
     match result {
         Ok(()) => {
--- a/crates/magnoliapin_http/src/reason.rs
+++ b/crates/magnoliapin_http/src/reason.rs
@@ -107,7 +107,7 @@
     /// Counts one case, and logs it unless the reason was logged less than a second ago.
     pub fn record(&self, reason: LimitReason) {
         let count = self.counts[reason as usize].fetch_add(1, Ordering::Relaxed) + 1;
-        // Idle connections are closed in calm as well.
+        // Idle connections are also closed without load, so that a log line would mean nothing.
         if reason == LimitReason::Idle {
             return;
         }
--- a/crates/magnoliapin_http/src/registry.rs
+++ b/crates/magnoliapin_http/src/registry.rs
@@ -171,7 +171,7 @@
         slowest.is_some()
     }
 
-    /// Waits until the evicted connections are closed, so that accepting does not outrun closing.
+    /// Waits until the evicted connections are closed, so that no more are accepted than are closed.
     pub async fn settle(&self) {
         let is_over = || {
             let state = self.lock();
@@ -207,7 +207,7 @@
         }
     }
 
-    /// Logs the counters if they have changed since they were last logged.
+    /// Logs the counters at most every [`SUMMARY_INTERVAL`], if they have changed.
     pub fn log_summary(&self, address: &str) {
         let mut state = self.lock();
         if state.summary_at.elapsed() < SUMMARY_INTERVAL {
--- a/crates/magnoliapin_node/src/client_server.rs
+++ b/crates/magnoliapin_node/src/client_server.rs
@@ -76,7 +76,7 @@
     pub(crate) active_requests: Cell<usize>,
     /// Open connections of clients.
     pub(crate) clients: Arc<ClientRegistry>,
-    /// Open connections to the readiness address, which floods of clients do not use up.
+    /// Open connections to the readiness address, which do not count towards those of clients.
     pub(crate) readiness: Arc<ClientRegistry>,
     memory_bytes: usize,
     max_descriptors: usize,
--- a/crates/magnoliapin_node/src/node_loop.rs
+++ b/crates/magnoliapin_node/src/node_loop.rs
@@ -98,7 +98,7 @@
         }
     }
 
-    /// Ends connections that are too slow, and logs what the limits did.
+    /// Ends connections that exceed a time limit, and logs the counters of the limits.
     fn sweep_connections(&self) {
         let registries = [
             ("clients", &self.server.clients),
