--- a/crates/magnoliapin_http/src/registry.rs
+++ b/crates/magnoliapin_http/src/registry.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use futures_lite::future;
 use indexmap::IndexMap;
 use smol::net::TcpStream;
+use smol::Timer;
 
 use crate::ClientLimits;
 use crate::ConnectionMonitor;
@@ -29,6 +29,9 @@
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
 /// Longest time for which accepting waits until evicted connections are closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time between two checks whether they are closed. Checking without a pause would take all the
+/// processor time of a node.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Part of the bytes that a body may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -168,7 +171,7 @@
         slowest.is_some()
     }
 
-    /// Waits until the evicted connections are closed, so that accepting does not outrun closing.
+    /// Waits until the evicted connections are closed, so that no more are accepted than are closed.
     pub async fn settle(&self) {
         let is_over = || {
             let state = self.lock();
@@ -179,7 +182,7 @@
         }
         let deadline = Instant::now() + CLOSE_TIMEOUT;
         while is_over() && Instant::now() < deadline {
-            future::yield_now().await;
+            Timer::after(CLOSE_POLL_INTERVAL).await;
         }
     }
 
@@ -204,7 +207,7 @@
         }
     }
 
-    /// Logs the counters if they have changed since they were last logged.
+    /// Logs the counters at most every [`SUMMARY_INTERVAL`], if they have changed.
     pub fn log_summary(&self, address: &str) {
         let mut state = self.lock();
         if state.summary_at.elapsed() < SUMMARY_INTERVAL {
@@ -300,6 +303,13 @@
         reason.filter(|reason| matches!(reason, LimitReason::LargeHead | LimitReason::SlowHead))
     }
 
+    /// Counts the refusal of a head if it is why `hyper` has ended the connection.
+    pub fn record_error(&self, error: &hyper::Error) {
+        if error.is_parse_too_large() {
+            self.registry.record(LimitReason::LargeHead);
+        }
+    }
+
     /// Counts bytes of a body before they are read. Returns whether they are available.
     #[must_use]
     pub fn reserve(&self, bytes: u64, priority: BytePriority) -> bool {
--- a/crates/magnoliapin_node/src/client_server.rs
+++ b/crates/magnoliapin_node/src/client_server.rs
@@ -76,7 +76,7 @@
     pub(crate) active_requests: Cell<usize>,
     /// Open connections of clients.
     pub(crate) clients: Arc<ClientRegistry>,
-    /// Open connections to the readiness address, which floods of clients do not use up.
+    /// Open connections to the readiness address, which do not count towards those of clients.
     pub(crate) readiness: Arc<ClientRegistry>,
     memory_bytes: usize,
     max_descriptors: usize,
@@ -189,6 +189,9 @@
             .max_buf_size(limits.read_buffer_bytes())
             .serve_connection(FuturesIo::new(io), service)
             .await;
+        if let Err(error) = &result {
+            slot.record_error(error);
+        }
         let reason = monitor.end_reason();
         if let Some(reason) = slot.head_refusal() {
             // Does not wait: a refusal is smaller than the socket's buffer.
