Read the operator's rows more often where the bound on evacuations is short

Cause: a start is held unless the rows are known recently enough for the bound. With a bound of 1.5 s or less all starts were held for good, below 4.2 s those of a healthy site at times. Change: the watches wait at most a third of what the bound leaves beside the transit of a start; a bound below 2.1 s counts as 2.1 s. Sites with a bound of 4.5 s or more, or none, keep their interval.

--- a/crates/magnoliapin_http/src/registry.rs
+++ b/crates/magnoliapin_http/src/registry.rs
@@ -207,7 +207,7 @@
         }
     }
 
-    /// Logs the counters at most every [`SUMMARY_INTERVAL`], if they have changed.
+    /// Logs the counters if they have changed, with a pause between two messages.
     pub fn log_summary(&self, address: &str) {
         let mut state = self.lock();
         if state.summary_at.elapsed() < SUMMARY_INTERVAL {
--- a/crates/magnoliapin_scheduler/src/leader/zone_evacuation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/zone_evacuation.rs
@@ -27,6 +27,7 @@
 use crate::leader::Leader;
 use crate::outbox::Outbox;
 use crate::site_watch::EvacuatedZones;
+use crate::times::START_TRANSIT_TIME;
 use crate::NodeTimes;
 
 #[cfg(test)]
@@ -93,8 +94,7 @@
     // A call that waits for its agent expires with its timeout, and the agent's own call with it. The
     // target is reached later than the sender knows by at most the slack of a reply. Each repeated
     // start is checked anew.
-    let transit = times.order_timeout * 2 + times.reply_slack;
-    known_at.is_some_and(|at| now + transit <= at + bound)
+    known_at.is_some_and(|at| now + START_TRANSIT_TIME <= at + bound)
 }
 
 /// Returns whether a long-running task whose step permits one more unavailable task may be stopped so
--- a/crates/magnoliapin_scheduler/src/leader/zone_evacuation_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/zone_evacuation_tests.rs
@@ -4,6 +4,7 @@
 
 use magnoliapin_model::Moment;
 use magnoliapin_site::RunId;
+use magnoliapin_site::SiteBounds;
 use magnoliapin_site::TargetRequest;
 use magnoliapin_site::ZoneName;
 
@@ -72,6 +73,24 @@
     (starts, count(|request| matches!(request, TargetRequest::Stop { .. })))
 }
 
+/// Guards against a leader that holds all starts of a healthy site because its settings have a short bound,
+/// and against other intervals on sites with the usual one or none.
+#[test]
+fn short_bounds_leave_time_between_two_replies_of_the_watch() {
+    let times = |bound_ms: Option<u64>| {
+        let evacuation_time = bound_ms.map(Duration::from_millis);
+        NodeTimes::new(&SiteBounds { evacuation_time, ..site_bounds() })
+    };
+    assert_eq!(times(None).watch_wait, times(Some(5_000)).watch_wait);
+    for bound_ms in [1, 1_500, 2_500, 3_500, 5_000] {
+        let times = times(Some(bound_ms));
+        // A reply shows the rows as of when its call was sent, and the next call waits as long again.
+        let known_at = Moment::from_millis(10_000);
+        let now = known_at + times.watch_wait * 2;
+        assert!(may_send_start(now, Some(known_at), &times), "{bound_ms}");
+    }
+}
+
 /// Guards against starts that are sent so late after the last contact that they begin after the bound of
 /// an evacuation that is not known, and against starts that wait while the store is only slow.
 #[test]
--- a/crates/magnoliapin_scheduler/src/times.rs
+++ b/crates/magnoliapin_scheduler/src/times.rs
@@ -50,10 +50,15 @@
     /// Derives the bounds from those of the site.
     pub fn new(bounds: &SiteBounds) -> Self {
         let renewal_interval = bounds.order_spacing / 6;
+        let evacuation_time = bounds.evacuation_time.map(|time| time.max(MIN_EVACUATION_TIME));
+        // The operator's rows must be known more recently than a bound on evacuations allows starts.
+        let watch_wait = evacuation_time.map_or(MAX_WATCH_WAIT, |time| {
+            (time.saturating_sub(START_TRANSIT_TIME) / 3).min(MAX_WATCH_WAIT)
+        });
         Self {
             renewal_interval,
             leader_timeout: renewal_interval * 3,
-            watch_wait: Duration::from_millis(1_000),
+            watch_wait,
             reply_slack: Duration::from_millis(700),
             task_lease: (bounds.heartbeat * 4).min(bounds.max_lease),
             max_lease: bounds.max_lease,
@@ -67,11 +72,19 @@
             order_spacing: bounds.order_spacing,
             maintenance_time: bounds.maintenance_time,
             outcome_retention: bounds.outcome_retention,
-            evacuation_time: bounds.evacuation_time,
+            evacuation_time,
         }
     }
 }
 
+/// Longest wait of a watch call.
+const MAX_WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// Time after which a start that was sent has begun or has failed: two timeouts of orders, one of them by an
+/// agent, and the slack of a reply.
+pub(crate) const START_TRANSIT_TIME: Duration = Duration::from_millis(1_500);
+/// Shortest bound on evacuations that is kept. With a shorter one no start could be sent in time.
+const MIN_EVACUATION_TIME: Duration = Duration::from_millis(2_100);
+
 /// Maximum fraction by which a target's clock may run slower than real time.
 pub(crate) const CLOCK_DRIFT: f64 = 0.02;
 /// Longest time for which an order without a reply may be on its way.
