--- a/crates/magnoliapin_scheduler/src/decisions/job_order.rs
+++ b/crates/magnoliapin_scheduler/src/decisions/job_order.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: more work waits in a pool than it can start. Jobs are ranked by the priority of
 //! their queue. Within one priority, long-running jobs come first, then jobs that can still be in
-//! time, then late ones. Within one class, jobs of teams over their share come last; then the value
-//! per remaining work decides, then the age.
+//! time, then late ones. Within one class, jobs beyond the share of their team come last; then the
+//! value per remaining work decides, then the age.
 
 use std::cmp::Ordering;
 use std::time::Duration;
@@ -62,7 +62,7 @@
     /// Priority of the queue; lower numbers go first.
     pub(crate) priority: u32,
     pub(crate) class: RankClass,
-    /// Whether its pool is contended and its team uses more than its share.
+    /// Whether its pool is contended and it arrived beyond the share of its team.
     pub(crate) is_over_share: bool,
     /// Value relative to the average job of its queue.
     pub(crate) value: f64,
