--- a/crates/magnoliapin/tests/floods.rs
+++ b/crates/magnoliapin/tests/floods.rs
@@ -1,5 +1,7 @@
 //! Runs a node and an entry against clients that could exhaust memory, descriptors or connections.
 
+#[path = "floods/accepted_jobs.rs"]
+mod accepted_jobs;
 mod floods_support;
 #[path = "../../../platform/tests/support/mod.rs"]
 mod platform;
--- a/crates/magnoliapin/tests/floods_support/mod.rs
+++ b/crates/magnoliapin/tests/floods_support/mod.rs
@@ -21,6 +21,7 @@
 use rustix::process::Signal;
 
 use crate::platform::FakePlatform;
+use crate::platform::ROW_BYTES;
 use crate::support::program;
 use crate::support::scratch_file;
 use crate::support::site::wait_for;
@@ -53,7 +54,10 @@
     }
 }
 
-/// A node with a platform that serves only this node; killed on drop.
+/// Keys of two teams that may use the queue `k`.
+pub const TEAM_KEYS: [&str; 2] = ["key-of-team-a", "key-of-team-b"];
+
+/// A node and its platform; killed on drop.
 pub struct TestNode {
     pub platform: Arc<FakePlatform>,
     pub clients: SocketAddr,
@@ -64,17 +68,24 @@
 }
 
 impl TestNode {
-    /// Starts a node and waits until it accepts jobs.
+    /// Starts a node with a platform of its own and waits until it accepts jobs.
     pub fn start(name: &str, limits: MachineLimits) -> Self {
         let platform = FakePlatform::start();
         platform.put("op", "config", config(1, 1024 * 1024).as_bytes());
+        Self::join(&platform, name, limits)
+    }
+
+    /// Starts a node on a platform that has a configuration, and waits until it accepts jobs.
+    pub fn join(platform: &Arc<FakePlatform>, name: &str, limits: MachineLimits) -> Self {
+        let platform = Arc::clone(platform);
         let free = || TcpListener::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
         let [clients, ready, peers] =
             [free(), free(), free()].map(|address| address.expect("a port is free"));
         let settings = format!(
-            "node_name = \"n\"\nzone = \"z\"\nip = \"127.0.0.1\"\nport_range = [{}, {}]\n\
+            "node_name = \"{name}\"\nzone = \"z\"\nip = \"127.0.0.1\"\nport_range = [{}, {}]\n\
              [listen_addrs]\nfrontend = \"{clients}\"\nready = \"{ready}\"\n\
              [platform]\naddr = \"{}\"\nwrites_per_s = 800\nreads_per_s = 2000\n\
+             row_bytes = {ROW_BYTES}\n\
              [limits]\nmemory_mb = {}\nmax_fds = {}\n",
             peers.port(),
             peers.port(),
@@ -107,6 +118,12 @@
         status(self.clients, request.as_bytes()) == Some(200)
     }
 
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process is a child");
+    }
+
     /// Checks that the node lives within its limits and answers ordinary requests.
     pub fn check(&self) {
         wait_for("an ordinary job is accepted", || self.accepts_job("00000000000000a2"));
@@ -141,18 +158,26 @@
         "{{\"version\":{version},\"routes\":[{{\"name\":\"q\",\"host\":\"h\",\
          \"path_prefix\":\"/q/\",\"service\":\"s\",\"public\":true}},{{\"name\":\"k\",\
          \"host\":\"h\",\"path_prefix\":\"/k/\",\"service\":\"s\"}}],\
-         \"services\":[{{\"name\":\"s\"}}],\"limits\":{{\"max_body_bytes\":{body_bytes}}}}}"
+         \"services\":[{{\"name\":\"s\",\"enforces_capacity\":true}}],\
+         \"tenants\":[{{\"name\":\"a\",\"api_keys\":[\"{}\"],\"weight\":1}},\
+         {{\"name\":\"b\",\"api_keys\":[\"{}\"],\"weight\":1}}],\"limits\":{{\"max_body_bytes\":{body_bytes}}}}}",
+        TEAM_KEYS[0], TEAM_KEYS[1],
     )
 }
 
 /// Sends a request whose response closes the connection, and returns the status.
 pub fn status(address: SocketAddr, request: &[u8]) -> Option<u16> {
+    exchange(address, request)?.split(' ').nth(1)?.parse().ok()
+}
+
+/// Sends a request whose response closes the connection, and returns the response.
+pub fn exchange(address: SocketAddr, request: &[u8]) -> Option<String> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
     stream.write_all(request).ok()?;
     let mut response = Vec::new();
     stream.read_to_end(&mut response).ok()?;
-    String::from_utf8_lossy(&response).split(' ').nth(1)?.parse().ok()
+    Some(String::from_utf8_lossy(&response).into_owned())
 }
 
 /// Waits until the process that listens here has read what its clients have sent, for a limited
--- a/crates/magnoliapin_scheduler/src/agent.rs
+++ b/crates/magnoliapin_scheduler/src/agent.rs
@@ -18,10 +18,12 @@
 use magnoliapin_site::JobId;
 use magnoliapin_site::PeerReply;
 use magnoliapin_site::PeerRequest;
+use magnoliapin_site::StoredInput;
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetReply;
 use magnoliapin_site::TargetRequest;
 
+use crate::input_loader::PendingStart;
 use crate::known_report::KnownReport;
 use crate::outbox::Outbox;
 use crate::CallId;
@@ -33,6 +35,8 @@
 
 /// Maximum number of inputs of jobs that are kept; the leader sends one again if it is missing.
 const MAX_PAYLOADS: usize = 4_096;
+/// Maximum total size of the inputs that are kept, in bytes.
+const MAX_PAYLOAD_BYTES: usize = 16 * 1024 * 1024;
 /// Time after which a batch of replies counts as lost; the leader repeats its calls then.
 const REPLIES_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -52,7 +56,17 @@
     number: u64,
     leader: SocketAddr,
     targets: IndexMap<u32, SessionTarget>,
-    payloads: IndexMap<JobId, String>,
+    payloads: IndexMap<JobId, JobInput>,
+    /// Total size of the inputs that are kept.
+    payload_bytes: usize,
+}
+
+/// Input of a job.
+#[derive(Debug)]
+enum JobInput {
+    Text(String),
+    /// It is read from the store for each start.
+    Stored(StoredInput),
 }
 
 #[derive(Debug)]
@@ -80,6 +94,7 @@
         &mut self,
         batch: AgentBatch,
         fences: Vec<(u64, u64)>,
+        inputs: &[(JobId, StoredInput)],
         known_generation: u64,
         out: &mut Outbox,
     ) -> PeerReply {
@@ -112,7 +127,7 @@
                 self.session.insert(AgentSession::new(batch.session, leader))
             }
         };
-        session.learn(&batch);
+        session.learn(&batch, inputs);
         let fences: IndexMap<u64, u64> = fences.into_iter().collect();
         for call in batch.calls {
             let fence = fences.get(&call.call).copied().unwrap_or(batch.generation);
@@ -135,7 +150,7 @@
         };
         let target = session.targets.get(&call.target);
         let request = session.target_request(call.request, fence);
-        let Some((target, request)) = target.zip(request) else {
+        let Some((target, (request, input))) = target.zip(request) else {
             return self.replies.push((call.call, AgentReply::Missing));
         };
         let timeout = match &request {
@@ -143,13 +158,21 @@
             _ => Duration::from_millis(call.timeout_ms).min(expires_at.since(out.now)),
         };
         let id = out.next_call();
-        out.push(NodeAction::Target {
-            call: id,
-            target: target.name.clone(),
-            address: target.address,
-            request,
-            timeout,
-        });
+        let (name, address) = (target.name.clone(), target.address);
+        match input {
+            Some((job, input)) => out.push_stored_start(PendingStart {
+                call: id,
+                target: name,
+                address,
+                request,
+                timeout,
+                job,
+                input,
+            }),
+            None => {
+                out.push(NodeAction::Target { call: id, target: name, address, request, timeout });
+            }
+        }
         let pending =
             PendingCall { session: session.number, call: call.call, target: call.target, base };
         self.calls.insert(id, pending);
@@ -195,11 +218,17 @@
 
 impl AgentSession {
     fn new(number: u64, leader: SocketAddr) -> Self {
-        Self { number, leader, targets: IndexMap::new(), payloads: IndexMap::new() }
+        Self {
+            number,
+            leader,
+            targets: IndexMap::new(),
+            payloads: IndexMap::new(),
+            payload_bytes: 0,
+        }
     }
 
     /// Adds the targets and inputs of a batch.
-    fn learn(&mut self, batch: &AgentBatch) {
+    fn learn(&mut self, batch: &AgentBatch, inputs: &[(JobId, StoredInput)]) {
         for target in &batch.targets {
             let known = self.targets.entry(target.number).or_insert_with(|| SessionTarget {
                 name: target.name.clone(),
@@ -208,19 +237,39 @@
             });
             known.address = target.address;
         }
-        if self.payloads.len() > MAX_PAYLOADS {
-            self.payloads.drain(..MAX_PAYLOADS / 2);
+        if self.payloads.len() > MAX_PAYLOADS || self.payload_bytes > MAX_PAYLOAD_BYTES {
+            self.payloads.drain(..self.payloads.len() / 2);
+            self.payload_bytes = self.payloads.values().map(JobInput::text_bytes).sum();
         }
         for (job, payload) in &batch.payloads {
-            self.payloads.entry(*job).or_insert_with(|| payload.clone());
+            self.payloads.entry(*job).or_insert_with(|| {
+                self.payload_bytes += payload.len();
+                JobInput::Text(payload.clone())
+            });
+        }
+        for (job, input) in inputs {
+            self.payloads.entry(*job).or_insert(JobInput::Stored(*input));
         }
     }
 
-    /// Returns the request to the target; `None` if the input of its job is not known.
-    fn target_request(&self, request: AgentRequest, fence: u64) -> Option<TargetRequest> {
-        Some(match request {
+    /// Returns the request to the target, and where the input of its job is stored if the request lacks
+    /// it; `None` if the input is not known.
+    fn target_request(
+        &self,
+        request: AgentRequest,
+        fence: u64,
+    ) -> Option<(TargetRequest, Option<(JobId, StoredInput)>)> {
+        let mut stored = None;
+        let request = match request {
             AgentRequest::Start { run, lease_until_ms, checkpoint, ticket } => {
-                let payload = self.payloads.get(&run.task.job)?.clone();
+                let job = run.task.job;
+                let payload = match self.payloads.get(&job)? {
+                    JobInput::Text(text) => text.clone(),
+                    JobInput::Stored(input) => {
+                        stored = Some((job, *input));
+                        String::new()
+                    }
+                };
                 TargetRequest::Start { run, payload, lease_until_ms, fence, checkpoint, ticket }
             }
             AgentRequest::Stop { run } => TargetRequest::Stop { run, fence },
@@ -229,6 +278,17 @@
                 TargetRequest::Heartbeat { fence, acked_completion, lease_until_ms, wait }
             }
             AgentRequest::Pace { run, percent } => TargetRequest::Pace { run, percent, fence },
-        })
+        };
+        Some((request, stored))
+    }
+}
+
+impl JobInput {
+    /// Returns the size of the text that is kept, in bytes.
+    fn text_bytes(&self) -> usize {
+        match self {
+            Self::Text(text) => text.len(),
+            Self::Stored(_) => 0,
+        }
     }
 }
--- a/crates/magnoliapin_scheduler/src/agent_tests.rs
+++ b/crates/magnoliapin_scheduler/src/agent_tests.rs
@@ -54,7 +54,7 @@
     known_generation: u64,
     out: &mut Outbox,
 ) -> PeerReply {
-    agent.handle_batch(batch, Vec::new(), known_generation, out)
+    agent.handle_batch(batch, Vec::new(), &[], known_generation, out)
 }
 
 /// Returns the calls to targets among the pending actions.
@@ -121,7 +121,7 @@
     let (mut agent, mut out) = (Agent::default(), Outbox::new(1));
     let mut batch = batch(2, 1, 77);
     batch.calls.push(AgentCall { call: 78, ..batch.calls[0].clone() });
-    agent.handle_batch(batch, vec![(78, 5)], 2, &mut out);
+    agent.handle_batch(batch, vec![(78, 5)], &[], 2, &mut out);
     let mut actions = Vec::new();
     out.take_actions(&mut actions);
     let fences = actions.iter().filter_map(|action| match action {
--- a/crates/magnoliapin_scheduler/src/client_handler.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler.rs
@@ -4,11 +4,13 @@
 mod forward;
 mod read;
 mod submit;
+mod upload;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use magnoliapin_model::ByteSize;
 use magnoliapin_model::Moment;
 use magnoliapin_model::RowVersion;
 use magnoliapin_site::CallFailure;
@@ -22,13 +24,17 @@
 use magnoliapin_site::QueueRule;
 use magnoliapin_site::RefusalReason;
 use magnoliapin_site::SiteConfig;
+use magnoliapin_site::StoreLimits;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
 use magnoliapin_site::TeamName;
+use magnoliapin_site::UploadId;
+use rand::Rng;
 
 use self::cancel::CancelStage;
 use self::read::ReadStage;
 use self::submit::Submission;
+use self::upload::Upload;
 use crate::outbox::Outbox;
 use crate::route_table::RouteTable;
 use crate::CallId;
@@ -46,8 +52,14 @@
 /// Delay after which a client should repeat a request that was refused because the configuration may be
 /// outdated. Mostly the store answers no node then, and clients repeat a request only a few times.
 const UNCONFIRMED_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Largest number of bytes that the version of an upload adds to the row of a job once it is known.
+const VERSION_BYTES: usize = 9;
 /// Part of the client's timeout that is reserved for returning the reply.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
+/// Size up to which the input of a job is kept in the row of the job.
+const MAX_INLINE_INPUT: ByteSize = ByteSize(8 * 1024);
+/// Size of the largest input. Each node that starts tasks of the job has it in memory.
+const MAX_INPUT: ByteSize = ByteSize(4 * 1024 * 1024);
 /// Maximum number of jobs that a node caches; the others are read from the store.
 const MAX_KNOWN_JOBS: usize = 20_000;
 
@@ -55,6 +67,7 @@
 #[derive(Debug)]
 pub(crate) struct ClientHandler {
     partition_count: u32,
+    limits: StoreLimits,
     routes: RouteTable,
     has_config: bool,
     /// Requests that wait for a reply of the store.
@@ -106,6 +119,8 @@
 
 #[derive(Clone, Debug)]
 enum RequestStage {
+    /// Stores the input of a job, before the job is submitted.
+    Upload(Upload),
     Submit(Submission),
     Read(ReadStage),
     Cancel(CancelStage),
@@ -113,9 +128,10 @@
 
 impl ClientHandler {
     /// Creates a handler that refuses all requests until it has a configuration.
-    pub(crate) fn new(partition_count: u32) -> Self {
+    pub(crate) fn new(partition_count: u32, limits: StoreLimits) -> Self {
         Self {
             partition_count,
+            limits,
             routes: RouteTable::default(),
             has_config: false,
             requests: IndexMap::new(),
@@ -240,6 +256,9 @@
         match reply {
             StoreReply::Failed(failure) => self.retry(request, *failure, out),
             reply => match request.stage.clone() {
+                RequestStage::Upload(upload) => {
+                    self.handle_upload_reply(&request, upload, reply, out);
+                }
                 RequestStage::Submit(submission) => {
                     self.handle_submit_reply(&request, &submission, reply, out);
                 }
@@ -279,7 +298,7 @@
         }
         // A change with an unknown outcome must not be reported as refused: the store may still
         // carry it out.
-        let may_change = !matches!(request.stage, RequestStage::Read(_));
+        let may_change = !matches!(request.stage, RequestStage::Read(_) | RequestStage::Upload(_));
         let reply = if may_change && request.unknown_outcomes > 0 {
             ClientReply::OutcomeUnknown
         } else {
@@ -291,12 +310,30 @@
             request.refused_calls,
             request.unknown_outcomes
         );
+        if matches!(reply, ClientReply::Refused { .. }) {
+            self.drop_upload(&request, out);
+        }
         out.reply(request.client, reply);
     }
 
+    /// Removes the input of a job that is refused.
+    fn drop_upload(&self, request: &PendingRequest, out: &mut Outbox) {
+        let input = match &request.stage {
+            RequestStage::Upload(upload) => {
+                Some(upload.stored_input()).filter(|_| !upload.is_new())
+            }
+            RequestStage::Submit(submission) => submission.input(),
+            RequestStage::Read(_) | RequestStage::Cancel(_) => None,
+        };
+        if let Some(input) = input {
+            self.remove_upload(request.job, input, out);
+        }
+    }
+
     /// Makes the store call for the request's stage.
     fn send_to_store(&mut self, request: PendingRequest, out: &mut Outbox) {
         let store_request = match &request.stage {
+            RequestStage::Upload(upload) => self.upload_store_request(request.job, upload),
             RequestStage::Submit(submission) => self.submit_store_request(request.job, submission),
             RequestStage::Read(stage) => self.read_store_request(request.job, *stage),
             RequestStage::Cancel(stage) => self.cancel_store_request(request.job, *stage),
@@ -331,6 +368,12 @@
     deadline: Moment,
 }
 
+impl PendingRequest {
+    fn context(&self) -> RequestContext {
+        RequestContext { client: self.client, job: self.job, deadline: self.deadline }
+    }
+}
+
 impl RequestContext {
     fn with_stage(self, stage: RequestStage) -> PendingRequest {
         let Self { client, job, deadline } = self;
@@ -352,8 +395,33 @@
         spec: magnoliapin_site::JobSpec,
         out: &mut Outbox,
     ) {
-        let submission = Submission::new(spec, queue, team, out.wall_now());
-        self.forward(context.with_stage(RequestStage::Submit(submission)), out);
+        let row = submit::new_row(spec, queue, team, out.wall_now());
+        let inline_bytes = (MAX_INLINE_INPUT.0 as usize).min(self.limits.value_bytes() / 2);
+        let input_bytes = row.spec.payload.len();
+        if input_bytes > MAX_INPUT.0 as usize {
+            return self.refuse_large(context, "the input of the job", MAX_INPUT, out);
+        }
+        let stage = if input_bytes > inline_bytes {
+            let upload = Upload::new(row, UploadId(out.random.random()), self.limits);
+            let head = Submission::new(upload.row(), Some(upload.stored_input()));
+            (head, RequestStage::Upload(upload))
+        } else {
+            let submission = Submission::new(&row, None);
+            (submission.clone(), RequestStage::Submit(submission))
+        };
+        let (head, stage) = stage;
+        if head.encoded_row().len() + VERSION_BYTES > self.limits.value_bytes() {
+            let limit = ByteSize(self.limits.value_bytes() as u64);
+            return self.refuse_large(context, "the job without its input", limit, out);
+        }
+        self.forward(context.with_stage(stage), out);
+    }
+
+    /// Refuses for good a job that cannot be stored.
+    fn refuse_large(&self, context: RequestContext, what: &str, limit: ByteSize, out: &mut Outbox) {
+        log::info!("event=job_too_large job={} limit={limit}", context.job);
+        let reason = format!("{what} takes more than {limit} bytes");
+        out.reply(context.client, ClientReply::TooLarge(reason));
     }
 
     fn read(&mut self, context: RequestContext, out: &mut Outbox) {
--- a/crates/magnoliapin_scheduler/src/client_handler/forward.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler/forward.rs
@@ -44,7 +44,10 @@
                 let row = submission.encoded_row().to_vec();
                 (PeerRequest::Submit { job: request.job, row, timeout_ms }, CHANGE_TIMEOUT)
             }
-            RequestStage::Read(_) => (PeerRequest::Read(request.job), READ_TIMEOUT),
+            // A job that is known already needs no upload.
+            RequestStage::Upload(_) | RequestStage::Read(_) => {
+                (PeerRequest::Read(request.job), READ_TIMEOUT)
+            }
             RequestStage::Cancel(_) => (PeerRequest::Cancel(request.job), CHANGE_TIMEOUT),
         };
         match self.leader {
@@ -84,6 +87,11 @@
         out: &mut Outbox,
     ) -> Option<bool> {
         let mut request = self.forwarded.swap_remove(&call)?;
+        if matches!(request.stage, RequestStage::Upload(_)) {
+            let has_answered = !matches!(reply, PeerReply::Failed(_));
+            self.handle_known_reply(request, matches!(reply, PeerReply::State(_)), out);
+            return Some(has_answered);
+        }
         let client_reply = match reply {
             PeerReply::Accepted => ClientReply::Accepted,
             PeerReply::Cancelled => ClientReply::Cancelled,
--- a/crates/magnoliapin_scheduler/src/client_handler/submit.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler/submit.rs
@@ -10,7 +10,9 @@
 use magnoliapin_site::RefusalReason;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
+use magnoliapin_site::StoreRow;
 use magnoliapin_site::StoreTransaction;
+use magnoliapin_site::StoredInput;
 use magnoliapin_site::TeamName;
 
 use super::refusal;
@@ -18,6 +20,7 @@
 use super::PendingRequest;
 use crate::outbox::Outbox;
 use crate::rows;
+use crate::rows::has_job;
 use crate::rows::JobRow;
 use crate::rows::JobRule;
 
@@ -27,34 +30,47 @@
     queue: QueueName,
     task_count: u32,
     encoded_row: Vec<u8>,
+    /// Where its input is stored, if that is not in the row.
+    input: Option<StoredInput>,
 }
 
 impl Submission {
-    /// Creates and encodes the row of a job.
-    pub(super) fn new(
-        spec: JobSpec,
-        queue: &QueueRule,
-        team: Option<TeamName>,
-        accepted_at: UnixMillis,
-    ) -> Self {
-        let task_count = spec.steps.iter().map(|step| step.tasks).sum();
-        let row = JobRow {
-            spec,
-            queue: queue.name.clone(),
-            pool: queue.pool.clone(),
-            rule: JobRule::new(queue),
-            team,
-            accepted_at,
-        };
-        Self { queue: row.queue.clone(), task_count, encoded_row: rows::encode(&row) }
+    /// Encodes the row of a job.
+    pub(super) fn new(row: &JobRow, input: Option<StoredInput>) -> Self {
+        Self {
+            queue: row.queue.clone(),
+            task_count: row.spec.steps.iter().map(|step| step.tasks).sum(),
+            encoded_row: rows::encode_job(row, input.as_ref()),
+            input,
+        }
     }
-}
 
-impl Submission {
     /// Returns the encoded row.
     pub(super) fn encoded_row(&self) -> &[u8] {
         &self.encoded_row
     }
+
+    /// Returns where the input of the job is stored, if that is not in the row.
+    pub(super) fn input(&self) -> Option<StoredInput> {
+        self.input
+    }
+}
+
+/// Returns the row of a job.
+pub(super) fn new_row(
+    spec: JobSpec,
+    queue: &QueueRule,
+    team: Option<TeamName>,
+    accepted_at: UnixMillis,
+) -> JobRow {
+    JobRow {
+        spec,
+        queue: queue.name.clone(),
+        pool: queue.pool.clone(),
+        rule: JobRule::new(queue),
+        team,
+        accepted_at,
+    }
 }
 
 impl ClientHandler {
@@ -62,13 +78,33 @@
         let row = rows::job_row(rows::INTAKE, job, self.partition_count);
         let outcome = rows::job_row(rows::OUTCOME, job, self.partition_count);
         // The conditions detect a job that was submitted before, whether or not it has finished.
-        let transaction = StoreTransaction::default()
+        let mut transaction = StoreTransaction::default()
             .with_expected(row.clone(), RowVersion(0))
             .with_expected(outcome, RowVersion(0))
             .with_write(row, submission.encoded_row.clone());
+        if let Some(input) = submission.input {
+            let upload = rows::upload_row(job, input.upload, self.partition_count);
+            transaction = transaction.with_expected(upload, input.version);
+        }
         StoreRequest::Commit(transaction)
     }
 
+    /// Removes the input of a submission if the job was stored with another one.
+    fn drop_unused_upload(
+        &self,
+        job: JobId,
+        submission: &Submission,
+        found: &[StoreRow],
+        out: &mut Outbox,
+    ) {
+        let Some(input) = submission.input else { return };
+        let stored = found.iter().find(|row| row.table == rows::INTAKE);
+        let stored = stored.and_then(|row| row.value.as_deref()).and_then(rows::decode_job);
+        if stored.is_some_and(|(_, stored_input)| stored_input != Some(input)) {
+            self.remove_upload(job, input, out);
+        }
+    }
+
     pub(super) fn handle_submit_reply(
         &mut self,
         request: &PendingRequest,
@@ -87,8 +123,14 @@
                 self.known_job_mut(job).version = Some(*version);
                 ClientReply::Accepted
             }
+            // The input has been removed, as no job needed it.
+            StoreReply::Conflict(found) if submission.input.is_some() && !has_job(found, job) => {
+                log::warn!("event=request_refused job={job} why=upload_removed");
+                refusal(RefusalReason::StoreUnavailable)
+            }
             // The store holds the job, or its outcome, from an earlier submission.
-            StoreReply::Conflict(_) => {
+            StoreReply::Conflict(found) => {
+                self.drop_unused_upload(job, submission, found, out);
                 log::info!("event=job_known_already job={job} queue={}", submission.queue);
                 ClientReply::Accepted
             }
--- a/crates/magnoliapin_scheduler/src/election_tests.rs
+++ b/crates/magnoliapin_scheduler/src/election_tests.rs
@@ -18,6 +18,7 @@
 use crate::rows::LeaseRow;
 use crate::watch::tests::node_profile;
 use crate::watch::tests::site_bounds;
+use crate::watch::tests::store_limits;
 use crate::CallId;
 use crate::NodeAction;
 use crate::NodeTimes;
@@ -66,6 +67,7 @@
         times: NodeTimes::new(&site_bounds()),
         instance_orders_per_s: 64.0,
         instance_lists_per_s: 64.0,
+        store_limits: store_limits(),
     };
     let mut out = Outbox::new(1);
     let mut election = Election::new(identity);
--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -31,6 +31,7 @@
 mod registrations;
 mod submissions;
 mod target;
+mod uploads;
 mod zone_evacuation;
 
 use std::rc::Rc;
@@ -48,12 +49,14 @@
 use magnoliapin_site::Resources;
 use magnoliapin_site::RunId;
 use magnoliapin_site::SiteConfig;
+use magnoliapin_site::StoreLimits;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetReply;
 use magnoliapin_site::TaskName;
 use magnoliapin_site::TeamName;
+use magnoliapin_site::UploadId;
 use magnoliapin_site::WaveState;
 
 use self::agent_links::AgentLinks;
@@ -77,6 +80,8 @@
 pub(crate) use self::submissions::Requester;
 use self::target::Target;
 use self::target::TargetKey;
+use self::uploads::UploadCleaner;
+use self::uploads::UploadRemoval;
 use self::zone_evacuation::ZoneEvacuation;
 use crate::decisions::team_shares::TeamShares;
 use crate::election::AcquiredLease;
@@ -95,6 +100,7 @@
     pub(crate) instance_orders_per_s: f64,
     /// Rate limit of reads of the list of instances, in pages per second.
     pub(crate) instance_lists_per_s: f64,
+    pub(crate) store_limits: StoreLimits,
 }
 
 /// State of the leader.
@@ -130,6 +136,7 @@
     pools: IndexMap<PoolName, Pool>,
     team_use: IndexMap<TeamName, Resources>,
     team_shares: TeamShares,
+    upload_cleaner: UploadCleaner,
     /// Incarnations of targets that may execute runs of the previous leader and have not reported
     /// yet.
     previous_incarnations: IndexMap<TargetName, PreviousIncarnation>,
@@ -212,6 +219,9 @@
     ReadWave(u64),
     StoreWave(u64),
     ReportWave(u64, WaveState),
+    /// Reads a page of the uploads of a partition; holds those without a job on the pages before.
+    ListUploads(u32, Vec<UploadId>),
+    RemoveUpload(UploadRemoval),
 }
 
 /// Kind of a call to a target that is in flight.
@@ -293,6 +303,7 @@
             pools: IndexMap::new(),
             team_use: IndexMap::new(),
             team_shares: TeamShares::default(),
+            upload_cleaner: UploadCleaner::new(out.now),
             previous_incarnations: IndexMap::new(),
             unconfirmed_runs: IndexMap::new(),
             previous_runs_resolved: false,
@@ -363,6 +374,7 @@
         self.poll_zones(out);
         self.poll_fleet(out);
         self.refuse_expired_submissions(out);
+        self.poll_uploads(out);
     }
 
     /// Dispatches tasks and sends the resulting orders and writes after a batch of events.
@@ -410,6 +422,12 @@
             LeaderCall::ReportWave(wave, state) => {
                 self.handle_wave_report_reply(wave, state, reply);
             }
+            LeaderCall::ListUploads(partition, unneeded) => {
+                self.handle_uploads_reply(partition, unneeded, reply, out);
+            }
+            LeaderCall::RemoveUpload(removal) => {
+                self.handle_upload_removal_reply(removal, reply, out.now);
+            }
         }
         true
     }
--- a/crates/magnoliapin_scheduler/src/leader/agent_links.rs
+++ b/crates/magnoliapin_scheduler/src/leader/agent_links.rs
@@ -29,6 +29,7 @@
 use magnoliapin_site::PeerReply;
 use magnoliapin_site::PeerRequest;
 use magnoliapin_site::RunReport;
+use magnoliapin_site::StoredInput;
 use magnoliapin_site::TargetRecord;
 use magnoliapin_site::TargetReply;
 use magnoliapin_site::TargetRequest;
@@ -99,6 +100,8 @@
     queue: AgentBatch,
     /// Fences of those calls that are sent under a higher one than the generation.
     queued_fences: Vec<(u64, u64)>,
+    /// Stored inputs of those calls that the agent may not know yet.
+    queued_inputs: Vec<(JobId, StoredInput)>,
     /// Calls without a reply.
     outstanding: IndexMap<CallId, OutstandingCall>,
     /// Batches that the agent has not acknowledged.
@@ -143,6 +146,8 @@
     pub(super) target: TargetKey,
     pub(super) record: &'a TargetRecord,
     pub(super) request: TargetRequest,
+    /// Where the input of a start is stored, if the request does not contain it.
+    pub(super) input: Option<StoredInput>,
     pub(super) timeout: Duration,
 }
 
@@ -434,6 +439,7 @@
             payloads: IndexSet::new(),
             queue: AgentBatch { session, generation, leader, ..AgentBatch::default() },
             queued_fences: Vec::new(),
+            queued_inputs: Vec::new(),
             outstanding: IndexMap::new(),
             sent: IndexMap::new(),
         }
@@ -460,9 +466,13 @@
             TargetRequest::Start { run, payload, lease_until_ms, checkpoint, ticket, .. } => {
                 let job = run.task.job;
                 started_job = Some(job);
-                let is_listed = self.queue.payloads.iter().any(|(listed, _)| *listed == job);
+                let is_listed = self.queue.payloads.iter().any(|(listed, _)| *listed == job)
+                    || self.queued_inputs.iter().any(|(listed, _)| *listed == job);
                 if !self.payloads.contains(&job) && !is_listed {
-                    self.queue.payloads.push((job, payload));
+                    match call.input {
+                        Some(input) => self.queued_inputs.push((job, input)),
+                        None => self.queue.payloads.push((job, payload)),
+                    }
                 }
                 AgentRequest::Start { run, lease_until_ms, checkpoint, ticket }
             }
@@ -499,13 +509,20 @@
         let sent = SentBatch {
             calls: batch.calls.iter().map(|call| CallId(call.call)).collect(),
             targets: batch.targets.iter().map(|target| TargetKey(target.number.into())).collect(),
-            payloads: batch.payloads.iter().map(|(job, _)| *job).collect(),
+            payloads: batch
+                .payloads
+                .iter()
+                .map(|(job, _)| *job)
+                .chain(self.queued_inputs.iter().map(|(job, _)| *job))
+                .collect(),
         };
         let fences = std::mem::take(&mut self.queued_fences);
-        // Agents of the version before know no calls with a fence.
-        let request = match fences.is_empty() {
-            true => PeerRequest::AgentCalls(batch),
-            false => PeerRequest::RaisedAgentCalls { batch, fences },
+        let inputs = std::mem::take(&mut self.queued_inputs);
+        // Agents of earlier versions know no stored inputs, or no calls with a fence.
+        let request = match (inputs.is_empty(), fences.is_empty()) {
+            (true, true) => PeerRequest::AgentCalls(batch),
+            (true, false) => PeerRequest::RaisedAgentCalls { batch, fences },
+            (false, _) => PeerRequest::StoredInputCalls { batch, fences, inputs },
         };
         (request, sent)
     }
--- a/crates/magnoliapin_scheduler/src/leader/agent_links_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/agent_links_tests.rs
@@ -89,7 +89,8 @@
     };
     let timeout = Duration::from_millis(400);
     let target = TargetKey(1);
-    let call = OutgoingCall { call: CallId(call), target, record: &record, request, timeout };
+    let call =
+        OutgoingCall { call: CallId(call), target, record: &record, request, input: None, timeout };
     links.queue(agent, call, now);
     agent
 }
--- a/crates/magnoliapin_scheduler/src/leader/commit.rs
+++ b/crates/magnoliapin_scheduler/src/leader/commit.rs
@@ -21,6 +21,8 @@
 use crate::rows;
 use crate::rows::OutcomeRow;
 
+/// Maximum number of conditions and changes of a transaction.
+const MAX_STORE_ENTRIES: usize = 100;
 /// Number of conditions and changes at which no further job is added to a transaction: the store
 /// accepts 100, and a job adds up to six.
 const MAX_ENTRIES: usize = 90;
@@ -84,13 +86,30 @@
         let mut transaction =
             StoreTransaction::default().with_expected(rows::fence_row(partition), fence);
         let mut jobs = Vec::new();
+        let mut split_jobs = Vec::new();
+        let max_bytes = self.identity.store_limits.transaction_bytes();
+        let mut bytes = 0;
         for key in &self.partitions[partition as usize].commit.changed_jobs {
             if transaction.entry_count() >= MAX_ENTRIES {
                 break;
             }
             let Some(job) = self.jobs.get(key) else { continue };
+            let (rows, pieces) = self.job_rows(job, out);
+            bytes += rows.value_bytes();
+            let entries = transaction.entry_count() + rows.entry_count();
+            if !jobs.is_empty() && (entries > MAX_STORE_ENTRIES || bytes > max_bytes) {
+                break;
+            }
             jobs.push((*key, job.changes));
-            transaction = add_job_rows(transaction, job, self.identity.partition_count, out);
+            if pieces > job.progress_pieces {
+                split_jobs.push((*key, pieces));
+            }
+            transaction = transaction.with_all(rows);
+        }
+        for (key, pieces) in split_jobs {
+            if let Some(job) = self.jobs.get_mut(&key) {
+                job.progress_pieces = pieces;
+            }
         }
         let (transaction, submitted) = self.add_submissions(partition, MAX_ENTRIES, transaction);
         let commit = &mut self.partitions[partition as usize].commit;
@@ -195,7 +214,11 @@
         );
         self.update.finished_jobs.push((id, state));
         self.job_keys.swap_remove(&id);
-        self.jobs.swap_remove(&key);
+        if let Some(job) = self.jobs.swap_remove(&key) {
+            if let Some(input) = job.input {
+                self.upload_cleaner.add(id, input.upload, input.pieces);
+            }
+        }
         self.finished_jobs.insert(id, state);
         self.reply_to_cancellations(id, out);
         if self.finished_jobs.len() > MAX_FINISHED_JOBS {
@@ -216,32 +239,53 @@
         }
         self.send_due_heartbeats(out);
     }
-}
 
-/// Adds the rows of a changed job to a transaction.
-fn add_job_rows(
-    mut transaction: StoreTransaction,
-    job: &Job,
-    partition_count: u32,
-    out: &Outbox,
-) -> StoreTransaction {
-    let progress = rows::job_row(rows::PROGRESS, job.id, partition_count);
-    transaction.expected.push((progress.clone(), job.progress_version));
-    let Some(state) = job.final_state else {
-        transaction.writes.push((progress, rows::encode_extended(&job.progress(), &job.crashes())));
-        return transaction;
-    };
-    let outcome = rows::job_row(rows::OUTCOME, job.id, partition_count);
-    let row = OutcomeRow { state, ended_at: out.wall_now() };
-    // The condition detects an earlier transaction that was applied although its reply was lost.
-    transaction.expected.push((outcome.clone(), RowVersion(0)));
-    transaction.writes.push((outcome, rows::encode(&row)));
-    transaction.removals.push(rows::job_row(rows::INTAKE, job.id, partition_count));
-    if job.progress_version != RowVersion(0) {
-        transaction.removals.push(progress);
+    /// Returns the rows of a changed job, and the number of further rows that its progress takes.
+    fn job_rows(&self, job: &Job, out: &Outbox) -> (StoreTransaction, u32) {
+        let partition_count = self.identity.partition_count;
+        let progress = rows::job_row(rows::PROGRESS, job.id, partition_count);
+        let transaction =
+            StoreTransaction::default().with_expected(progress.clone(), job.progress_version);
+        let piece_row = |piece| rows::progress_piece_row(job.id, piece, partition_count);
+        let Some(state) = job.final_state else {
+            let mut pieces = self.encoded_progress(job).into_iter();
+            let first = pieces.next().unwrap_or_default();
+            let count = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
+            let transaction = transaction.with_write(progress, first);
+            let transaction = pieces.zip(1..).fold(transaction, |transaction, (value, piece)| {
+                transaction.with_write(piece_row(piece), value)
+            });
+            return (transaction, count);
+        };
+        let outcome = rows::job_row(rows::OUTCOME, job.id, partition_count);
+        let row = OutcomeRow { state, ended_at: out.wall_now() };
+        // The condition detects an earlier transaction that was applied although its reply was lost.
+        let mut transaction = transaction
+            .with_expected(outcome.clone(), RowVersion(0))
+            .with_write(outcome, rows::encode(&row))
+            .with_removal(rows::job_row(rows::INTAKE, job.id, partition_count));
+        if job.progress_version != RowVersion(0) {
+            transaction.removals.push(progress);
+        }
+        transaction.removals.extend((1..=job.progress_pieces).map(piece_row));
+        if job.has_cancel_row {
+            transaction.removals.push(rows::cancel_row(job.id, partition_count));
+        }
+        (transaction, 0)
     }
-    if job.has_cancel_row {
-        transaction.removals.push(rows::cancel_row(job.id, partition_count));
+
+    /// Returns the encoded progress of a job, in as many pieces as the limit on rows requires.
+    fn encoded_progress(&self, job: &Job) -> Vec<Vec<u8>> {
+        let limits = self.identity.store_limits;
+        let mut progress = job.progress();
+        let mut encoded = rows::encode_extended(&progress, &job.crashes());
+        if encoded.len() > limits.transaction_bytes() {
+            // Without its checkpoints, a task only repeats work.
+            for occurrence in &mut progress.occurrences {
+                occurrence.checkpoints.clear();
+            }
+            encoded = rows::encode_extended(&progress, &job.crashes());
+        }
+        rows::split_value(encoded, limits.value_bytes())
     }
-    transaction
 }
--- a/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
@@ -16,6 +16,7 @@
 use magnoliapin_site::TargetState;
 use magnoliapin_site::TaskName;
 
+use crate::leader::intake::StoredProgress;
 use crate::leader::job::Task;
 use crate::leader::job::TaskState;
 use crate::leader::previous_runs::tests::target_record;
@@ -91,7 +92,7 @@
 /// start, and on how many of them it did.
 fn run_on_crashing_targets(long_running: bool, runs_for: Duration) -> (Option<JobState>, u32) {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(long_running), false, &mut out);
+    leader.add_job(JOB, job_row(long_running), None, false, &mut out);
     let task = TaskName { job: JOB, ..TaskName::default() };
     for attempt in 1..=6 {
         let record = target_record("i-9", u64::from(attempt));
@@ -128,7 +129,7 @@
 #[test]
 fn crashes_that_others_account_for_count_against_groups() {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(false), false, &mut out);
+    leader.add_job(JOB, job_row(false), None, false, &mut out);
     let name = TaskName { job: JOB, ..TaskName::default() };
     let key = leader.job_keys[&JOB];
     for crashes in 1..=4 {
@@ -144,7 +145,7 @@
 /// to have crashed some time after it was sent.
 fn unanswered_starts_until_given_up(known_after: Duration) -> Option<u32> {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(false), false, &mut out);
+    leader.add_job(JOB, job_row(false), None, false, &mut out);
     (1..=6).find(|attempt| {
         let mut target = Target::new(target_record("i-9", u64::from(*attempt)), out.now);
         let stage = RunStage::Starting;
@@ -169,10 +170,10 @@
 fn tasks_that_have_survived_their_start_are_not_the_suspects() {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
     let innocent = task(JOB, 0);
-    leader.add_job(JOB, job_row(false), false, &mut out);
+    leader.add_job(JOB, job_row(false), None, false, &mut out);
     for attempt in 1..=2 {
         let culprit = task(JobId(10 + u64::from(attempt)), 0);
-        leader.add_job(culprit.job, job_row(false), false, &mut out);
+        leader.add_job(culprit.job, job_row(false), None, false, &mut out);
         let mut target = Target::new(target_record("i-9", u64::from(attempt)), out.now);
         target.add_run(innocent, running(attempt, out.now));
         out.now = out.now + Duration::from_secs(2);
@@ -189,7 +190,7 @@
 #[test]
 fn tasks_run_apart_before_they_are_given_up() {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(false), false, &mut out);
+    leader.add_job(JOB, job_row(false), None, false, &mut out);
     let key = leader.job_keys[&JOB];
     let name = task(JOB, 0);
     for crashes in 1..=4 {
@@ -205,7 +206,7 @@
 #[test]
 fn services_go_on_without_a_task_that_is_given_up() {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row_with(3, true), false, &mut out);
+    leader.add_job(JOB, job_row_with(3, true), None, false, &mut out);
     let job_key = leader.job_keys[&JOB];
     let key = TargetKey(77);
     let mut target = Target::new(target_record("i-7", 1), out.now);
@@ -235,7 +236,7 @@
 #[test]
 fn crashes_of_targets_that_come_back_late_count() {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(false), false, &mut out);
+    leader.add_job(JOB, job_row(false), None, false, &mut out);
     for (key, started_at, expected) in [(77, 2, 0), (78, 1, 1)] {
         // The first one comes back as it was, the second one as a later incarnation.
         let mut target = Target::new(target_record("i-7", started_at), out.now);
@@ -254,7 +255,7 @@
 #[test]
 fn draining_targets_that_come_back_late_have_not_crashed() {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(false), false, &mut out);
+    leader.add_job(JOB, job_row(false), None, false, &mut out);
     let mut target = Target::new(target_record("i-7", 1), out.now);
     target.record.state = TargetState::Draining(None);
     target.add_run(task(JOB, 0), running(1, out.now));
@@ -269,7 +270,7 @@
 #[test]
 fn failed_attempts_are_not_charged_with_later_crashes() {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(false), false, &mut out);
+    leader.add_job(JOB, job_row(false), None, false, &mut out);
     let key = leader.job_keys[&JOB];
     let name = task(JOB, 0);
     let state = leader.jobs.get_mut(&key).and_then(|job| job.task_mut(name));
@@ -286,13 +287,14 @@
 #[test]
 fn jobs_of_given_up_tasks_fail_after_a_takeover() {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(false), true, &mut out);
+    leader.add_job(JOB, job_row(false), None, true, &mut out);
     let key = leader.job_keys[&JOB];
     let progress = leader.jobs[&key].progress();
     let crash = |attempt: u32| TaskCrash::new(attempt, UnixMillis(u64::from(attempt)));
     let crashes = (1..=5).map(crash).collect();
     let crashed = TaskCrashes { occurrence: 0, step: 0, index: 0, crashes };
-    leader.restore_job(JOB, &progress, &[crashed], RowVersion(1), &mut out);
+    let stored = StoredProgress { version: RowVersion(1), pieces: 0 };
+    leader.restore_job(JOB, &progress, &[crashed], stored, &mut out);
     assert_eq!(leader.jobs[&key].final_state, Some(JobState::Failed));
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/delegation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/delegation.rs
@@ -5,12 +5,15 @@
 use indexmap::IndexMap;
 use magnoliapin_model::Moment;
 use magnoliapin_site::AgentReplies;
+use magnoliapin_site::JobId;
 use magnoliapin_site::NodeProfile;
 use magnoliapin_site::PeerReply;
+use magnoliapin_site::StoredInput;
 use magnoliapin_site::TargetReply;
 use magnoliapin_site::TargetRequest;
 use magnoliapin_site::ZoneName;
 
+use crate::input_loader::PendingStart;
 use crate::leader::agent_links::FailedCall;
 use crate::leader::agent_links::OutgoingCall;
 use crate::leader::target::HeartbeatState;
@@ -34,6 +37,20 @@
         request: TargetRequest,
         timeout: Duration,
         out: &mut Outbox,
+    ) -> Option<CallId> {
+        self.call_target_with_input(key, kind, request, None, timeout, out)
+    }
+
+    /// Sends a request to a target. `input` is where the input of a start is stored, if the request
+    /// does not contain it. Returns `None` if the target is not known.
+    pub(super) fn call_target_with_input(
+        &mut self,
+        key: TargetKey,
+        kind: TargetCall,
+        request: TargetRequest,
+        input: Option<(JobId, StoredInput)>,
+        timeout: Duration,
+        out: &mut Outbox,
     ) -> Option<CallId> {
         let target = self.targets.get_mut(&key)?;
         target.record_sent(&request, out.now);
@@ -42,16 +59,27 @@
         let record = &target.record;
         match self.agents.agent_for(key, record) {
             Some(agent) => {
-                let outgoing = OutgoingCall { call, target: key, record, request, timeout };
+                let input = input.map(|(_, input)| input);
+                let outgoing = OutgoingCall { call, target: key, record, request, input, timeout };
                 self.agents.queue(agent, outgoing, out.now);
             }
-            None => out.push(NodeAction::Target {
-                call,
-                target: record.name.clone(),
-                address: record.address,
-                request,
-                timeout,
-            }),
+            None => {
+                let (target, address) = (record.name.clone(), record.address);
+                match input {
+                    Some((job, input)) => out.push_stored_start(PendingStart {
+                        call,
+                        target,
+                        address,
+                        request,
+                        timeout,
+                        job,
+                        input,
+                    }),
+                    None => {
+                        out.push(NodeAction::Target { call, target, address, request, timeout });
+                    }
+                }
+            }
         }
         Some(call)
     }
--- a/crates/magnoliapin_scheduler/src/leader/incarnations_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations_tests.rs
@@ -50,7 +50,7 @@
     /// Creates a leader whose target has reported a run that `change` modifies.
     fn new(change: impl Fn(&mut Run)) -> Self {
         let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-        leader.add_job(JOB, job_row(false), false, &mut out);
+        leader.add_job(JOB, job_row(false), None, false, &mut out);
         let target = Target::new(target_record("i-7", FIRST), out.now);
         leader.targets.insert(KEY, target.with_fence(leader.generation));
         leader.target_keys.insert(TargetName::new("i-7"), KEY);
--- a/crates/magnoliapin_scheduler/src/leader/intake.rs
+++ b/crates/magnoliapin_scheduler/src/leader/intake.rs
@@ -7,6 +7,7 @@
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
 use magnoliapin_site::StoreRow;
+use magnoliapin_site::StoredInput;
 
 use crate::leader::job::Job;
 use crate::leader::job::JobKey;
@@ -36,6 +37,15 @@
     watch_from: Option<RowVersion>,
 }
 
+/// Rows that hold the progress of a job.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StoredProgress {
+    /// Version of the first row.
+    pub(crate) version: RowVersion,
+    /// Number of further rows.
+    pub(crate) pieces: u32,
+}
+
 impl Leader {
     /// Sends the next calls of the watches.
     pub(super) fn poll_watches(&mut self, out: &mut Outbox) {
@@ -100,8 +110,8 @@
         }
         match key {
             IntakeKey::Fence => self.check_fence(value),
-            IntakeKey::Job(job) => match rows::decode::<JobRow>(value) {
-                Some(decoded) => self.add_job(job, decoded, is_inherited, out),
+            IntakeKey::Job(job) => match rows::decode_job(value) {
+                Some((row, input)) => self.add_job(job, row, input, is_inherited, out),
                 None => log::error!("event=row_unreadable table={} job={job}", rows::INTAKE),
             },
             IntakeKey::Cancel(job) => self.cancel_job(job, out),
@@ -120,8 +130,8 @@
     fn apply_reloaded_row(&mut self, row: &StoreRow, out: &mut Outbox) {
         let Some(value) = row.value.as_deref() else { return };
         match IntakeKey::parse(&row.key) {
-            Some(IntakeKey::Job(job)) => match rows::decode::<JobRow>(value) {
-                Some(decoded) => self.add_job(job, decoded, false, out),
+            Some(IntakeKey::Job(job)) => match rows::decode_job(value) {
+                Some((row, input)) => self.add_job(job, row, input, false, out),
                 None => log::error!("event=row_unreadable table={} job={job}", rows::INTAKE),
             },
             Some(IntakeKey::Cancel(job)) => self.cancel_job(job, out),
@@ -130,7 +140,14 @@
         }
     }
 
-    pub(super) fn add_job(&mut self, id: JobId, row: JobRow, is_inherited: bool, out: &mut Outbox) {
+    pub(super) fn add_job(
+        &mut self,
+        id: JobId,
+        row: JobRow,
+        input: Option<StoredInput>,
+        is_inherited: bool,
+        out: &mut Outbox,
+    ) {
         // A row may have been read before its job finished.
         if self.job_keys.contains_key(&id) || self.finished_jobs.contains_key(&id) {
             return;
@@ -146,6 +163,7 @@
             pool: row.pool.clone(),
             team: row.team,
             spec: row.spec,
+            input,
             accepted_at: out.moment_of(row.accepted_at),
             is_inherited,
             is_over_share,
@@ -153,6 +171,7 @@
             next_occurrence: 0,
             done_occurrences: 0,
             progress_version: RowVersion(0),
+            progress_pieces: 0,
             has_cancel_row: false,
             final_state: None,
             has_started: false,
@@ -188,14 +207,15 @@
         id: JobId,
         row: &ProgressRow,
         crashes: &[TaskCrashes],
-        version: RowVersion,
+        stored: StoredProgress,
         out: &mut Outbox,
     ) {
         let Some(job) = self.job_keys.get(&id).and_then(|key| self.jobs.get_mut(key)) else {
-            log::warn!("event=progress_without_job job={id} version={version}");
+            log::warn!("event=progress_without_job job={id} version={}", stored.version);
             return;
         };
-        job.progress_version = version;
+        job.progress_version = stored.version;
+        job.progress_pieces = stored.pieces;
         job.occurrences.clear();
         job.next_occurrence = 0;
         let accepted_at = job.accepted_at;
--- a/crates/magnoliapin_scheduler/src/leader/job.rs
+++ b/crates/magnoliapin_scheduler/src/leader/job.rs
@@ -9,6 +9,7 @@
 use magnoliapin_site::QueueName;
 use magnoliapin_site::Resources;
 use magnoliapin_site::StepSpec;
+use magnoliapin_site::StoredInput;
 use magnoliapin_site::TaskName;
 use magnoliapin_site::TeamName;
 
@@ -33,6 +34,8 @@
     pub(crate) pool: PoolName,
     pub(crate) team: Option<TeamName>,
     pub(crate) spec: JobSpec,
+    /// Where its input is stored, if that is not in the specification.
+    pub(crate) input: Option<StoredInput>,
     /// When it was accepted, on this process's clock.
     pub(crate) accepted_at: Moment,
     /// Whether it was accepted before this leader took over.
@@ -48,6 +51,8 @@
     pub(crate) done_occurrences: u32,
     /// Version of the row of its progress; 0 if there is none.
     pub(crate) progress_version: RowVersion,
+    /// Number of further rows that its progress takes at most, as it is larger than a row.
+    pub(crate) progress_pieces: u32,
     /// Whether the store has a cancellation request for it.
     pub(crate) has_cancel_row: bool,
     /// Final state, which waits to be stored; `None` while the job is open.
--- a/crates/magnoliapin_scheduler/src/leader/lease_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease_tests.rs
@@ -69,7 +69,7 @@
 #[test]
 fn only_writes_under_the_control_fence_confirm_the_leader() {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(false), false, &mut out);
+    leader.add_job(JOB, job_row(false), None, false, &mut out);
     let confirmed_at = leader.confirmed_at;
     out.now = out.now + TICK;
     leader.mark_job_changed(leader.job_keys[&JOB]);
--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -58,6 +58,7 @@
             return self.stop_run(key, run.task);
         };
         let payload = job.spec.payload.clone();
+        let input = job.input.map(|input| (job.id, input));
         let checkpoint = job.task(run.task).and_then(|task| task.checkpoint.clone());
         let Some(target) = self.targets.get_mut(&key) else { return };
         // A start that another incarnation may get could run there for longer than this leader knows.
@@ -78,7 +79,8 @@
         let Some(state) = target.runs.get(&run.task) else { return };
         let is_first = state.unconfirmed_starts == 0;
         let timeout = if is_first { times.first_start_timeout } else { times.order_timeout };
-        self.call_target(key, TargetCall::Start(key, run), request, timeout, out);
+        let kind = TargetCall::Start(key, run);
+        self.call_target_with_input(key, kind, request, input, timeout, out);
     }
 
     /// Handles the reply to a start.
--- a/crates/magnoliapin_scheduler/src/leader/orders_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders_tests.rs
@@ -27,7 +27,7 @@
 /// Returns a leader with one run, in `stage`, on a target.
 fn lead_with_run(stage: RunStage) -> (Leader, Outbox) {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(false), false, &mut out);
+    leader.add_job(JOB, job_row(false), None, false, &mut out);
     let mut target = Target::new(target_record("i-7", 1), out.now);
     target.clock = Some(ClockReading { clock_ms: 1, read_at: out.now });
     target.is_same_incarnation = true;
--- a/crates/magnoliapin_scheduler/src/leader/reconciliation_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/reconciliation_tests.rs
@@ -32,7 +32,7 @@
 /// Returns a leader of a job with one task, and a target that has not reported.
 fn lead_with_target() -> (Leader, Outbox) {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(false), true, &mut out);
+    leader.add_job(JOB, job_row(false), None, true, &mut out);
     let target = Target::new(target_record("i-7", STARTED_AT.0), out.now);
     leader.targets.insert(KEY, target);
     (leader, out)
--- a/crates/magnoliapin_scheduler/src/leader/recovery.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery.rs
@@ -11,6 +11,7 @@
 use magnoliapin_site::StoreTransaction;
 use magnoliapin_site::TargetName;
 
+use crate::leader::intake::StoredProgress;
 use crate::leader::previous_runs::PreviousIncarnation;
 use crate::leader::Leader;
 use crate::leader::LeaderCall;
@@ -344,13 +345,23 @@
         for row in jobs {
             self.apply_intake_row(row, true, out);
         }
-        for row in progress {
-            let decoded: Option<(ProgressRow, Vec<TaskCrashes>)> =
-                row.value.as_deref().and_then(rows::decode_extended);
+        for (number, row) in progress.iter().enumerate() {
             let Some(IntakeKey::Job(job)) = IntakeKey::parse(&row.key) else { continue };
+            // The further rows of a progress follow its first one.
+            let prefix = format!("{job}{}", rows::PIECE_MARK);
+            let further = progress[number + 1..].iter();
+            let further = further.take_while(|piece| piece.key.starts_with(&prefix));
+            let further: Vec<&[u8]> =
+                further.map(|piece| piece.value.as_deref().unwrap_or_default()).collect();
+            let joined = rows::join_pieces(row.value.as_deref().unwrap_or_default(), &further);
+            let decoded = joined.and_then(|(value, _)| {
+                rows::decode_extended::<ProgressRow, Vec<TaskCrashes>>(&value)
+            });
             match decoded {
                 Some((progress, crashes)) => {
-                    self.restore_job(job, &progress, &crashes, row.version, out);
+                    let pieces = u32::try_from(further.len()).unwrap_or(u32::MAX);
+                    let stored = StoredProgress { version: row.version, pieces };
+                    self.restore_job(job, &progress, &crashes, stored, out);
                 }
                 None => log::error!("event=row_unreadable table={} job={job}", rows::PROGRESS),
             }
--- a/crates/magnoliapin_scheduler/src/leader/recovery_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery_tests.rs
@@ -16,6 +16,7 @@
 use crate::outbox::Outbox;
 use crate::watch::tests::node_profile;
 use crate::watch::tests::site_bounds;
+use crate::watch::tests::store_limits;
 use crate::CallId;
 use crate::NodeAction;
 use crate::NodeTimes;
@@ -27,6 +28,7 @@
         times: NodeTimes::new(&site_bounds()),
         instance_orders_per_s: 64.0,
         instance_lists_per_s: 64.0,
+        store_limits: store_limits(),
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/registrations_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations_tests.rs
@@ -27,7 +27,7 @@
 #[test]
 fn runs_confirmed_after_the_last_report_stay_with_the_target() {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(false), false, &mut out);
+    leader.add_job(JOB, job_row(false), None, false, &mut out);
     let key = TargetKey(77);
     let mut target = Target::new(target_record("i-7", 1), out.now);
     let read_at = out.now + Duration::from_secs(1);
--- a/crates/magnoliapin_scheduler/src/leader/submissions.rs
+++ b/crates/magnoliapin_scheduler/src/leader/submissions.rs
@@ -14,11 +14,13 @@
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRow;
 use magnoliapin_site::StoreTransaction;
+use magnoliapin_site::StoredInput;
 
 use crate::leader::Leader;
 use crate::leader::LeaderPhase;
 use crate::outbox::Outbox;
 use crate::rows;
+use crate::rows::has_job;
 use crate::rows::JobRow;
 use crate::CallId;
 use crate::NodeAction;
@@ -37,11 +39,21 @@
 #[derive(Debug)]
 pub(crate) struct Submission {
     /// Encoded row of the job.
-    row: Vec<u8>,
+    encoded_row: Vec<u8>,
+    row: JobRow,
+    /// Where its input is stored, if that is not in the row.
+    input: Option<StoredInput>,
     requesters: Vec<Requester>,
     deadline: Moment,
 }
 
+impl Submission {
+    /// Returns where the input of the job is stored, if that is not in the row.
+    pub(crate) fn input(&self) -> Option<StoredInput> {
+        self.input
+    }
+}
+
 /// Submitted jobs of a partition that wait to be stored.
 pub(crate) type Submissions = IndexMap<JobId, Submission>;
 
@@ -73,7 +85,8 @@
             PeerRequest::Ping
             | PeerRequest::Offer { .. }
             | PeerRequest::AgentCalls(_)
-            | PeerRequest::RaisedAgentCalls { .. } => {}
+            | PeerRequest::RaisedAgentCalls { .. }
+            | PeerRequest::StoredInputCalls { .. } => {}
             PeerRequest::Submit { job, row, timeout_ms } => {
                 let deadline = out.now + Duration::from_millis(timeout_ms);
                 self.handle_submit_request(requester, job, row, deadline, out);
@@ -106,7 +119,7 @@
         &mut self,
         requester: Requester,
         job: JobId,
-        row: Vec<u8>,
+        encoded_row: Vec<u8>,
         deadline: Moment,
         out: &mut Outbox,
     ) {
@@ -115,13 +128,18 @@
         }
         let partition = rows::partition_of(job, self.identity.partition_count) as usize;
         let submissions = &mut self.partitions[partition].commit.submissions;
-        let submission = submissions.entry(job).or_insert_with(|| Submission {
-            row,
-            requesters: Vec::new(),
-            deadline,
-        });
-        submission.requesters.push(requester);
-        submission.deadline = submission.deadline.max(deadline);
+        if let Some(submission) = submissions.get_mut(&job) {
+            submission.requesters.push(requester);
+            submission.deadline = submission.deadline.max(deadline);
+            return;
+        }
+        let Some((row, input)) = rows::decode_job(&encoded_row) else {
+            log::error!("event=row_unreadable table={} job={job}", rows::INTAKE);
+            return self.send_reply(requester, PeerReply::Refused, out);
+        };
+        let requesters = vec![requester];
+        let submission = Submission { encoded_row, row, input, requesters, deadline };
+        submissions.insert(job, submission);
     }
 
     fn handle_cancel_request(&mut self, requester: Requester, job: JobId, out: &mut Outbox) {
@@ -160,8 +178,11 @@
         mut transaction: StoreTransaction,
     ) -> (StoreTransaction, Vec<JobId>) {
         let mut jobs = Vec::new();
+        let max_bytes = self.identity.store_limits.transaction_bytes();
+        let mut bytes = transaction.value_bytes();
         for (job, submission) in &self.partitions[partition as usize].commit.submissions {
-            if transaction.entry_count() >= max_entries {
+            bytes += submission.encoded_row.len();
+            if transaction.entry_count() >= max_entries || bytes > max_bytes {
                 break;
             }
             let row = rows::job_row(rows::INTAKE, *job, self.identity.partition_count);
@@ -169,7 +190,11 @@
             transaction = transaction
                 .with_expected(row.clone(), RowVersion(0))
                 .with_expected(outcome, RowVersion(0))
-                .with_write(row, submission.row.clone());
+                .with_write(row, submission.encoded_row.clone());
+            if let Some(input) = submission.input {
+                let upload = rows::upload_row(*job, input.upload, self.identity.partition_count);
+                transaction = transaction.with_expected(upload, input.version);
+            }
             jobs.push(*job);
         }
         (transaction, jobs)
@@ -188,6 +213,9 @@
             let reply = match reply {
                 StoreReply::Committed(_) => PeerReply::Accepted,
                 StoreReply::Conflict(found) if has_job(found, *job) => PeerReply::Accepted,
+                StoreReply::Conflict(found) if self.lacks_input(partition, *job, found) => {
+                    PeerReply::Refused
+                }
                 // The job is sent again with the next transaction.
                 StoreReply::Conflict(_) => continue,
                 StoreReply::Failed(magnoliapin_site::CallFailure::NotDone) => PeerReply::Refused,
@@ -197,7 +225,7 @@
             let Some(submission) = submissions.shift_remove(job) else { continue };
             // A job that was stored earlier is loaded, will come from the watch, or has finished.
             if is_committed {
-                self.add_accepted_job(*job, &submission, out);
+                self.add_job(*job, submission.row, submission.input, false, out);
             }
             for requester in submission.requesters {
                 self.send_reply(requester, reply, out);
@@ -205,11 +233,17 @@
         }
     }
 
-    fn add_accepted_job(&mut self, job: JobId, submission: &Submission, out: &mut Outbox) {
-        match rows::decode::<JobRow>(&submission.row) {
-            Some(row) => self.add_job(job, row, false, out),
-            None => log::error!("event=row_unreadable table={} job={job}", rows::INTAKE),
-        }
+    /// Returns whether a conflict shows that the input of a job has been removed, as no job needed it.
+    fn lacks_input(&self, partition: u32, job: JobId, found: &[StoreRow]) -> bool {
+        let submissions = &self.partitions[partition as usize].commit.submissions;
+        let input = submissions.get(&job).and_then(|submission| submission.input);
+        input.is_some_and(|input| {
+            let row = rows::upload_row(job, input.upload, self.identity.partition_count);
+            let is_there = |found: &StoreRow| {
+                found.table == row.table && found.key == row.key && found.version == input.version
+            };
+            !found.iter().any(is_there)
+        })
     }
 
     /// Refuses submitted jobs past their deadline, as their clients no longer wait for a reply.
@@ -255,13 +289,3 @@
         std::mem::take(&mut self.update.replies)
     }
 }
-
-/// Returns whether rows contain a job or its outcome.
-fn has_job(found: &[StoreRow], job: JobId) -> bool {
-    let key = job.to_string();
-    found.iter().any(|row| {
-        row.key == key
-            && row.value.is_some()
-            && (row.table == rows::INTAKE || row.table == rows::OUTCOME)
-    })
-}
--- a/crates/magnoliapin_scheduler/src/leader/zone_evacuation_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/zone_evacuation_tests.rs
@@ -41,7 +41,7 @@
 fn lead_with_run(stage: RunStage, is_sent: bool) -> (Leader, Outbox) {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
     leader.identity.times.evacuation_time = Some(BOUND);
-    leader.add_job(JOB, job_row(false), false, &mut out);
+    leader.add_job(JOB, job_row(false), None, false, &mut out);
     let mut target = Target::new(target_record("i-7", 1), out.now);
     target.clock = Some(ClockReading { clock_ms: 1, read_at: out.now });
     target.is_same_incarnation = true;
@@ -196,7 +196,7 @@
 #[test]
 fn tasks_that_are_given_up_need_no_room() {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row_with(2, true), false, &mut out);
+    leader.add_job(JOB, job_row_with(2, true), None, false, &mut out);
     let mut target = Target::new(target_record("i-7", 1), out.now);
     target.has_reported = true;
     target.is_same_incarnation = true;
--- a/crates/magnoliapin_scheduler/src/lib.rs
+++ b/crates/magnoliapin_scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 mod election;
 mod event;
 mod fence;
+mod input_loader;
 mod known_report;
 mod leader;
 mod machine;
--- a/crates/magnoliapin_scheduler/src/machine.rs
+++ b/crates/magnoliapin_scheduler/src/machine.rs
@@ -1,7 +1,9 @@
 //! The state machine of one node.
 
+use magnoliapin_model::ByteSize;
 use magnoliapin_model::ConfigVersion;
 use magnoliapin_model::Moment;
+use magnoliapin_site::CallFailure;
 use magnoliapin_site::ClientRequest;
 use magnoliapin_site::InstanceReply;
 use magnoliapin_site::NodeProfile;
@@ -18,6 +20,7 @@
 use crate::client_handler::LeaderLocation;
 use crate::election::AcquiredLease;
 use crate::election::Election;
+use crate::input_loader::InputLoader;
 use crate::leader::Leader;
 use crate::leader::LeaderIdentity;
 use crate::leader::Requester;
@@ -42,6 +45,7 @@
     peer_link: PeerLink,
     leader: Option<Box<Leader>>,
     agent: Agent,
+    input_loader: InputLoader,
     is_stopping: bool,
     was_ready: bool,
 }
@@ -64,12 +68,16 @@
             times,
             instance_orders_per_s: settings.instance_orders_per_s,
             instance_lists_per_s: settings.instance_lists_per_s,
+            store_limits: settings.store_limits,
         };
+        let memory = ByteSize(u64::from(settings.memory_mb) * 1024 * 1024);
+        let partition_count = identity.partition_count;
         Self {
             site_watch: SiteWatch::new(),
             election: Election::new(identity.clone()),
             peer_link: PeerLink::default(),
-            client_handler: ClientHandler::new(identity.partition_count),
+            client_handler: ClientHandler::new(partition_count, identity.store_limits),
+            input_loader: InputLoader::new(partition_count, memory),
             leader: None,
             agent: Agent::default(),
             is_stopping: false,
@@ -128,6 +136,7 @@
             NodeEvent::PeerRequest(peer, request) => self.handle_peer_request(peer, request),
             NodeEvent::Stop => self.stop(),
         }
+        self.load_inputs();
         self.log_readiness();
         self.out.take_actions(actions);
     }
@@ -140,9 +149,24 @@
         }
         self.agent.send_replies(&mut self.out);
         self.apply_leader_update();
+        self.load_inputs();
         self.out.take_actions(actions);
     }
 
+    /// Reads the inputs of the starts that lack one.
+    fn load_inputs(&mut self) {
+        for start in self.out.take_stored_starts() {
+            if let Some(call) = self.input_loader.add_start(start, &mut self.out) {
+                self.fail_start(call);
+            }
+        }
+    }
+
+    /// Handles a start that has failed without being sent.
+    fn fail_start(&mut self, call: CallId) {
+        self.handle_target_reply(call, &TargetReply::Failed(CallFailure::NotDone));
+    }
+
     fn tick(&mut self) {
         let times = self.identity.times;
         self.site_watch.poll(&times, &mut self.out);
@@ -159,6 +183,9 @@
         }
         self.update_leader_location();
         self.client_handler.tick(&mut self.out);
+        for call in self.input_loader.poll(&mut self.out) {
+            self.fail_start(call);
+        }
         if let Some(leader) = &mut self.leader {
             leader.tick(&mut self.out);
         }
@@ -198,7 +225,9 @@
             }
             return;
         }
-        if self.client_handler.handle_store_reply(call, reply, &mut self.out) {
+        if self.client_handler.handle_store_reply(call, reply, &mut self.out)
+            || self.input_loader.handle_store_reply(call, reply, &mut self.out)
+        {
             return;
         }
         if let Some(leader) = &mut self.leader {
@@ -208,6 +237,7 @@
     }
 
     fn handle_target_reply(&mut self, call: CallId, reply: &TargetReply) {
+        self.input_loader.handle_target_reply(call, &mut self.out);
         let is_handled = self
             .leader
             .as_mut()
@@ -311,15 +341,20 @@
     }
 
     fn handle_peer_request(&mut self, peer: PeerId, request: PeerRequest) {
-        let (batch, fences, request) = match request {
-            PeerRequest::AgentCalls(batch) => (Some(batch), Vec::new(), None),
-            PeerRequest::RaisedAgentCalls { batch, fences } => (Some(batch), fences, None),
-            request => (None, Vec::new(), Some(request)),
+        let (calls, request) = match request {
+            PeerRequest::AgentCalls(batch) => (Some((batch, Vec::new(), Vec::new())), None),
+            PeerRequest::RaisedAgentCalls { batch, fences } => {
+                (Some((batch, fences, Vec::new())), None)
+            }
+            PeerRequest::StoredInputCalls { batch, fences, inputs } => {
+                (Some((batch, fences, inputs)), None)
+            }
+            request => (None, Some(request)),
         };
-        if let Some(batch) = batch {
+        if let Some((batch, fences, inputs)) = calls {
             let own_generation = self.leader.as_ref().map_or(0, |leader| leader.generation());
             let generation = self.election.generation().max(own_generation);
-            let reply = self.agent.handle_batch(batch, fences, generation, &mut self.out);
+            let reply = self.agent.handle_batch(batch, fences, &inputs, generation, &mut self.out);
             return self.out.push(NodeAction::ReplyToPeer(peer, reply));
         }
         let Some(request) = request else { return };
--- a/crates/magnoliapin_scheduler/src/outbox.rs
+++ b/crates/magnoliapin_scheduler/src/outbox.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::input_loader::PendingStart;
 use crate::store_latency::StoreLatency;
 use crate::CallId;
 use crate::ClientId;
@@ -31,6 +32,8 @@
     /// Recent latency of the store.
     pub(crate) store_latency: StoreLatency,
     actions: Vec<NodeAction>,
+    /// Starts whose inputs must be read from the store.
+    stored_starts: Vec<PendingStart>,
     last_call: u64,
 }
 
@@ -44,6 +47,7 @@
             random: Pcg64Mcg::seed_from_u64(seed),
             store_latency: StoreLatency::default(),
             actions: Vec::new(),
+            stored_starts: Vec::new(),
             last_call: 0,
         }
     }
@@ -135,6 +139,16 @@
         self.push(NodeAction::ReplyToClient(client, reply));
     }
 
+    /// Adds a start whose input must be read from the store.
+    pub(crate) fn push_stored_start(&mut self, start: PendingStart) {
+        self.stored_starts.push(start);
+    }
+
+    /// Removes and returns the starts whose inputs must be read from the store.
+    pub(crate) fn take_stored_starts(&mut self) -> Vec<PendingStart> {
+        std::mem::take(&mut self.stored_starts)
+    }
+
     /// Moves the pending actions to `actions`.
     pub(crate) fn take_actions(&mut self, actions: &mut Vec<NodeAction>) {
         actions.append(&mut self.actions);
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -6,7 +6,10 @@
 //! | [`INTAKE`] | a job | the job, while it is accepted and unfinished |
 //! | [`INTAKE`] | a job and [`CANCEL_SUFFIX`] | the client's cancellation request |
 //! | [`PROGRESS`] | a job | finished tasks, failed runs, checkpoints and crashed targets |
+//! | [`PROGRESS`] | a job, [`PIECE_MARK`] and a number | the rest of a progress that is larger than a row |
 //! | [`OUTCOME`] | a job | outcome of the job |
+//! | [`UPLOAD`] | a job and an upload | an input of the job that is larger than its row may be |
+//! | [`INPUT`] | a job, an upload and a number | a piece of that input |
 //! | [`LEASE`] | [`LEASE_KEY`] | lease of the leader |
 //! | [`ASSIGNMENTS`] | [`BATCH_KEY`] | last batch of changes in this table; recent orders to instances |
 //! | [`ASSIGNMENTS`] | a target | possible runs, written before they start unless the batch row allows gaps |
@@ -34,13 +37,19 @@
 use magnoliapin_site::Resources;
 use magnoliapin_site::RowId;
 use magnoliapin_site::RunId;
+use magnoliapin_site::StoreRow;
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TeamName;
+use magnoliapin_site::UploadId;
 
 pub(crate) use row_codec::decode;
 pub(crate) use row_codec::decode_extended;
+pub(crate) use row_codec::decode_job;
 pub(crate) use row_codec::encode;
 pub(crate) use row_codec::encode_extended;
+pub(crate) use row_codec::encode_job;
+pub(crate) use row_codec::join_pieces;
+pub(crate) use row_codec::split_value;
 
 /// Table of unfinished jobs, their cancellation requests, and the fences.
 pub(crate) const INTAKE: &str = "intake";
@@ -48,6 +57,11 @@
 pub(crate) const PROGRESS: &str = "progress";
 /// Table of the outcomes of jobs.
 pub(crate) const OUTCOME: &str = "outcome";
+/// Table of inputs that are stored apart from their jobs, in pieces.
+pub(crate) const INPUT: &str = "input";
+/// Table of the uploads that have stored them. The row of an upload is written with its first pieces
+/// and removed with its last ones.
+pub(crate) const UPLOAD: &str = "upload";
 /// Table of the leader's lease.
 pub(crate) const LEASE: &str = "lease";
 /// Table of assignments: the runs that each target may have.
@@ -63,6 +77,8 @@
 pub(crate) const FENCE_KEY: &str = "!fence";
 /// Suffix of a job's key that makes the key of its cancellation request.
 pub(crate) const CANCEL_SUFFIX: &str = ".cancel";
+/// Separates the key of a job from the number of a piece of its progress.
+pub(crate) const PIECE_MARK: char = '~';
 /// Key of the leader's lease.
 pub(crate) const LEASE_KEY: &str = "scheduler";
 /// Partition of the rows that do not belong to a job, so that a burst of jobs does not delay them.
@@ -157,6 +173,13 @@
         pub(crate) is_explained: bool,
     }
 
+    /// An upload of an input.
+    #[derive(Copy, Eq)]
+    pub(crate) struct UploadRow {
+        /// Number of its rows in [`INPUT`].
+        pub(crate) pieces: u32,
+    }
+
     /// Outcome of a job.
     #[derive(Copy, Eq)]
     pub(crate) struct OutcomeRow {
@@ -263,6 +286,30 @@
     )
 }
 
+/// Returns the row of a further piece of a job's progress, by its number from 1.
+pub(crate) fn progress_piece_row(job: JobId, piece: u32, partition_count: u32) -> RowId {
+    let partition = partition_of(job, partition_count).to_string();
+    RowId::new(PROGRESS, partition, format!("{job}{PIECE_MARK}{piece:05}"))
+}
+
+/// Returns the row of an upload.
+pub(crate) fn upload_row(job: JobId, upload: UploadId, partition_count: u32) -> RowId {
+    let partition = partition_of(job, partition_count).to_string();
+    RowId::new(UPLOAD, partition, format!("{job}.{upload}"))
+}
+
+/// Returns the row of a piece of an input, by its number from 0.
+pub(crate) fn input_row(job: JobId, upload: UploadId, piece: u32, partition_count: u32) -> RowId {
+    let partition = partition_of(job, partition_count).to_string();
+    RowId::new(INPUT, partition, format!("{job}.{upload}.{piece:05}"))
+}
+
+/// Parses the key of an upload.
+pub(crate) fn parse_upload_key(key: &str) -> Option<(JobId, UploadId)> {
+    let (job, upload) = key.split_once('.')?;
+    Some((JobId::parse(job)?, upload.parse().ok()?))
+}
+
 /// Returns the row of a partition's fence.
 pub(crate) fn fence_row(partition: u32) -> RowId {
     RowId::new(INTAKE, partition.to_string(), FENCE_KEY)
@@ -293,6 +340,14 @@
     RowId::new(WAVE, CONTROL_PARTITION, wave.to_string())
 }
 
+/// Returns whether rows contain a job or its outcome.
+pub(crate) fn has_job(found: &[StoreRow], job: JobId) -> bool {
+    let key = job.to_string();
+    found.iter().any(|row| {
+        row.key == key && row.value.is_some() && (row.table == INTAKE || row.table == OUTCOME)
+    })
+}
+
 /// Meaning of a key of the job table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum IntakeKey {
--- a/crates/magnoliapin_scheduler/src/watch_tests.rs
+++ b/crates/magnoliapin_scheduler/src/watch_tests.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use magnoliapin_model::ByteSize;
 use magnoliapin_model::Moment;
 use magnoliapin_model::RowVersion;
 use magnoliapin_site::CallFailure;
 use magnoliapin_site::NodeName;
 use magnoliapin_site::NodeProfile;
 use magnoliapin_site::SiteBounds;
+use magnoliapin_site::StoreLimits;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::StoreRequest;
 use magnoliapin_site::ZoneName;
@@ -24,6 +26,17 @@
 const TICK: Duration = Duration::from_millis(20);
 const TEST_TIME: Duration = Duration::from_secs(12);
 
+/// Returns the limits of the store of most sites.
+pub(crate) fn store_limits() -> StoreLimits {
+    StoreLimits {
+        writes_per_s: 800.0,
+        reads_per_s: 2_000.0,
+        partition_writes_per_s: 250.0,
+        value_size: ByteSize(48 * 1024),
+        transaction_size: ByteSize(700_000),
+    }
+}
+
 pub(crate) fn site_bounds() -> SiteBounds {
     SiteBounds {
         max_lease: SECOND * 10,
--- a/crates/magnoliapin_scheduler/tests/soak/site.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/site.rs
@@ -20,6 +20,9 @@
 use magnoliapin_site::TeamWeight;
 use magnoliapin_site::ZoneName;
 
+use crate::store::TRANSACTION_SIZE;
+use crate::store::VALUE_SIZE;
+
 /// Minimum time between orders to one instance from different nodes.
 pub(crate) const ORDER_SPACING: Duration = Duration::from_secs(3);
 
@@ -71,6 +74,8 @@
             writes_per_s: 800.0,
             reads_per_s: 2000.0,
             partition_writes_per_s: 250.0,
+            value_size: VALUE_SIZE,
+            transaction_size: TRANSACTION_SIZE,
         },
         instance_orders_per_s: 64.0,
         instance_lists_per_s: 64.0,
--- a/crates/magnoliapin_scheduler/tests/soak/store.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use magnoliapin_model::ByteSize;
 use magnoliapin_model::RowVersion;
 use magnoliapin_site::MaintenanceWave;
 use magnoliapin_site::RowId;
@@ -19,6 +20,12 @@
 use magnoliapin_site::WaveState;
 use magnoliapin_site::ZoneName;
 
+/// Size of the largest value of a row.
+pub(crate) const VALUE_SIZE: ByteSize = ByteSize(48 * 1024);
+/// Largest total size of the values in a transaction.
+pub(crate) const TRANSACTION_SIZE: ByteSize = ByteSize(700_000);
+/// Size of the largest name of a row, in bytes.
+const NAME_BYTES: usize = 200;
 /// Default number of rows in a reply.
 const PAGE_ROWS: usize = 50;
 
@@ -132,6 +139,12 @@
 
     fn commit(&mut self, transaction: &StoreTransaction) -> StoreReply {
         assert!(transaction.entry_count() <= 100, "a transaction holds at most 100 entries");
+        let size = |value: &Vec<u8>| value.len() as u64;
+        let sizes = || transaction.writes.iter().map(|(_, value)| size(value));
+        assert!(sizes().all(|size| size <= VALUE_SIZE.0), "a row takes at most {VALUE_SIZE} bytes");
+        assert!(sizes().sum::<u64>() <= TRANSACTION_SIZE.0, "a transaction is too large");
+        let mut names = transaction.writes.iter().map(|(row, _)| &row.key);
+        assert!(names.all(|name| name.len() <= NAME_BYTES), "the name of a row is too long");
         let mut partitions: Vec<&str> =
             transaction.expected.iter().map(|(row, _)| row.partition.as_str()).collect();
         partitions.extend(transaction.writes.iter().map(|(row, _)| row.partition.as_str()));
--- a/crates/magnoliapin_site/src/client_message.rs
+++ b/crates/magnoliapin_site/src/client_message.rs
@@ -50,6 +50,9 @@
     BadKey,
     /// The request is malformed; holds the reason.
     BadRequest(String),
+    /// The request is within the limit on bodies, but the job in it cannot be stored; holds the
+    /// reason.
+    TooLarge(String),
     /// The request was refused and changed nothing.
     Refused {
         /// Reason of the refusal.
@@ -70,6 +73,6 @@
     ConfigUnconfirmed,
     /// The store is unreachable or accepts no writes.
     StoreUnavailable,
-    /// Too many requests are waiting on the node.
+    /// Too many requests or jobs are waiting.
     Overloaded,
 }
--- a/crates/magnoliapin_site/src/node_settings.rs
+++ b/crates/magnoliapin_site/src/node_settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use magnoliapin_model::ByteSize;
+
 use crate::NodeName;
 use crate::ZoneName;
 
@@ -34,7 +36,7 @@
     pub instances: Option<SocketAddr>,
     /// Address of the placement service; `None` if the site has none.
     pub advice: Option<SocketAddr>,
-    /// Rate limits of the store.
+    /// Limits of the store.
     pub store_limits: StoreLimits,
     /// Orders that the instance service accepts per second, from all nodes together.
     pub instance_orders_per_s: f64,
@@ -44,7 +46,7 @@
     pub bounds: SiteBounds,
 }
 
-/// Rate limits of the store.
+/// Limits of the store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StoreLimits {
     /// Transactions per second, from all nodes together.
@@ -53,9 +55,23 @@
     pub reads_per_s: f64,
     /// Transactions per second that one partition accepts.
     pub partition_writes_per_s: f64,
+    /// Size of the largest value of a row.
+    pub value_size: ByteSize,
+    /// Largest total size of the values in a transaction.
+    pub transaction_size: ByteSize,
 }
 
 impl StoreLimits {
+    /// Returns the size of the largest value of a row, in bytes.
+    pub fn value_bytes(&self) -> usize {
+        usize::try_from(self.value_size.0).unwrap_or(usize::MAX).max(1)
+    }
+
+    /// Returns the largest total size of the values in a transaction, in bytes.
+    pub fn transaction_bytes(&self) -> usize {
+        usize::try_from(self.transaction_size.0).unwrap_or(usize::MAX)
+    }
+
     /// Returns the number of partitions that jobs must be spread over to use the full write rate
     /// of the store.
     pub fn partition_count(&self) -> u32 {
--- a/crates/magnoliapin_site/src/peer_message.rs
+++ b/crates/magnoliapin_site/src/peer_message.rs
@@ -11,6 +11,7 @@
 use crate::JobId;
 use crate::JobState;
 use crate::NodeProfile;
+use crate::StoredInput;
 
 plain_data! {
     /// A request to the leader, or of the leader to an agent.
@@ -49,6 +50,15 @@
             /// Fences, each with the number of its call.
             fences: Vec<(u64, u64)>,
         },
+        /// Asks an agent to make calls to targets, with inputs that it reads from the store.
+        StoredInputCalls {
+            /// The calls.
+            batch: AgentBatch,
+            /// Fences, each with the number of its call.
+            fences: Vec<(u64, u64)>,
+            /// Inputs of jobs that the agent may not know yet.
+            inputs: Vec<(JobId, StoredInput)>,
+        },
     }
 
     /// A reply to a request of another node.
--- a/crates/magnoliapin_site/src/store_message.rs
+++ b/crates/magnoliapin_site/src/store_message.rs
@@ -74,6 +74,20 @@
         self
     }
 
+    /// Adds all conditions and changes of another transaction.
+    #[must_use]
+    pub fn with_all(mut self, other: Self) -> Self {
+        self.expected.extend(other.expected);
+        self.writes.extend(other.writes);
+        self.removals.extend(other.removals);
+        self
+    }
+
+    /// Returns the total size of the values, in bytes.
+    pub fn value_bytes(&self) -> usize {
+        self.writes.iter().map(|(_, value)| value.len()).sum()
+    }
+
     /// Returns the number of conditions and changes, which the store limits.
     pub fn entry_count(&self) -> usize {
         self.expected.len() + self.writes.len() + self.removals.len()
