Limit the runs of a target to what its row can hold

What callers saw: after one job of 6,000 or 10,000 tasks without demand no task of any job started any more, although the job was accepted.

Cause: all tasks of the job were placed on one target, whose row with its runs was then larger than the store takes. Its batch, which every start waits for, was refused and sent again for ever. A batch of many such rows exceeded the limit on transactions in the same way.

A batch takes as many rows as fit in a transaction, and starts count as recorded only once all rows are.

--- a/crates/magnoliapin/tests/floods/accepted_jobs.rs
+++ b/crates/magnoliapin/tests/floods/accepted_jobs.rs
@@ -23,6 +23,8 @@
 const BODY_BYTES: usize = 1024 * 1024;
 /// Number of clients that send the same request at the same time.
 const WIDE_CROWD: usize = 300;
+/// Number of tasks of a job whose body is small.
+const TASKS_PER_JOB: usize = 10_000;
 /// Longest time for which a crowd sends.
 const CROWD_TIME: Duration = Duration::from_secs(20);
 
@@ -242,6 +244,27 @@
     Some((status, response))
 }
 
+/// Guards against rows with the runs of a target, or with the progress of a job, that are larger than
+/// the store takes.
+#[test]
+fn jobs_with_many_tasks_complete_on_one_target() {
+    let _guard = lock();
+    let node = TestNode::start("runs", SMALL_MEMORY);
+    node.platform.register_target();
+    let body = format!("{{\"phases\":[{{\"count\":{TASKS_PER_JOB}}}],\"spec\":\"x\"}}");
+    let request = post("/q/00000000000000b1", CLOSE, &body, false);
+    assert_eq!(status(node.clients, &request), Some(200));
+    wait_for("the job with many tasks is completed", || {
+        state_of(&node, "00000000000000b1").as_deref() == Some("completed")
+    });
+    let job = "00000000000000b2";
+    assert_eq!(
+        status(node.clients, &post(&format!("/q/{job}"), CLOSE, &self::body("y"), false)),
+        Some(200)
+    );
+    check_completed(&node, &BTreeMap::from([(job.to_owned(), "y".to_owned())]));
+}
+
 /// Sends the same complete request from a wide crowd, and checks the node.
 fn check_wide_crowd(
     name: &str,
--- a/crates/magnoliapin_scheduler/src/leader/commit.rs
+++ b/crates/magnoliapin_scheduler/src/leader/commit.rs
@@ -21,6 +21,10 @@
 use crate::rows;
 use crate::rows::OutcomeRow;
 
+#[cfg(test)]
+#[path = "commit_tests.rs"]
+mod tests;
+
 /// Maximum number of conditions and changes of a transaction.
 const MAX_STORE_ENTRIES: usize = 100;
 /// Number of conditions and changes at which no further job is added to a transaction: the store
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -22,6 +22,9 @@
 /// last number that the previous one used on an unresponsive target.
 const ATTEMPTS_PER_GENERATION: u32 = 100;
 
+/// Size of a run in the assignment row of its target, with its team and demand if its job has finished.
+const RUN_BYTES: usize = 80;
+
 /// One in this many targets is reserved for the waiting tasks of a long-running job: they are
 /// placed there one after the other, and the other tasks of the pool need the rest.
 const RESERVED_TARGET_DIVISOR: usize = 8;
@@ -303,6 +306,10 @@
         }
         let target = &self.targets[&candidate.target];
         let has_label = spec.requirement.as_deref().is_none_or(|label| target.has_label(label));
+        // The row with its runs must not be larger than the store takes.
+        if target.runs.len() + target.unstored.len() + chosen >= self.max_runs_per_target() {
+            return false;
+        }
         // A second run of the same task would replace the first in the target's map of runs.
         if !has_label || target.runs.contains_key(&name) {
             return false;
@@ -314,6 +321,11 @@
         chosen + running < spec.anti_affinity as usize
     }
 
+    /// Returns the number of runs that the assignment row of a target has room for.
+    pub(super) fn max_runs_per_target(&self) -> usize {
+        (self.identity.store_limits.value_bytes() / RUN_BYTES).max(1)
+    }
+
     /// Returns the cost of placing a task on a candidate; the lowest cost is chosen.
     fn placement_cost(
         &self,
--- a/crates/magnoliapin_scheduler/src/leader/records.rs
+++ b/crates/magnoliapin_scheduler/src/leader/records.rs
@@ -159,8 +159,9 @@
         {
             return;
         }
+        let incarnations = self.take_unrecorded_rows();
         // Starts wait again from the batch on that records all remaining runs.
-        let fits_batch = self.unrecorded.len() <= MAX_TARGETS_PER_BATCH;
+        let fits_batch = self.unrecorded.is_empty();
         self.records.sends_unrecorded_starts &= should_send_unrecorded || !fits_batch;
         let covers_all_runs = fits_batch || !self.records.has_unrecorded_runs;
         let has_unrecorded_runs =
@@ -181,15 +182,12 @@
             .with_expected(rows::control_fence(), self.control_fence)
             .with_expected(rows::batch_row(), self.records.version)
             .with_write(rows::batch_row(), rows::encode(&row));
-        let mut incarnations = Vec::new();
-        let count = self.unrecorded.len().min(MAX_TARGETS_PER_BATCH);
-        let keys: Vec<TargetKey> = self.unrecorded.drain(..count).collect();
-        for key in keys {
-            let Some(target) = self.targets.get(&key) else { continue };
-            let (value, incarnation) = self.assignment_row(key, target);
+        let mut recorded = Vec::new();
+        for (value, incarnation) in incarnations {
             transaction = transaction.with_write(rows::assignment_row(&incarnation.name), value);
-            incarnations.push(incarnation);
+            recorded.push(incarnation);
         }
+        let incarnations = recorded;
         let count = self.obsolete_rows.len().min(MAX_TARGETS_PER_BATCH - incarnations.len());
         let mut obsolete_rows: Vec<TargetName> = self.obsolete_rows.drain(..count).collect();
         // Another incarnation with the same name needs the row.
@@ -214,6 +212,27 @@
         );
     }
 
+    /// Removes and returns the rows to write with the next batch: those of as many targets as fit in a
+    /// transaction.
+    fn take_unrecorded_rows(&mut self) -> Vec<(Vec<u8>, RecordedIncarnation)> {
+        // The rest is for the row of the batch.
+        let max_bytes = self.identity.store_limits.transaction_bytes() / 2;
+        let mut rows = Vec::new();
+        let (mut bytes, mut count) = (0, 0);
+        for key in self.unrecorded.iter().take(MAX_TARGETS_PER_BATCH) {
+            let target = self.targets.get(key);
+            let row = target.map(|target| self.assignment_row(*key, target));
+            bytes += row.as_ref().map_or(0, |(value, _)| value.len());
+            if bytes > max_bytes && !rows.is_empty() {
+                break;
+            }
+            count += 1;
+            rows.extend(row);
+        }
+        self.unrecorded.drain(..count);
+        rows
+    }
+
     /// Handles the reply to a batch.
     pub(super) fn handle_record_reply(
         &mut self,
--- a/crates/magnoliapin_scheduler/src/leader/recovery.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery.rs
@@ -341,7 +341,12 @@
         self.tick(out);
     }
 
-    fn apply_loaded_rows(&mut self, jobs: &[StoreRow], progress: &[StoreRow], out: &mut Outbox) {
+    pub(super) fn apply_loaded_rows(
+        &mut self,
+        jobs: &[StoreRow],
+        progress: &[StoreRow],
+        out: &mut Outbox,
+    ) {
         for row in jobs {
             self.apply_intake_row(row, true, out);
         }
