Refuse jobs that the leader's memory has no room for

What callers saw: clients with a valid key, each request inside the limits, ended the leader. Each job of 45 KB that waits took some 60 KB of its memory, one with 10,000 tasks 1.5 MB, and nothing bounded them. The next leader loaded the same rows. Refusals for load had `retry-after: 0`, which asks for the same again at once.

Cause: jobs were accepted whatever waited already; the node that is asked knew nothing of the leader's memory, and the leader nothing of that of the nodes which may lead next.

Change: the leader counts what its jobs take, by team, and refuses a job beyond the limit before it is stored (decisions/job_admission.rs): a quarter of the memory of the smallest machine, and 200 MB of inputs in the store. With the job, a team may have at most as much as remains free for all, so one team's crowd leaves room for the others. Nodes tell the leader their memory with their pings, and the lease publishes the smallest one for the next leader. A node refuses the jobs of a team by itself for 1 s after the leader has, unless the leader knows the job from an earlier submission, and stores only a limited part without a leader. These refusals are 429 with a delay spread over 1 to 4 s. Leaders and nodes of the version before get no new messages.

Why it works: a job enters the memory of a leader only by being stored, and each way to store one is now limited by the smallest machine that may have to load it.

--- a/crates/magnoliapin/tests/floods/accepted_jobs.rs
+++ b/crates/magnoliapin/tests/floods/accepted_jobs.rs
@@ -13,7 +13,9 @@
 
 use crate::floods_support::exchange;
 use crate::floods_support::status;
+use crate::floods_support::MachineLimits;
 use crate::floods_support::TestNode;
+use crate::floods_support::TEAM_KEYS;
 use crate::lock;
 use crate::platform::digest;
 use crate::support::site::wait_for;
@@ -21,12 +23,14 @@
 
 /// Limit on bodies in the configuration.
 const BODY_BYTES: usize = 1024 * 1024;
+/// Number of clients of a crowd whose bodies are large.
+const CLIENTS: usize = 8;
 /// Number of clients that send the same request at the same time.
 const WIDE_CROWD: usize = 300;
-/// Number of tasks of a job whose body is small.
-const TASKS_PER_JOB: usize = 10_000;
 /// Longest time for which a crowd sends.
 const CROWD_TIME: Duration = Duration::from_secs(20);
+/// Number of tasks of a job whose body is small.
+const TASKS_PER_JOB: usize = 10_000;
 
 /// Returns the input of a job whose body has this size. Inputs of different jobs differ.
 fn input(job: &str, body_bytes: usize) -> String {
@@ -244,6 +248,85 @@
     Some((status, response))
 }
 
+fn key_header(team: usize) -> String {
+    format!("authorization: Token {}\r\n", TEAM_KEYS[team])
+}
+
+/// Waits until a team can hand in an ordinary job at a node.
+fn check_team_is_served(node: &TestNode, team: usize, job: &str) {
+    let headers = format!("{CLOSE}{}", key_header(team));
+    let request = post(&format!("/k/{job}"), &headers, &body("x"), false);
+    wait_for("a team with few jobs is served", || status(node.clients, &request) == Some(200));
+}
+
+/// Starts three nodes, of which the first leads, and sends them a crowd of team A whose jobs wait.
+/// Checks that every node stays within its limits, also the next leader, that team B is served, and that
+/// no accepted job is lost.
+fn check_accepted_crowd(
+    name: &str,
+    first_limits: MachineLimits,
+    jobs_per_client: usize,
+    request: impl Fn(&str) -> (String, String, String) + Send + Clone + 'static,
+) -> (CrowdResult, Vec<TestNode>) {
+    let mut nodes = vec![TestNode::start(&format!("{name}-1"), first_limits)];
+    for number in 2..=3 {
+        nodes.push(TestNode::join(&nodes[0].platform, &format!("{name}-{number}"), SMALL_MEMORY));
+    }
+    let crowd = send_crowd(nodes[2].clients, CLIENTS, jobs_per_client, request);
+    check_team_is_served(&nodes[1], 1, "00000000000000d1");
+    nodes.iter().for_each(TestNode::check_limits);
+    assert_eq!(crowd.hasty_refusals, 0, "refusals for load without a delay");
+    // The first node leads, as it was alone.
+    nodes[0].kill();
+    let next = &nodes[1];
+    check_team_is_served(next, 1, "00000000000000d2");
+    next.platform.register_target();
+    wait_for("the next leader runs a job", || {
+        state_of(next, "00000000000000d2").as_deref() == Some("completed")
+    });
+    nodes[1..].iter().for_each(TestNode::check_limits);
+    (crowd, nodes)
+}
+
+/// Guards against inputs of waiting jobs that fill the memory of the leader.
+#[test]
+fn accepted_jobs_with_large_inputs_fit_in_the_leader() {
+    let _guard = lock();
+    let (crowd, nodes) = check_accepted_crowd("inputs", SMALL_MEMORY, 200, |job| {
+        let input = input(job, 45_000);
+        (key_header(0), body(&input), input)
+    });
+    let next = &nodes[1];
+    check_completed(next, &crowd.accepted);
+    let state = next.platform.state.lock().expect("no thread has panicked");
+    for job in &crowd.refused {
+        assert!(!state.started.contains_key(&format!("{job}.0.0.0")), "{job} was refused and ran");
+    }
+    drop(state);
+    nodes[1..].iter().for_each(TestNode::check_limits);
+}
+
+/// Returns the request of a job with many tasks.
+fn many_tasks(_job: &str) -> (String, String, String) {
+    let body = format!("{{\"phases\":[{{\"count\":{TASKS_PER_JOB},\"cpu\":10}}],\"spec\":\"x\"}}");
+    (key_header(0), body, "x".to_owned())
+}
+
+/// Guards against tasks of waiting jobs that fill the memory of the leader.
+#[test]
+fn accepted_jobs_with_many_tasks_fit_in_the_leader() {
+    let _guard = lock();
+    check_accepted_crowd("tasks", SMALL_MEMORY, 40, many_tasks);
+}
+
+/// Guards against jobs that a large machine accepts, and that fill the smaller one which leads next.
+#[test]
+fn accepted_jobs_fit_in_the_smallest_machine() {
+    let _guard = lock();
+    let large = MachineLimits { memory_mb: 512, ..SMALL_MEMORY };
+    check_accepted_crowd("mixed", large, 40, many_tasks);
+}
+
 /// Guards against rows with the runs of a target, or with the progress of a job, that are larger than
 /// the store takes.
 #[test]
--- a/crates/magnoliapin/tests/floods_support/mod.rs
+++ b/crates/magnoliapin/tests/floods_support/mod.rs
@@ -118,6 +118,11 @@
         status(self.clients, request.as_bytes()) == Some(200)
     }
 
+    /// Checks that the process lives and has stayed within its limits.
+    pub fn check_limits(&self) {
+        self.limits.check(self.child.id());
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         self.child.kill().expect("the process can be killed");
--- a/crates/magnoliapin_scheduler/src/client_handler.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler.rs
@@ -1,6 +1,7 @@
 //! Serves clients: stores, reads and cancels jobs, through the leader or directly in the store.
 
 mod cancel;
+mod client_admission;
 mod forward;
 mod read;
 mod submit;
@@ -32,6 +33,7 @@
 use rand::Rng;
 
 use self::cancel::CancelStage;
+use self::client_admission::ClientAdmission;
 use self::read::ReadStage;
 use self::submit::Submission;
 use self::upload::Upload;
@@ -68,6 +70,7 @@
 pub(crate) struct ClientHandler {
     partition_count: u32,
     limits: StoreLimits,
+    admission: ClientAdmission,
     routes: RouteTable,
     has_config: bool,
     /// Requests that wait for a reply of the store.
@@ -114,6 +117,9 @@
     refused_calls: u32,
     /// Number of calls whose outcome is unknown.
     unknown_outcomes: u32,
+    /// Whether it submits a job for which there is no room: it reads whether the job was accepted
+    /// before, and is refused otherwise.
+    is_refused_if_unknown: bool,
     stage: RequestStage,
 }
 
@@ -128,10 +134,11 @@
 
 impl ClientHandler {
     /// Creates a handler that refuses all requests until it has a configuration.
-    pub(crate) fn new(partition_count: u32, limits: StoreLimits) -> Self {
+    pub(crate) fn new(partition_count: u32, limits: StoreLimits, memory: ByteSize) -> Self {
         Self {
             partition_count,
             limits,
+            admission: ClientAdmission::new(memory),
             routes: RouteTable::default(),
             has_config: false,
             requests: IndexMap::new(),
@@ -330,8 +337,44 @@
         }
     }
 
+    /// Refuses a job for lack of room, unless it was accepted before.
+    fn refuse_unless_known(&mut self, request: &PendingRequest, out: &mut Outbox) {
+        self.drop_upload(request, out);
+        let stage = RequestStage::Read(ReadStage::Outcome);
+        let request = request.context().with_stage(stage);
+        self.forward(PendingRequest { is_refused_if_unknown: true, ..request }, out);
+    }
+
+    /// Replies to a request whose job was read.
+    fn reply_to_read(&self, request: &PendingRequest, reply: ClientReply, out: &mut Outbox) {
+        match reply {
+            ClientReply::State(_) if request.is_refused_if_unknown => {
+                out.reply(request.client, ClientReply::Accepted);
+            }
+            ClientReply::UnknownJob if request.is_refused_if_unknown => {
+                self.refuse_full(request, out);
+            }
+            reply => out.reply(request.client, reply),
+        }
+    }
+
+    /// Refuses a job for lack of room.
+    fn refuse_full(&self, request: &PendingRequest, out: &mut Outbox) {
+        log::info!("event=request_refused job={} why=too_many_jobs", request.job);
+        self.drop_upload(request, out);
+        let retry_after = ClientAdmission::return_delay(out);
+        let reason = RefusalReason::Overloaded;
+        out.reply(request.client, ClientReply::Refused { reason, retry_after });
+    }
+
     /// Makes the store call for the request's stage.
     fn send_to_store(&mut self, request: PendingRequest, out: &mut Outbox) {
+        if matches!(request.stage, RequestStage::Submit(_))
+            && request.unknown_outcomes == 0
+            && self.admission.is_direct_full()
+        {
+            return self.refuse_unless_known(&request, out);
+        }
         let store_request = match &request.stage {
             RequestStage::Upload(upload) => self.upload_store_request(request.job, upload),
             RequestStage::Submit(submission) => self.submit_store_request(request.job, submission),
@@ -377,7 +420,15 @@
 impl RequestContext {
     fn with_stage(self, stage: RequestStage) -> PendingRequest {
         let Self { client, job, deadline } = self;
-        PendingRequest { client, job, deadline, refused_calls: 0, unknown_outcomes: 0, stage }
+        PendingRequest {
+            client,
+            job,
+            deadline,
+            refused_calls: 0,
+            unknown_outcomes: 0,
+            is_refused_if_unknown: false,
+            stage,
+        }
     }
 }
 
@@ -396,6 +447,7 @@
         out: &mut Outbox,
     ) {
         let row = submit::new_row(spec, queue, team, out.wall_now());
+        let is_closed = self.admission.is_closed(row.team.as_ref(), out.now);
         let inline_bytes = (MAX_INLINE_INPUT.0 as usize).min(self.limits.value_bytes() / 2);
         let input_bytes = row.spec.payload.len();
         if input_bytes > MAX_INPUT.0 as usize {
@@ -414,7 +466,11 @@
             let limit = ByteSize(self.limits.value_bytes() as u64);
             return self.refuse_large(context, "the job without its input", limit, out);
         }
-        self.forward(context.with_stage(stage), out);
+        let request = context.with_stage(stage);
+        match is_closed {
+            true => self.refuse_unless_known(&request, out),
+            false => self.forward(request, out),
+        }
     }
 
     /// Refuses for good a job that cannot be stored.
--- a/crates/magnoliapin_scheduler/src/client_handler/forward.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler/forward.rs
@@ -93,13 +93,29 @@
             return Some(has_answered);
         }
         let client_reply = match reply {
-            PeerReply::Accepted => ClientReply::Accepted,
+            PeerReply::Accepted => {
+                self.admission.record_accepted();
+                ClientReply::Accepted
+            }
+            PeerReply::Full => {
+                if let RequestStage::Submit(submission) = &request.stage {
+                    self.admission.record_full(submission.team().cloned(), out.now);
+                }
+                self.refuse_full(&request, out);
+                return Some(true);
+            }
             PeerReply::Cancelled => ClientReply::Cancelled,
             PeerReply::State(state) => {
                 if state.is_final() {
                     self.record_final_state(request.job, state);
                 }
-                ClientReply::State(state)
+                self.reply_to_read(&request, ClientReply::State(state), out);
+                return Some(true);
+            }
+            // The leader would have refused the job for the same reason.
+            PeerReply::UnknownJob if request.is_refused_if_unknown => {
+                self.refuse_full(&request, out);
+                return Some(true);
             }
             PeerReply::UnknownJob | PeerReply::Refused | PeerReply::NotLeader => {
                 self.send_to_store(request, out);
--- a/crates/magnoliapin_scheduler/src/client_handler/read.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler/read.rs
@@ -48,7 +48,7 @@
         out: &mut Outbox,
     ) {
         let StoreReply::Rows { rows, .. } = reply else {
-            out.reply(request.client, refusal(RefusalReason::StoreUnavailable));
+            self.reply_to_read(request, refusal(RefusalReason::StoreUnavailable), out);
             return;
         };
         let job = request.job;
@@ -56,19 +56,19 @@
         let next = match (stage, row) {
             (ReadStage::Outcome | ReadStage::OutcomeAgain, Some(row)) => {
                 let client_reply = self.record_outcome(job, row);
-                out.reply(request.client, client_reply);
+                self.reply_to_read(request, client_reply, out);
                 return;
             }
             (ReadStage::Job, Some(row)) => {
                 self.known_job_mut(job).version = Some(row.version);
-                out.reply(request.client, UNFINISHED_STATE);
+                self.reply_to_read(request, UNFINISHED_STATE, out);
                 return;
             }
             (ReadStage::Outcome, None) => {
                 let is_accepted =
                     self.known_jobs.get(&job).is_some_and(|known| known.version.is_some());
                 if is_accepted {
-                    out.reply(request.client, UNFINISHED_STATE);
+                    self.reply_to_read(request, UNFINISHED_STATE, out);
                     return;
                 }
                 ReadStage::Job
@@ -76,7 +76,7 @@
             (ReadStage::Job, None) => ReadStage::OutcomeAgain,
             (ReadStage::OutcomeAgain, None) => {
                 log::info!("event=unknown_job job={job}");
-                out.reply(request.client, ClientReply::UnknownJob);
+                self.reply_to_read(request, ClientReply::UnknownJob, out);
                 return;
             }
         };
--- a/crates/magnoliapin_scheduler/src/client_handler/submit.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler/submit.rs
@@ -18,6 +18,7 @@
 use super::refusal;
 use super::ClientHandler;
 use super::PendingRequest;
+use crate::job_size::JobSize;
 use crate::outbox::Outbox;
 use crate::rows;
 use crate::rows::has_job;
@@ -28,7 +29,9 @@
 #[derive(Clone, Debug)]
 pub(super) struct Submission {
     queue: QueueName,
+    team: Option<TeamName>,
     task_count: u32,
+    size: JobSize,
     encoded_row: Vec<u8>,
     /// Where its input is stored, if that is not in the row.
     input: Option<StoredInput>,
@@ -39,7 +42,9 @@
     pub(super) fn new(row: &JobRow, input: Option<StoredInput>) -> Self {
         Self {
             queue: row.queue.clone(),
+            team: row.team.clone(),
             task_count: row.spec.steps.iter().map(|step| step.tasks).sum(),
+            size: JobSize::new(&row.spec, input.as_ref()),
             encoded_row: rows::encode_job(row, input.as_ref()),
             input,
         }
@@ -50,6 +55,11 @@
         &self.encoded_row
     }
 
+    /// Returns the team whose key was presented.
+    pub(super) fn team(&self) -> Option<&TeamName> {
+        self.team.as_ref()
+    }
+
     /// Returns where the input of the job is stored, if that is not in the row.
     pub(super) fn input(&self) -> Option<StoredInput> {
         self.input
@@ -121,6 +131,7 @@
                     submission.task_count
                 );
                 self.known_job_mut(job).version = Some(*version);
+                self.admission.record_direct(submission.size);
                 ClientReply::Accepted
             }
             // The input has been removed, as no job needed it.
--- a/crates/magnoliapin_scheduler/src/decisions.rs
+++ b/crates/magnoliapin_scheduler/src/decisions.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod amount;
 pub(crate) mod arrival_forecast;
+pub(crate) mod job_admission;
 pub(crate) mod job_order;
 pub(crate) mod pool_moves;
 pub(crate) mod team_shares;
--- a/crates/magnoliapin_scheduler/src/election.rs
+++ b/crates/magnoliapin_scheduler/src/election.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use magnoliapin_model::ByteSize;
 use magnoliapin_model::Moment;
 use magnoliapin_model::RowVersion;
 use magnoliapin_site::QueueName;
@@ -20,6 +21,7 @@
 use crate::outbox::Outbox;
 use crate::rows;
 use crate::rows::FenceRow;
+use crate::rows::LeaseLimit;
 use crate::rows::LeaseRow;
 use crate::watch::Watch;
 use crate::watch::WatchKind;
@@ -61,6 +63,8 @@
     watch: Watch,
     /// The lease as last seen, with its version.
     last_lease: Option<(LeaseRow, RowVersion)>,
+    /// What its holder has published with it.
+    last_limit: LeaseLimit,
     /// When a change of the lease was last observed; `None` before the first read.
     changed_at: Option<Moment>,
     /// When the lease's current generation was first seen.
@@ -84,6 +88,7 @@
             identity,
             watch: Watch::new(WatchKind::Lease),
             last_lease: None,
+            last_limit: LeaseLimit::default(),
             changed_at: None,
             generation_seen_at: None,
             attempt: None,
@@ -101,6 +106,16 @@
         self.last_lease.as_ref().map_or(&[], |(lease, _)| &lease.waiting_jobs)
     }
 
+    /// Returns the memory of the smallest machine of a node, as last published by a leader.
+    pub(crate) fn smallest_memory(&self) -> Option<ByteSize> {
+        Some(self.last_limit.smallest_memory).filter(|memory| *memory > ByteSize(0))
+    }
+
+    /// Returns whether the leader publishes its limit on jobs.
+    pub(crate) fn publishes_limit(&self) -> bool {
+        self.smallest_memory().is_some()
+    }
+
     /// Returns the generation of the lease as last seen; 0 if there is none.
     pub(crate) fn generation(&self) -> u64 {
         self.last_lease.as_ref().map_or(0, |(lease, _)| lease.generation)
@@ -154,8 +169,9 @@
         if row.version <= last_version {
             return None;
         }
-        let lease: Option<LeaseRow> = row.value.as_deref().and_then(rows::decode);
-        let Some(lease) = lease else {
+        let lease: Option<(LeaseRow, LeaseLimit)> =
+            row.value.as_deref().and_then(rows::decode_extended);
+        let Some((lease, limit)) = lease else {
             log::error!("event=row_unreadable table={} version={}", rows::LEASE, row.version);
             return None;
         };
@@ -171,6 +187,7 @@
         self.changed_at = Some(out.now);
         self.next_attempt_at = out.now;
         self.last_lease = Some((lease, row.version));
+        self.last_limit = limit;
         None
     }
 
@@ -225,6 +242,12 @@
         self.identity.profile.cpu_milli > threshold && (has_waited || lease.generation == 1)
     }
 
+    /// Returns the limit that this node publishes as it acquires the lease.
+    fn own_limit(&self) -> LeaseLimit {
+        let own = self.identity.memory;
+        LeaseLimit { smallest_memory: self.smallest_memory().map_or(own, |last| last.min(own)) }
+    }
+
     fn try_acquire(&mut self, out: &mut Outbox) {
         let (generation, version) =
             self.last_lease.as_ref().map_or((1, RowVersion(0)), |(lease, version)| {
@@ -241,7 +264,7 @@
         };
         let transaction = StoreTransaction::default()
             .with_expected(rows::lease_row(), version)
-            .with_write(rows::lease_row(), rows::encode(&lease))
+            .with_write(rows::lease_row(), rows::encode_extended(&lease, &self.own_limit()))
             .with_write(rows::control_fence(), rows::encode(&FenceRow { generation }));
         let call = out.call_store(StoreRequest::Commit(transaction));
         self.attempt = Some(AcquireAttempt { call, generation, sent_at: out.now });
--- a/crates/magnoliapin_scheduler/src/election_tests.rs
+++ b/crates/magnoliapin_scheduler/src/election_tests.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use magnoliapin_model::ByteSize;
 use magnoliapin_model::Moment;
 use magnoliapin_model::RowVersion;
 use magnoliapin_site::CallFailure;
@@ -68,6 +69,7 @@
         instance_orders_per_s: 64.0,
         instance_lists_per_s: 64.0,
         store_limits: store_limits(),
+        memory: ByteSize(256 * 1024 * 1024),
     };
     let mut out = Outbox::new(1);
     let mut election = Election::new(identity);
--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -20,6 +20,7 @@
 mod intake;
 mod isolation;
 mod job;
+mod job_ledger;
 mod lease;
 mod orders;
 mod placement;
@@ -38,6 +39,7 @@
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
+use magnoliapin_model::ByteSize;
 use magnoliapin_model::Moment;
 use magnoliapin_model::RowVersion;
 use magnoliapin_site::JobId;
@@ -68,6 +70,7 @@
 use self::intake::Reload;
 use self::job::Job;
 use self::job::JobKey;
+use self::job_ledger::JobLedger;
 use self::lease::Renewal;
 use self::previous_runs::PreviousIncarnation;
 use self::previous_runs::SilentTargets;
@@ -101,6 +104,8 @@
     /// Rate limit of reads of the list of instances, in pages per second.
     pub(crate) instance_lists_per_s: f64,
     pub(crate) store_limits: StoreLimits,
+    /// Memory of the machine that the process may use.
+    pub(crate) memory: ByteSize,
 }
 
 /// State of the leader.
@@ -136,6 +141,7 @@
     pools: IndexMap<PoolName, Pool>,
     team_use: IndexMap<TeamName, Resources>,
     team_shares: TeamShares,
+    job_ledger: JobLedger,
     upload_cleaner: UploadCleaner,
     /// Incarnations of targets that may execute runs of the previous leader and have not reported
     /// yet.
@@ -267,6 +273,7 @@
         lease: AcquiredLease,
         config: Rc<SiteConfig>,
         waiting_jobs: Vec<(QueueName, u64)>,
+        smallest_memory: Option<ByteSize>,
         out: &mut Outbox,
     ) -> Self {
         log::info!(
@@ -275,6 +282,7 @@
             config.version
         );
         let partitions = (0..identity.partition_count).map(|_| Partition::default()).collect();
+        let job_ledger = JobLedger::new(identity.memory, smallest_memory, out.now);
         let agents = AgentLinks::new(lease.generation, &identity.profile, out.now);
         let mut leader = Self {
             identity,
@@ -303,6 +311,7 @@
             pools: IndexMap::new(),
             team_use: IndexMap::new(),
             team_shares: TeamShares::default(),
+            job_ledger,
             upload_cleaner: UploadCleaner::new(out.now),
             previous_incarnations: IndexMap::new(),
             unconfirmed_runs: IndexMap::new(),
--- a/crates/magnoliapin_scheduler/src/leader/commit.rs
+++ b/crates/magnoliapin_scheduler/src/leader/commit.rs
@@ -219,6 +219,7 @@
         self.update.finished_jobs.push((id, state));
         self.job_keys.swap_remove(&id);
         if let Some(job) = self.jobs.swap_remove(&key) {
+            self.job_ledger.remove(job.team.as_ref(), job.size);
             if let Some(input) = job.input {
                 self.upload_cleaner.add(id, input.upload, input.pieces);
             }
--- a/crates/magnoliapin_scheduler/src/leader/intake.rs
+++ b/crates/magnoliapin_scheduler/src/leader/intake.rs
@@ -9,6 +9,7 @@
 use magnoliapin_site::StoreRow;
 use magnoliapin_site::StoredInput;
 
+use crate::job_size::JobSize;
 use crate::leader::job::Job;
 use crate::leader::job::JobKey;
 use crate::leader::job::Occurrence;
@@ -154,6 +155,8 @@
         }
         self.last_job_key += 1;
         let key = JobKey(self.last_job_key);
+        let size = JobSize::new(&row.spec, input.as_ref());
+        self.job_ledger.add(row.team.as_ref(), size);
         let is_counted = !is_inherited && !row.spec.is_long_running();
         let is_over_share = is_counted && self.team_shares.add_arrival(row.team.as_ref(), out.now);
         let job = Job {
@@ -164,6 +167,7 @@
             team: row.team,
             spec: row.spec,
             input,
+            size,
             accepted_at: out.moment_of(row.accepted_at),
             is_inherited,
             is_over_share,
--- a/crates/magnoliapin_scheduler/src/leader/job.rs
+++ b/crates/magnoliapin_scheduler/src/leader/job.rs
@@ -13,6 +13,7 @@
 use magnoliapin_site::TaskName;
 use magnoliapin_site::TeamName;
 
+use crate::job_size::JobSize;
 use crate::leader::target::TargetKey;
 use crate::rows::JobRule;
 use crate::rows::OccurrenceProgress;
@@ -36,6 +37,8 @@
     pub(crate) spec: JobSpec,
     /// Where its input is stored, if that is not in the specification.
     pub(crate) input: Option<StoredInput>,
+    /// What it takes until it has finished.
+    pub(crate) size: JobSize,
     /// When it was accepted, on this process's clock.
     pub(crate) accepted_at: Moment,
     /// Whether it was accepted before this leader took over.
--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -16,6 +16,7 @@
 use crate::leader::LeaderPhase;
 use crate::outbox::Outbox;
 use crate::rows;
+use crate::rows::LeaseLimit;
 use crate::rows::LeaseRow;
 use crate::times::CONFIRMATION_VALIDITY;
 use crate::times::LEASE_SLACK;
@@ -93,9 +94,10 @@
             is_released: self.renewal.is_releasing,
             waiting_jobs: self.waiting_jobs.clone(),
         };
+        let limit = LeaseLimit { smallest_memory: self.job_ledger.smallest_memory(out.now) };
         let transaction = StoreTransaction::default()
             .with_expected(rows::control_fence(), self.control_fence)
-            .with_write(rows::lease_row(), rows::encode(&lease));
+            .with_write(rows::lease_row(), rows::encode_extended(&lease, &limit));
         self.renewal.in_flight_since = Some(out.now);
         if self.renewal.is_releasing {
             self.renewal.release_sent_at = Some(out.now);
--- a/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
@@ -198,7 +198,7 @@
             requested_at: Moment::START,
         };
         let config = Rc::new(SiteConfig::default());
-        let mut leader = Leader::new(identity(), lease, config, Vec::new(), &mut out);
+        let mut leader = Leader::new(identity(), lease, config, Vec::new(), None, &mut out);
         while out.now < Moment::START + time {
             let mut actions = Vec::new();
             out.take_actions(&mut actions);
--- a/crates/magnoliapin_scheduler/src/leader/recovery_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery_tests.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use magnoliapin_model::ByteSize;
 use magnoliapin_model::Moment;
 use magnoliapin_model::RowVersion;
 use magnoliapin_site::CallFailure;
@@ -29,6 +30,7 @@
         instance_orders_per_s: 64.0,
         instance_lists_per_s: 64.0,
         store_limits: store_limits(),
+        memory: ByteSize(256 * 1024 * 1024),
     }
 }
 
@@ -53,7 +55,7 @@
     let lease =
         AcquiredLease { generation: 2, fence_version: RowVersion(1), requested_at: Moment::START };
     let config = Rc::new(SiteConfig::default());
-    let mut leader = Leader::new(identity(), lease, config, Vec::new(), &mut out);
+    let mut leader = Leader::new(identity(), lease, config, Vec::new(), None, &mut out);
     let mut timeouts = Vec::new();
     for _ in 0..6 {
         let reads = sent_reads(&mut out);
--- a/crates/magnoliapin_scheduler/src/leader/submissions.rs
+++ b/crates/magnoliapin_scheduler/src/leader/submissions.rs
@@ -16,6 +16,7 @@
 use magnoliapin_site::StoreTransaction;
 use magnoliapin_site::StoredInput;
 
+use crate::job_size::JobSize;
 use crate::leader::Leader;
 use crate::leader::LeaderPhase;
 use crate::outbox::Outbox;
@@ -41,6 +42,7 @@
     /// Encoded row of the job.
     encoded_row: Vec<u8>,
     row: JobRow,
+    size: JobSize,
     /// Where its input is stored, if that is not in the row.
     input: Option<StoredInput>,
     requesters: Vec<Requester>,
@@ -72,6 +74,11 @@
                 self.record_ping(profile, clock_ms, out);
                 return self.send_reply(requester, pong, out);
             }
+            PeerRequest::OfferWithMemory { profile, clock_ms, memory } => {
+                self.job_ledger.record_memory(memory);
+                self.record_ping(profile, clock_ms, out);
+                return self.send_reply(requester, pong, out);
+            }
             _ => {}
         }
         if self.phase != LeaderPhase::Active {
@@ -84,6 +91,7 @@
             }
             PeerRequest::Ping
             | PeerRequest::Offer { .. }
+            | PeerRequest::OfferWithMemory { .. }
             | PeerRequest::AgentCalls(_)
             | PeerRequest::RaisedAgentCalls { .. }
             | PeerRequest::StoredInputCalls { .. } => {}
@@ -137,8 +145,13 @@
             log::error!("event=row_unreadable table={} job={job}", rows::INTAKE);
             return self.send_reply(requester, PeerReply::Refused, out);
         };
+        let size = JobSize::new(&row.spec, input.as_ref());
+        if !self.job_ledger.admits(row.team.as_ref(), size, out.now) {
+            return self.send_reply(requester, PeerReply::Full, out);
+        }
+        self.job_ledger.add(row.team.as_ref(), size);
         let requesters = vec![requester];
-        let submission = Submission { encoded_row, row, input, requesters, deadline };
+        let submission = Submission { encoded_row, row, size, input, requesters, deadline };
         submissions.insert(job, submission);
     }
 
@@ -223,6 +236,7 @@
             };
             let submissions = &mut self.partitions[partition as usize].commit.submissions;
             let Some(submission) = submissions.shift_remove(job) else { continue };
+            self.job_ledger.remove(submission.row.team.as_ref(), submission.size);
             // A job that was stored earlier is loaded, will come from the watch, or has finished.
             if is_committed {
                 self.add_job(*job, submission.row, submission.input, false, out);
@@ -257,6 +271,7 @@
                 .extract_if(.., |job, submission| submission.deadline < now && !sent.contains(job));
             let expired: Vec<(JobId, Submission)> = expired.collect();
             for (_, submission) in expired {
+                self.job_ledger.remove(submission.row.team.as_ref(), submission.size);
                 for requester in submission.requesters {
                     self.send_reply(requester, PeerReply::Refused, out);
                 }
--- a/crates/magnoliapin_scheduler/src/lib.rs
+++ b/crates/magnoliapin_scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 mod event;
 mod fence;
 mod input_loader;
+mod job_size;
 mod known_report;
 mod leader;
 mod machine;
--- a/crates/magnoliapin_scheduler/src/machine.rs
+++ b/crates/magnoliapin_scheduler/src/machine.rs
@@ -69,15 +69,19 @@
             instance_orders_per_s: settings.instance_orders_per_s,
             instance_lists_per_s: settings.instance_lists_per_s,
             store_limits: settings.store_limits,
+            memory: ByteSize(u64::from(settings.memory_mb) * 1024 * 1024),
         };
-        let memory = ByteSize(u64::from(settings.memory_mb) * 1024 * 1024);
         let partition_count = identity.partition_count;
         Self {
             site_watch: SiteWatch::new(),
             election: Election::new(identity.clone()),
             peer_link: PeerLink::default(),
-            client_handler: ClientHandler::new(partition_count, identity.store_limits),
-            input_loader: InputLoader::new(partition_count, memory),
+            client_handler: ClientHandler::new(
+                partition_count,
+                identity.store_limits,
+                identity.memory,
+            ),
+            input_loader: InputLoader::new(partition_count, identity.memory),
             leader: None,
             agent: Agent::default(),
             is_stopping: false,
@@ -179,7 +183,8 @@
                 // The previous leader may never answer.
                 self.client_handler.resend_to_store(&mut self.out);
             }
-            self.peer_link.poll(&self.identity.profile, &mut self.out);
+            let memory = self.election.publishes_limit().then_some(self.identity.memory);
+            self.peer_link.poll(&self.identity.profile, memory, &mut self.out);
         }
         self.update_leader_location();
         self.client_handler.tick(&mut self.out);
@@ -266,8 +271,10 @@
     fn start_leading(&mut self, lease: AcquiredLease) {
         let Some(config) = self.site_watch.config().cloned() else { return };
         let waiting_jobs = self.election.waiting_jobs().to_vec();
+        let smallest_memory = self.election.smallest_memory();
         let identity = self.identity.clone();
-        let mut leader = Leader::new(identity, lease, config, waiting_jobs, &mut self.out);
+        let mut leader =
+            Leader::new(identity, lease, config, waiting_jobs, smallest_memory, &mut self.out);
         leader.set_waves(self.site_watch.waves(), &mut self.out);
         leader.set_evacuated_zones(self.site_watch.evacuated_zones(), self.out.now);
         self.leader = Some(Box::new(leader));
--- a/crates/magnoliapin_scheduler/src/peer_link.rs
+++ b/crates/magnoliapin_scheduler/src/peer_link.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use magnoliapin_model::ByteSize;
 use magnoliapin_model::Moment;
 use magnoliapin_site::CallFailure;
 use magnoliapin_site::NodeProfile;
@@ -62,14 +63,23 @@
         self.failed_pings >= UNRESPONSIVE_AFTER_PINGS
     }
 
-    /// Sends a ping when one is due, with the profile of this node.
-    pub(crate) fn poll(&mut self, profile: &NodeProfile, out: &mut Outbox) {
+    /// Sends a ping when one is due, with the profile of this node and its memory, if that is given.
+    pub(crate) fn poll(
+        &mut self,
+        profile: &NodeProfile,
+        memory: Option<ByteSize>,
+        out: &mut Outbox,
+    ) {
         let Some(address) = self.address else { return };
         if self.ping_call.is_some() || out.now < self.next_ping_at {
             return;
         }
         self.next_ping_at = out.now + PING_INTERVAL;
-        let ping = PeerRequest::Offer { profile: profile.clone(), clock_ms: out.now.0 / 1000 };
+        let (profile, clock_ms) = (profile.clone(), out.now.0 / 1000);
+        let ping = match memory {
+            Some(memory) => PeerRequest::OfferWithMemory { profile, clock_ms, memory },
+            None => PeerRequest::Offer { profile, clock_ms },
+        };
         self.ping_call = Some(out.call_peer(address, ping, PING_TIMEOUT));
     }
 
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -25,6 +25,7 @@
 use std::net::SocketAddr;
 
 use magnoliapin_model::plain_data;
+use magnoliapin_model::ByteSize;
 use magnoliapin_model::UnixMillis;
 use magnoliapin_site::InstanceName;
 use magnoliapin_site::JobId;
@@ -231,6 +232,14 @@
         pub(crate) waiting_jobs: Vec<(QueueName, u64)>,
     }
 
+    /// What a leader publishes about the limit on jobs; follows the lease in its row. Leaders of earlier
+    /// versions publish nothing.
+    #[derive(Copy, Default, Eq)]
+    pub(crate) struct LeaseLimit {
+        /// Memory of the smallest machine of a node; 0 if nothing is published.
+        pub(crate) smallest_memory: ByteSize,
+    }
+
     /// Assignment: the runs that an incarnation of a target may have. Completions are not recorded
     /// here, so some may have finished.
     #[derive(Eq)]
--- a/crates/magnoliapin_site/src/peer_message.rs
+++ b/crates/magnoliapin_site/src/peer_message.rs
@@ -4,6 +4,7 @@
 //! messages while a site is being updated.
 
 use magnoliapin_model::plain_data;
+use magnoliapin_model::ByteSize;
 
 use crate::AgentBatch;
 use crate::AgentReplies;
@@ -59,6 +60,16 @@
             /// Inputs of jobs that the agent may not know yet.
             inputs: Vec<(JobId, StoredInput)>,
         },
+        /// The same as `Offer`, with the memory of the node's machine, as any node may be the next
+        /// leader. Sent only to a leader that publishes its limit on jobs.
+        OfferWithMemory {
+            /// The node that sends it.
+            profile: NodeProfile,
+            /// Its clock, in milliseconds since the start of its process.
+            clock_ms: u64,
+            /// Memory of its machine.
+            memory: ByteSize,
+        },
     }
 
     /// A reply to a request of another node.
@@ -92,5 +103,7 @@
             /// Generation of that leader.
             generation: u64,
         },
+        /// The job was refused and is not stored, as too many jobs of its team wait.
+        Full,
     }
 }
