Open no more occurrences of a job than its tasks have room for

What callers saw: one accepted request of 110 bytes, a job of 10,000 tasks that is due 10,000 times, ended the leader, and each that followed it.

Cause: every occurrence that is due was opened at once, with the state of each of its tasks: 10^8 tasks.

Change: an occurrence opens while the open ones of its job have at most 10,000 tasks, or if none is open. Later ones open as earlier ones are done; their due times stay as they are.

--- a/crates/magnoliapin/tests/floods/accepted_jobs.rs
+++ b/crates/magnoliapin/tests/floods/accepted_jobs.rs
@@ -327,6 +327,21 @@
     check_accepted_crowd("mixed", large, 40, many_tasks);
 }
 
+/// Guards against occurrences of one job that fill the memory of the leader.
+#[test]
+fn jobs_with_many_occurrences_fit_in_the_leader() {
+    let _guard = lock();
+    let node = TestNode::start("occurrences", SMALL_MEMORY);
+    let body = format!(
+        "{{\"phases\":[{{\"count\":{TASKS_PER_JOB},\"cpu\":10}}],\"spec\":\"x\",\"start_at_ms\":1,\
+         \"period_ms\":0,\"repeat_count\":10000}}"
+    );
+    let request = post("/q/00000000000000b1", CLOSE, &body, false);
+    assert_eq!(status(node.clients, &request), Some(200));
+    node.check();
+    assert!(state_of(&node, "00000000000000b1").is_some());
+}
+
 /// Guards against rows with the runs of a target, or with the progress of a job, that are larger than
 /// the store takes.
 #[test]
--- a/crates/magnoliapin_scheduler/src/job_size.rs
+++ b/crates/magnoliapin_scheduler/src/job_size.rs
@@ -12,8 +12,14 @@
 const JOB_BYTES: u64 = 1_200;
 /// Memory of a task.
 const TASK_BYTES: u64 = 200;
-/// Memory of a step apart from its tasks and texts.
-const STEP_BYTES: u64 = size_of::<StepSpec>() as u64 + 64;
+/// Memory of the specification of a step apart from its texts.
+const STEP_BYTES: u64 = size_of::<StepSpec>() as u64;
+/// Memory of a step of an open occurrence apart from its tasks.
+const OPEN_STEP_BYTES: u64 = 120;
+
+/// Maximum number of tasks of the open occurrences of a job, unless a single one has more. Further
+/// occurrences that are due wait until earlier ones are done.
+pub(crate) const MAX_OPEN_TASKS: u64 = 10_000;
 
 /// What a job takes until it has finished.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -29,9 +35,16 @@
     pub(crate) fn new(spec: &JobSpec, input: Option<&StoredInput>) -> Self {
         let step_bytes: usize = spec.steps.iter().map(text_bytes).sum();
         let tasks: u64 = spec.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        let occurrences = u64::from(spec.occurrences());
+        let open_tasks = tasks.saturating_mul(occurrences).min(MAX_OPEN_TASKS.max(tasks));
         let texts = (spec.payload.len() + step_bytes) as u64;
-        let steps = spec.steps.len() as u64 * STEP_BYTES;
-        let memory = JOB_BYTES + texts + steps + tasks * TASK_BYTES;
+        let steps = spec.steps.len() as u64;
+        let open_steps = open_tasks.div_ceil(tasks.max(1)) * steps;
+        let memory = JOB_BYTES
+            + texts
+            + steps * STEP_BYTES
+            + open_steps * OPEN_STEP_BYTES
+            + open_tasks * TASK_BYTES;
         Self { memory: ByteSize(memory), input: input.map(|input| input.size).unwrap_or_default() }
     }
 
--- a/crates/magnoliapin_scheduler/src/leader/intake.rs
+++ b/crates/magnoliapin_scheduler/src/leader/intake.rs
@@ -29,6 +29,10 @@
 use crate::watch::WatchUpdate;
 use crate::CallId;
 
+#[cfg(test)]
+#[path = "intake_tests.rs"]
+mod tests;
+
 /// Progress of a reload of all jobs.
 #[derive(Debug, Default)]
 pub(crate) struct Reload {
@@ -258,7 +262,7 @@
     fn start_due_occurrences(&mut self, key: JobKey, out: &mut Outbox) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let before = job.next_occurrence;
-        while job.next_occurrence < job.spec.occurrences() {
+        while job.next_occurrence < job.spec.occurrences() && job.may_open_occurrence() {
             let number = job.next_occurrence;
             let due_at = match job.spec.due_at(number) {
                 Some(due) if due > out.wall_now() => break,
--- a/crates/magnoliapin_scheduler/src/leader/job.rs
+++ b/crates/magnoliapin_scheduler/src/leader/job.rs
@@ -14,6 +14,7 @@
 use magnoliapin_site::TeamName;
 
 use crate::job_size::JobSize;
+use crate::job_size::MAX_OPEN_TASKS;
 use crate::leader::target::TargetKey;
 use crate::rows::JobRule;
 use crate::rows::OccurrenceProgress;
@@ -310,6 +311,13 @@
         self.spec.steps.get(usize::from(task.step))
     }
 
+    /// Returns whether another occurrence may start beside those that are open.
+    pub(crate) fn may_open_occurrence(&self) -> bool {
+        let tasks: u64 = self.spec.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        let open = self.occurrences.len() as u64;
+        open == 0 || tasks.saturating_mul(open + 1) <= MAX_OPEN_TASKS
+    }
+
     /// Returns whether all occurrences are done.
     pub(crate) fn is_done(&self) -> bool {
         self.occurrences.is_empty() && self.done_occurrences >= self.spec.occurrences()
