Limit the inputs that an entry holds

What callers saw: 960 jobs of 60 KB that one key handed in and that were accepted took an entry to 139 MB, whose settings allow 8 MiB of bodies. Nothing but the number of requests and jobs in a queue bounded them (1,000 of up to 1 MiB each in every queue).

Cause: the limit on bodies ends with the request; the input of an accepted job is held twice, in the job and in its row, until it finishes.

Change: the inputs of an entry's requests and jobs have a limit of the same size as that of all bodies (256 MiB by default), with the rule that the leader uses, which moves to magnoliapin_model as FairLimit: a team may have at most as much as remains free for all. Beyond it, work is refused as overloaded, not run; a job that is known already is joined as before.

--- a/crates/magnoliapin/tests/floods.rs
+++ b/crates/magnoliapin/tests/floods.rs
@@ -2,6 +2,8 @@
 
 #[path = "floods/accepted_jobs.rs"]
 mod accepted_jobs;
+#[path = "floods/entry_jobs.rs"]
+mod entry_jobs;
 mod floods_support;
 #[path = "../../../platform/tests/support/mod.rs"]
 mod platform;
@@ -9,6 +11,8 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Mutex;
@@ -24,6 +28,7 @@
 use floods_support::TestNode;
 use support::site::wait_for;
 use support::site::SiteProcess;
+use support::site::TargetGroup;
 use support::site::TestSite;
 use support::site::DOCUMENT;
 use support::site::GUIDE_KEY;
@@ -151,6 +156,39 @@
     flood_node("ready", |node| node.ready, short_body("/api/readyz", ""), 64 * 1024);
 }
 
+/// Guards against the other floods on the address of the readiness check.
+#[test]
+fn a_node_survives_heads_lines_and_chunks_on_its_readiness_address() {
+    let large = short_chunks("/api/readyz", "", BODY_BYTES, 16 * 1024);
+    let small = short_chunks("/api/readyz", "", SINGLE_CHUNKS, 1);
+    let mut long_head = endless_head(300 * 1024);
+    long_head.extend_from_slice(b"\r\ncontent-length: 9\r\n\r\n");
+    let floods = [
+        ("ready-heads", endless_head(300 * 1024)),
+        ("ready-long-heads", long_head),
+        ("ready-lines", b"\r\n".repeat(512 * 1024)),
+        ("ready-chunks", large),
+        ("ready-bytes", small),
+    ];
+    for (name, bytes) in floods {
+        flood_node(name, |node| node.ready, bytes, 64 * 1024);
+    }
+}
+
+/// Guards against clients that take the address for other nodes for that of clients.
+#[test]
+fn a_node_survives_requests_on_its_address_for_nodes() {
+    let floods = [
+        ("peer-heads", endless_head(300 * 1024)),
+        ("peer-lines", b"\r\n".repeat(512 * 1024)),
+        ("peer-bodies", short_body("/q/00000000000000b1", "")),
+        ("peer-bytes", short_chunks("/q/00000000000000b1", "", SINGLE_CHUNKS, 1)),
+    ];
+    for (name, bytes) in floods {
+        flood_node(name, |node| node.peers, bytes, 64 * 1024);
+    }
+}
+
 /// Guards against buffers that are allocated before their bytes arrive, and against large frames
 /// that are never complete.
 #[test]
@@ -261,18 +299,28 @@
 const ENTRY_LIMITS: &str = "[limits]\ncaller_connections = 200\nall_body_bytes = 8388608\n";
 const ENTRY_MACHINE: MachineLimits = MachineLimits { memory_mb: 64, max_fds: 200 + 200 + 64 };
 
-/// Sends a flood to an entry with small limits and checks it while the flood is open.
-fn flood_entry(name: &str, bytes: Vec<u8>, piece: usize) {
-    let _guard = lock();
-    let mut site = TestSite::start(name, 0);
+/// Starts an entry with small limits on a site with these targets.
+fn start_entry(name: &str, groups: &[TargetGroup], peer_listen: SocketAddr) -> TestSite {
+    let mut site = TestSite::start_groups(name, 0, groups);
     let text = format!(
-        "zone = \"zone-a\"\ncaller_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
+        "zone = \"zone-a\"\ncaller_listen = \"127.0.0.1:0\"\npeer_listen = \"{peer_listen}\"\n\
          platform = \"{}\"\npeer_key = \"the key of a test's entries\"\n{ENTRY_LIMITS}",
         site.platform_address()
     );
     let settings = support::scratch_file(&format!("{name}.toml"), &text);
     site.entries.push(SiteProcess::start(&["entry", "--settings", &settings]));
     site.apply_first(DOCUMENT);
+    site
+}
+
+/// An address with any port that is free.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Sends a flood to an entry with small limits and checks it while the flood is open.
+fn flood_entry(name: &str, bytes: Vec<u8>, piece: usize) {
+    let _guard = lock();
+    let groups = [TargetGroup { name: "target", pool: "evening" }];
+    let site = start_entry(name, &groups, ANY_PORT);
     let address = site.entries[0].address;
     let flood = Flood::open(address, CLIENTS, bytes, piece).send();
     let request = format!(
@@ -298,6 +346,14 @@
     flood_entry("entry-lines", b"\r\n".repeat(512 * 1024), 64 * 1024);
 }
 
+/// Guards against heads over the limit that are held in memory.
+#[test]
+fn an_entry_survives_heads_over_the_limit() {
+    let mut head = endless_head(300 * 1024);
+    head.extend_from_slice(b"\r\ncontent-length: 9\r\n\r\n");
+    flood_entry("entry-long-heads", head, 300 * 1024);
+}
+
 /// Guards against bodies that together exceed the memory, and that keep others from being served.
 #[test]
 fn an_entry_survives_bodies_that_stop_short() {
--- a/crates/magnoliapin/tests/floods/accepted_jobs.rs
+++ b/crates/magnoliapin/tests/floods/accepted_jobs.rs
@@ -164,24 +164,41 @@
     check_completed(&node, &BTreeMap::from([(job.to_owned(), input)]));
 }
 
+/// A job of a crowd.
+pub(crate) struct CrowdRequest {
+    pub(crate) path: String,
+    pub(crate) headers: String,
+    pub(crate) body: String,
+    /// Input of the job in the body.
+    pub(crate) input: String,
+}
+
+impl CrowdRequest {
+    /// Creates the request of a job with one task, whose body has this size.
+    fn new(path: &str, headers: String, job: &str, body_bytes: usize) -> Self {
+        let input = input(job, body_bytes);
+        Self { path: format!("{path}{job}"), headers, body: body(&input), input }
+    }
+}
+
 /// What a crowd was told.
 #[derive(Default)]
-struct CrowdResult {
+pub(crate) struct CrowdResult {
     /// Accepted jobs, with their inputs.
-    accepted: BTreeMap<String, String>,
+    pub(crate) accepted: BTreeMap<String, String>,
     /// Jobs that were refused, and never accepted.
-    refused: Vec<String>,
+    pub(crate) refused: Vec<String>,
     /// Refusals whose delay is 0 or missing.
-    hasty_refusals: usize,
+    pub(crate) hasty_refusals: usize,
 }
 
 /// Sends jobs from `clients` connections, each `jobs_per_client` of them, and stops after a limited time.
-/// `request` returns the headers, the body and the input of a job.
-fn send_crowd(
+/// `request` returns the request of a job.
+pub(crate) fn send_crowd(
     address: SocketAddr,
     clients: usize,
     jobs_per_client: usize,
-    request: impl Fn(&str) -> (String, String, String) + Send + Clone + 'static,
+    request: impl Fn(&str) -> CrowdRequest + Send + Clone + 'static,
 ) -> CrowdResult {
     let deadline = Instant::now() + CROWD_TIME;
     let client = |number: usize| {
@@ -194,11 +211,10 @@
                     break;
                 }
                 let job = format!("{:016x}", 0xc000_0000 + number * 1_000_000 + index);
-                let (headers, body, input) = request(&job);
-                let path = if headers.is_empty() { "q" } else { "k" };
-                let bytes = post(&format!("/{path}/{job}"), &headers, &body, false);
+                let CrowdRequest { path, headers, body, input } = request(&job);
+                let bytes = post(&path, &headers, &body, false);
                 match send_on(&mut stream, address, &bytes) {
-                    Some((200, _)) => {
+                    Some((200 | 202, _)) => {
                         result.accepted.insert(job, input);
                     }
                     Some((429 | 503, response)) => {
@@ -266,7 +282,7 @@
     name: &str,
     first_limits: MachineLimits,
     jobs_per_client: usize,
-    request: impl Fn(&str) -> (String, String, String) + Send + Clone + 'static,
+    request: impl Fn(&str) -> CrowdRequest + Send + Clone + 'static,
 ) -> (CrowdResult, Vec<TestNode>) {
     let mut nodes = vec![TestNode::start(&format!("{name}-1"), first_limits)];
     for number in 2..=3 {
@@ -293,8 +309,7 @@
 fn accepted_jobs_with_large_inputs_fit_in_the_leader() {
     let _guard = lock();
     let (crowd, nodes) = check_accepted_crowd("inputs", SMALL_MEMORY, 200, |job| {
-        let input = input(job, 45_000);
-        (key_header(0), body(&input), input)
+        CrowdRequest::new("/k/", key_header(0), job, 45_000)
     });
     let next = &nodes[1];
     check_completed(next, &crowd.accepted);
@@ -307,9 +322,10 @@
 }
 
 /// Returns the request of a job with many tasks.
-fn many_tasks(_job: &str) -> (String, String, String) {
+fn many_tasks(job: &str) -> CrowdRequest {
     let body = format!("{{\"phases\":[{{\"count\":{TASKS_PER_JOB},\"cpu\":10}}],\"spec\":\"x\"}}");
-    (key_header(0), body, "x".to_owned())
+    let (path, headers) = (format!("/k/{job}"), key_header(0));
+    CrowdRequest { path, headers, body, input: "x".to_owned() }
 }
 
 /// Guards against tasks of waiting jobs that fill the memory of the leader.
@@ -366,7 +382,7 @@
 /// Sends the same complete request from a wide crowd, and checks the node.
 fn check_wide_crowd(
     name: &str,
-    request: impl Fn(&str) -> (String, String, String) + Send + Clone + 'static,
+    request: impl Fn(&str) -> CrowdRequest + Send + Clone + 'static,
 ) -> CrowdResult {
     let node = TestNode::start(name, SMALL_MEMORY);
     let crowd = send_crowd(node.clients, WIDE_CROWD, 4, request);
@@ -381,10 +397,7 @@
 #[test]
 fn a_node_survives_complete_bodies_that_are_accepted() {
     let _guard = lock();
-    check_wide_crowd("complete", |job| {
-        let input = input(job, 256 * 1024);
-        (String::new(), body(&input), input)
-    });
+    check_wide_crowd("complete", |job| CrowdRequest::new("/q/", String::new(), job, 256 * 1024));
 }
 
 /// Guards against complete large bodies of clients without a valid key.
@@ -392,8 +405,8 @@
 fn a_node_survives_complete_bodies_with_unknown_keys() {
     let _guard = lock();
     let crowd = check_wide_crowd("strangers", |job| {
-        let input = input(job, 256 * 1024);
-        ("authorization: Token nobody\r\n".to_owned(), body(&input), input)
+        let headers = "authorization: Token nobody\r\n".to_owned();
+        CrowdRequest::new("/k/", headers, job, 256 * 1024)
     });
     assert!(crowd.accepted.is_empty());
 }
@@ -405,7 +418,12 @@
     let step = "{\"count\":1}";
     let steps = vec![step; 256 * 1024 / (step.len() + 1)].join(",");
     let body = format!("{{\"spec\":\"x\",\"phases\":[{steps}]}}");
-    let crowd = check_wide_crowd("steps", move |_| (String::new(), body.clone(), String::new()));
+    let crowd = check_wide_crowd("steps", move |job| CrowdRequest {
+        path: format!("/q/{job}"),
+        headers: String::new(),
+        body: body.clone(),
+        input: String::new(),
+    });
     assert!(crowd.accepted.is_empty());
 }
 
@@ -422,8 +440,7 @@
             state.is_silent = is_silent;
         }
         let crowd = send_crowd(node.clients, WIDE_CROWD / 3, 2, |job| {
-            let input = input(job, 256 * 1024);
-            (String::new(), body(&input), input)
+            CrowdRequest::new("/q/", String::new(), job, 256 * 1024)
         });
         {
             let mut state = platform.state.lock().expect("no thread has panicked");
--- a/crates/magnoliapin_entry/src/driver.rs
+++ b/crates/magnoliapin_entry/src/driver.rs
@@ -19,6 +19,7 @@
 use magnoliapin_policy::EntryEvent;
 use magnoliapin_policy::EntryIdentity;
 use magnoliapin_policy::EntryMachine;
+use magnoliapin_policy::PolicyOptions;
 use magnoliapin_policy::PolicyTimes;
 use magnoliapin_wire::CallerAnswer;
 use magnoliapin_wire::CallerRequest;
@@ -74,6 +75,8 @@
     pub(crate) seed: Option<u64>,
     /// Timeouts and intervals of the machines.
     pub(crate) times: PolicyTimes,
+    /// Policies of the machines.
+    pub(crate) policies: PolicyOptions,
     /// Encoder of datagrams.
     pub(crate) codec: PeerCodec,
     /// Client of the platform's service.
@@ -133,7 +136,9 @@
         };
         let mut identity = self.identity.clone();
         identity.entry = EntryId(random.random());
-        EntryMachine::new(identity, random.random()).with_times(self.times)
+        EntryMachine::new(identity, random.random())
+            .with_times(self.times)
+            .with_options(self.policies)
     }
 }
 
--- a/crates/magnoliapin_entry/src/service.rs
+++ b/crates/magnoliapin_entry/src/service.rs
@@ -12,8 +12,11 @@
 use error_stack::ResultExt;
 use magnoliapin_http::set_socket_buffers;
 use magnoliapin_http::SOCKET_BUFFER_BYTES;
+use magnoliapin_model::ByteSize;
 use magnoliapin_model::EntryId;
+use magnoliapin_model::FairLimit;
 use magnoliapin_policy::EntryIdentity;
+use magnoliapin_policy::PolicyOptions;
 use magnoliapin_wire::PeerCodec;
 use smol::Async;
 use smol::Timer;
@@ -225,6 +228,10 @@
         identity: inputs.identity,
         seed: options.seed,
         times: options.times,
+        policies: PolicyOptions {
+            held_inputs: FairLimit(ByteSize(limits.all_body_bytes)),
+            ..PolicyOptions::default()
+        },
         codec: PeerCodec::new(&options.peer_key),
         platform,
         targets,
--- a/crates/magnoliapin_model/src/lib.rs
+++ b/crates/magnoliapin_model/src/lib.rs
@@ -7,6 +7,7 @@
 mod derives;
 mod document;
 mod error_kind;
+mod fair_limit;
 mod id;
 mod moment;
 mod name;
@@ -34,6 +35,7 @@
 pub use document::MAX_DOCUMENT_ERRORS;
 pub use error_kind::ErrorKind;
 pub use error_kind::WorkOutcome;
+pub use fair_limit::FairLimit;
 pub use id::Attempt;
 pub use id::ByteSize;
 pub use id::ClientToken;
--- a/crates/magnoliapin_policy/src/machine/admission.rs
+++ b/crates/magnoliapin_policy/src/machine/admission.rs
@@ -78,6 +78,10 @@
         }
         let kind = WorkKind::Request { call: Some(call) };
         let mut entry = new_entry(kind, team, queue, section, payload);
+        if !self.has_room_for(&entry) {
+            self.reject(call, no_room_error());
+            return;
+        }
         entry.deadline = self.out.now + timeout;
         entry.max_run = timeout;
         let work = self.out.random_work_id();
@@ -129,6 +133,10 @@
         };
         let job = JobOwnership::new(row, call);
         let mut entry = new_entry(WorkKind::Job(Box::new(job)), team, queue, &section, payload);
+        if !self.has_room_for(&entry) {
+            self.reject(call, no_room_error());
+            return;
+        }
         entry.deadline = self.out.now + Duration::from_millis(section.timeout_ms);
         entry.stage_time = self.out.now;
         self.work.insert(work, entry, None);
@@ -165,6 +173,11 @@
         Ok((team, section))
     }
 
+    /// Returns whether the memory has room for the input of a team's work.
+    fn has_room_for(&self, entry: &WorkEntry) -> bool {
+        self.work.has_room(self.options.held_inputs, entry.team, entry.held_input())
+    }
+
     fn team_for_queue(
         &mut self,
         key: Option<KeyHash>,
@@ -276,3 +289,9 @@
     bytes.copy_from_slice(&hash[..16]);
     WorkId(u128::from_be_bytes(bytes))
 }
+
+fn no_room_error() -> AdmissionError {
+    let message =
+        "the inputs of the team's waiting requests and jobs take all the room that it may have";
+    AdmissionError::new(ErrorKind::Overloaded, message)
+}
--- a/crates/magnoliapin_policy/src/options.rs
+++ b/crates/magnoliapin_policy/src/options.rs
@@ -1,5 +1,8 @@
 //! Alternative policies, selectable so that they can be measured against each other.
 
+use magnoliapin_model::ByteSize;
+use magnoliapin_model::FairLimit;
+
 /// Order in which waiting work gets free slots.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum DispatchOrder {
@@ -32,6 +35,8 @@
     pub targets: TargetChoice,
     /// Whether several row changes share one transaction.
     pub group_commit: bool,
+    /// Limit on the inputs of the work that the entry holds in memory.
+    pub held_inputs: FairLimit,
 }
 
 impl Default for PolicyOptions {
@@ -40,6 +45,7 @@
             dispatch: DispatchOrder::default(),
             targets: TargetChoice::default(),
             group_commit: true,
+            held_inputs: FairLimit(ByteSize(256 * 1024 * 1024)),
         }
     }
 }
--- a/crates/magnoliapin_policy/src/work.rs
+++ b/crates/magnoliapin_policy/src/work.rs
@@ -5,6 +5,8 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use magnoliapin_model::Attempt;
+use magnoliapin_model::ByteSize;
+use magnoliapin_model::FairLimit;
 use magnoliapin_model::InstanceId;
 use magnoliapin_model::Moment;
 use magnoliapin_model::PoolId;
@@ -127,6 +129,12 @@
         }
     }
 
+    /// Returns the memory that the input takes; the row of a job has a copy of it.
+    pub(crate) fn held_input(&self) -> ByteSize {
+        let copies = if self.is_request() { 1 } else { 2 };
+        ByteSize(self.payload.len() as u64 * copies)
+    }
+
     /// Returns whether the work is a request.
     pub(crate) fn is_request(&self) -> bool {
         matches!(self.kind, WorkKind::Request { .. })
@@ -152,6 +160,8 @@
     pub(crate) entries: IndexMap<WorkId, WorkEntry>,
     requests_by_call: IndexMap<CallId, WorkId>,
     counts_by_queue: IndexMap<QueueId, u32>,
+    /// Memory of the inputs of each team's work.
+    held_inputs: IndexMap<TeamId, ByteSize>,
 }
 
 impl WorkRegistry {
@@ -161,6 +171,7 @@
             self.requests_by_call.insert(call, work);
         }
         *self.counts_by_queue.entry(entry.queue).or_default() += 1;
+        self.held_inputs.entry(entry.team).or_default().0 += entry.held_input().0;
         self.entries.insert(work, entry);
     }
 
@@ -173,6 +184,9 @@
         if let Some(count) = self.counts_by_queue.get_mut(&entry.queue) {
             *count = count.saturating_sub(1);
         }
+        if let Some(held) = self.held_inputs.get_mut(&entry.team) {
+            held.0 = held.0.saturating_sub(entry.held_input().0);
+        }
         Some(entry)
     }
 
@@ -194,6 +208,13 @@
         self.counts_by_queue.get(&queue).copied().unwrap_or(0)
     }
 
+    /// Returns whether there is room for the input of more work of a team.
+    pub(crate) fn has_room(&self, limit: FairLimit, team: TeamId, input: ByteSize) -> bool {
+        let taken = ByteSize(self.held_inputs.values().map(|held| held.0).sum());
+        let of_team = self.held_inputs.get(&team).copied().unwrap_or_default();
+        limit.admits(input, of_team, taken)
+    }
+
     /// Returns whether any request is unanswered.
     pub(crate) fn has_requests(&self) -> bool {
         self.entries.values().any(WorkEntry::is_request)
--- a/crates/magnoliapin_scheduler/src/decisions/job_admission.rs
+++ b/crates/magnoliapin_scheduler/src/decisions/job_admission.rs
@@ -7,6 +7,7 @@
 //! remains for a team with few jobs.
 
 use magnoliapin_model::ByteSize;
+use magnoliapin_model::FairLimit;
 
 use crate::job_size::JobSize;
 
@@ -22,28 +23,22 @@
 /// Limit on what waiting jobs take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct JobBudget {
-    limit: JobSize,
+    memory: FairLimit,
+    /// Limit on the inputs that are kept apart from their jobs.
+    input: FairLimit,
 }
 
 impl JobBudget {
     /// Creates the limit of a site whose smallest machine has this memory.
     pub(crate) fn new(smallest_memory: ByteSize) -> Self {
-        let memory = ByteSize(smallest_memory.0 / MEMORY_SHARE);
-        Self { limit: JobSize { memory, input: STORED_INPUTS } }
+        let memory = FairLimit(ByteSize(smallest_memory.0 / MEMORY_SHARE));
+        Self { memory, input: FairLimit(STORED_INPUTS) }
     }
 
-    /// Returns whether a job may be accepted whose team has taken `of_team` of the `taken` room. With
-    /// the job, a team may have at most as much as remains free for all, so a single team gets
-    /// half of the room. A job that is alone is always accepted.
+    /// Returns whether a job may be accepted whose team has taken `of_team` of the `taken` room. A job
+    /// that is alone is always accepted.
     pub(crate) fn admits(&self, job: JobSize, of_team: JobSize, taken: JobSize) -> bool {
-        if taken == JobSize::default() {
-            return true;
-        }
-        let fits = |limit: ByteSize, job: ByteSize, of_team: ByteSize, taken: ByteSize| {
-            let free = limit.0.saturating_sub(taken.0.saturating_add(job.0));
-            job.0 == 0 || of_team.0.saturating_add(job.0) <= free
-        };
-        fits(self.limit.memory, job.memory, of_team.memory, taken.memory)
-            && fits(self.limit.input, job.input, of_team.input, taken.input)
+        self.memory.admits(job.memory, of_team.memory, taken.memory)
+            && self.input.admits(job.input, of_team.input, taken.input)
     }
 }
