Allocate the queue of replies of a connection as it fills

What callers saw: 256 connections to a node's address for other nodes took 35 MB of its memory, even if they sent nothing that is a frame: 48 MB in all at a machine that may have few more.

Cause: each connection had a bounded channel for 4,096 replies, which allocates all its slots (128 KiB) when it is created.

Change: the channel allocates as replies are queued; the limit on their number is checked when a reply is added.

--- a/crates/magnoliapin/tests/floods.rs
+++ b/crates/magnoliapin/tests/floods.rs
@@ -175,9 +175,12 @@
     }
 }
 
-/// Guards against clients that take the address for other nodes for that of clients.
+/// Guards against clients that take the address for other nodes for that of clients, and against memory
+/// for replies that a connection takes before it has sent a request.
 #[test]
 fn a_node_survives_requests_on_its_address_for_nodes() {
+    let _guard = lock();
+    let limits = MachineLimits { memory_mb: 40, ..SMALL_MEMORY };
     let floods = [
         ("peer-heads", endless_head(300 * 1024)),
         ("peer-lines", b"\r\n".repeat(512 * 1024)),
@@ -185,7 +188,10 @@
         ("peer-bytes", short_chunks("/q/00000000000000b1", "", SINGLE_CHUNKS, 1)),
     ];
     for (name, bytes) in floods {
-        flood_node(name, |node| node.peers, bytes, 64 * 1024);
+        let node = TestNode::start(name, limits);
+        let flood = Flood::open(node.peers, CLIENTS, bytes, 64 * 1024).send();
+        node.check();
+        drop(flood);
     }
 }
 
--- a/crates/magnoliapin_node/src/peer_server.rs
+++ b/crates/magnoliapin_node/src/peer_server.rs
@@ -100,7 +100,9 @@
         if let Some(route) = self.pending.borrow_mut().swap_remove(&peer) {
             // Dropped if the connection is closed or its queue is full; the requester then uses the
             // store.
-            let _ = route.frames.try_send(frame::encode(&(route.number, reply)));
+            if route.frames.len() < MAX_QUEUED_REPLIES {
+                let _ = route.frames.try_send(frame::encode(&(route.number, reply)));
+            }
         }
     }
 
@@ -130,7 +132,8 @@
         // Without `TCP_NODELAY`, small replies wait for the acknowledgement of the other node.
         let _ = stream.set_nodelay(true);
         let stream = MonitoredSocket::new(stream, Arc::clone(slot.monitor()));
-        let (sender, receiver) = async_channel::bounded::<Vec<u8>>(MAX_QUEUED_REPLIES);
+        // A bounded channel would allocate its whole queue for each connection.
+        let (sender, receiver) = async_channel::unbounded::<Vec<u8>>();
         let mut writer = stream.clone();
         let write = self.executor.spawn(async move {
             while let Ok(frame) = receiver.recv().await {
