Give jobs of the soak large inputs

The simulated store checks sizes since large inputs are stored apart, but no job of the soak had one.

--- a/crates/magnoliapin_scheduler/tests/soak/clients.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/clients.rs
@@ -175,7 +175,8 @@
             gang: !long_running && self.random.random_bool(0.05),
             ..StepSpec::default()
         });
-        JobSpec { payload: "payload".to_owned(), steps: steps.collect(), schedule: None }
+        let steps = steps.collect();
+        JobSpec { payload: self.draw_input(), steps, schedule: None }
     }
 
     fn send_request(&mut self, job: JobId, kind: RequestKind, action: ClientAction) {
--- a/crates/magnoliapin_scheduler/tests/soak/invariant_checker.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/invariant_checker.rs
@@ -70,6 +70,15 @@
 
     /// Records and checks a start that a target has executed. If `may_be_stale`, the order may have
     /// been given before the job was cancelled.
+    /// Checks that a start has the input that the client submitted.
+    pub(crate) fn check_input(&mut self, now: Moment, run: RunId, input: &str) {
+        let job = self.jobs.get(&run.task.job);
+        if job.is_some_and(|job| job.spec.payload != input) {
+            let text = format!("{}: started with another input", run.task);
+            self.report_violation(now, &text);
+        }
+    }
+
     pub(crate) fn record_start(
         &mut self,
         now: Moment,
--- a/crates/magnoliapin_scheduler/tests/soak/main.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/main.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod instances;
 mod invariant_checker;
+mod large_inputs;
 mod log_printer;
 mod long_running;
 mod network;
@@ -87,6 +88,17 @@
     run_world(World::new(seed, plan, true, seed.is_multiple_of(2)).with_cut_lists(seed))
 }
 
+/// Simulates one seed in which the inputs of jobs are stored apart from them, under random faults, with
+/// leaders that fail one after the other, or with a store that fails; every second one with agents.
+fn run_seed_with_large_inputs(seed: u64) -> Vec<String> {
+    let plan = match seed % 3 {
+        0 => FaultPlan::Independent(LONGEST_FAULT_MS),
+        1 => FaultPlan::LeaderSeries,
+        _ => FaultPlan::StoreOutages,
+    };
+    run_world(World::new(seed, plan, true, seed % 4 >= 2).with_large_inputs())
+}
+
 /// Simulates one seed in which targets start again under their names and are cut off soon after, with and
 /// without an instance service and agents.
 fn run_seed_with_restarts(seed: u64) -> Vec<String> {
@@ -146,6 +158,13 @@
     assert_no_violations(|seed| run_seed_with_agents(seed, true));
 }
 
+/// Guards against inputs that are lost, mixed up or removed while their jobs wait, and against rows and
+/// transactions that are larger than the store takes.
+#[test]
+fn large_inputs_reach_their_tasks() {
+    assert_no_violations(run_seed_with_large_inputs);
+}
+
 /// Guards against a task that crashes target after target, and against innocent tasks that are given
 /// up because they ran beside one.
 #[test]
--- a/crates/magnoliapin_scheduler/tests/soak/network.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/network.rs
@@ -205,7 +205,8 @@
             return self.send_target_reply(node, incarnation, call, number, refusal);
         }
         let reply = match request {
-            TargetRequest::Start { run, .. } => {
+            TargetRequest::Start { run, payload, .. } => {
+                self.checker.check_input(now, *run, payload);
                 let plan = self.random_run_plan(run.task, number);
                 let (reply, has_started) = self.targets[number].start(request, &plan, now);
                 if has_started {
--- a/crates/magnoliapin_scheduler/tests/soak/world.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/world.rs
@@ -161,6 +161,8 @@
     pub(crate) crash_source: Option<CrashSource>,
     /// Whether some runs take several times as long as the others, and heartbeats are late like orders.
     pub(crate) has_long_runs: bool,
+    /// Whether the inputs of the clients' jobs are larger than the row of a job may be.
+    pub(crate) has_large_inputs: bool,
     /// Changes of the configuration, each with the moment of its confirmation by the store.
     pub(crate) config_changes: Vec<(Moment, ConfigVersion)>,
     /// Probes of the configuration without a reply: the node, and a version that it must know or
@@ -192,6 +194,7 @@
             idle_checks: BTreeMap::new(),
             crash_source: None,
             has_long_runs: false,
+            has_large_inputs: false,
             config_changes: Vec::new(),
             config_probes: BTreeMap::new(),
             evacuations: ZoneEvacuations::default(),
@@ -453,7 +456,8 @@
             }
             NodeAction::Peer { call, address, request, timeout } => {
                 if let PeerRequest::AgentCalls(batch)
-                | PeerRequest::RaisedAgentCalls { batch, .. } = &request
+                | PeerRequest::RaisedAgentCalls { batch, .. }
+                | PeerRequest::StoredInputCalls { batch, .. } = &request
                 {
                     self.agent_calls += batch.calls.len();
                 }
