Test jobs while processes stop and start under open connections

Clients hand in jobs of 200 bytes to 150 KB on connections that they keep until a process is gone, and again elsewhere if they get no answer, while nodes get SIGTERM, SIGKILL and SIGHUP and start again, the limit on bodies changes and the store falls silent, in series and overlapping. Each accepted job must have run once with its input, no refused one may have run, and each node stays within 64 MB.

Delays of refusals for memory go from 1 to 3 s in turn, so that a crowd does not return at once.

--- a/crates/magnoliapin/tests/floods.rs
+++ b/crates/magnoliapin/tests/floods.rs
@@ -7,6 +7,8 @@
 mod floods_support;
 #[path = "../../../platform/tests/support/mod.rs"]
 mod platform;
+#[path = "floods/restarts.rs"]
+mod restarts;
 mod support;
 
 use std::io::Read;
--- a/crates/magnoliapin/tests/floods/accepted_jobs.rs
+++ b/crates/magnoliapin/tests/floods/accepted_jobs.rs
@@ -64,7 +64,7 @@
 const CLOSE: &str = "connection: close\r\n";
 
 /// Returns the state of a job in the response to a read.
-fn state_of(node: &TestNode, job: &str) -> Option<String> {
+pub(crate) fn state_of(node: &TestNode, job: &str) -> Option<String> {
     let read = format!("GET /q/{job} HTTP/1.1\r\nhost: h\r\n{CLOSE}\r\n");
     let response = exchange(node.clients, read.as_bytes())?;
     let state = response.split("\"state\":\"").nth(1)?.split('"').next()?;
@@ -175,10 +175,15 @@
 
 impl CrowdRequest {
     /// Creates the request of a job with one task, whose body has this size.
-    fn new(path: &str, headers: String, job: &str, body_bytes: usize) -> Self {
+    pub(crate) fn new(path: &str, headers: String, job: &str, body_bytes: usize) -> Self {
         let input = input(job, body_bytes);
         Self { path: format!("{path}{job}"), headers, body: body(&input), input }
     }
+
+    /// Returns the request as it is sent.
+    pub(crate) fn bytes(&self) -> Vec<u8> {
+        post(&self.path, &self.headers, &self.body, false)
+    }
 }
 
 /// What a crowd was told.
@@ -211,11 +216,11 @@
                     break;
                 }
                 let job = format!("{:016x}", 0xc000_0000 + number * 1_000_000 + index);
-                let CrowdRequest { path, headers, body, input } = request(&job);
-                let bytes = post(&path, &headers, &body, false);
+                let request = request(&job);
+                let bytes = request.bytes();
                 match send_on(&mut stream, address, &bytes) {
                     Some((200 | 202, _)) => {
-                        result.accepted.insert(job, input);
+                        result.accepted.insert(job, request.input);
                     }
                     Some((429 | 503, response)) => {
                         let delay = response.to_ascii_lowercase();
@@ -242,7 +247,7 @@
 }
 
 /// Sends a request on a connection that is kept, and returns the status and the response.
-fn send_on(
+pub(crate) fn send_on(
     stream: &mut Option<TcpStream>,
     address: SocketAddr,
     request: &[u8],
--- a/crates/magnoliapin/tests/floods_support/mod.rs
+++ b/crates/magnoliapin/tests/floods_support/mod.rs
@@ -64,6 +64,8 @@
     pub ready: SocketAddr,
     pub peers: SocketAddr,
     limits: MachineLimits,
+    /// Path of the settings file.
+    settings: String,
     child: Child,
 }
 
@@ -94,14 +96,34 @@
             limits.max_fds
         );
         let settings = scratch_file(&format!("{name}.toml"), &settings);
-        let mut command = program();
-        command.args(["node", "--settings", &settings]);
-        let child = command.stdout(Stdio::null()).spawn().expect("the program starts");
-        let node = Self { platform, clients, ready, peers, limits, child };
+        let child = Self::spawn(&settings);
+        let node = Self { platform, clients, ready, peers, limits, settings, child };
         wait_for("the node accepts a job", || node.accepts_job("00000000000000a1"));
         node
     }
 
+    fn spawn(settings: &str) -> Child {
+        let mut command = program();
+        command.args(["node", "--settings", settings]);
+        command.stdout(Stdio::null()).spawn().expect("the program starts")
+    }
+
+    /// Starts the process again, on the same addresses, after it has ended.
+    pub fn restart(&mut self) {
+        self.child = Self::spawn(&self.settings);
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        // Fails if the process has ended.
+        let _ = kill_process(Pid::from_child(&self.child), signal);
+    }
+
+    /// Returns whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("the process is a child").is_none()
+    }
+
     /// Writes a new version of the configuration with this limit on bodies.
     pub fn set_body_limit(&self, version: u64, bytes: usize) {
         self.platform.put("op", "config", config(version, bytes).as_bytes());
--- a/crates/magnoliapin_node/src/client_server.rs
+++ b/crates/magnoliapin_node/src/client_server.rs
@@ -59,8 +59,9 @@
 const READINESS_BODY_BYTES: u64 = 64 * 1024;
 /// Time limit for a body; much longer than the usual deadline of a client.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time in seconds after which a client that was refused for lack of memory may try again.
-const RETRY_AFTER_SECONDS: u32 = 1;
+/// Longest time in seconds after which a client that was refused for lack of memory may try again. The
+/// delays from 1 second on are given in turn, so that a crowd does not return at once.
+const MAX_RETRY_AFTER_SECONDS: u32 = 3;
 
 /// State shared by all connections.
 #[derive(Debug)]
@@ -84,6 +85,8 @@
     /// Requests that wait for a reply.
     pending: RefCell<IndexMap<ClientId, PendingReply>>,
     last_client: Cell<u64>,
+    /// Number of delays that were given to refused clients.
+    given_delays: Cell<u32>,
 }
 
 /// A request that waits for a reply.
@@ -120,9 +123,17 @@
             active_requests: Cell::new(0),
             pending: RefCell::default(),
             last_client: Cell::new(0),
+            given_delays: Cell::new(0),
         }
     }
 
+    /// Returns the delay in seconds after which a refused client may return.
+    fn next_retry_after(&self) -> u32 {
+        let given = self.given_delays.get().wrapping_add(1);
+        self.given_delays.set(given);
+        1 + given % MAX_RETRY_AFTER_SECONDS
+    }
+
     /// Applies the limits of a configuration, also to bodies that are being received.
     pub(crate) fn set_request_limits(&self, request_limits: RequestLimits) {
         if self.request_limits.replace(request_limits) != request_limits {
@@ -156,7 +167,8 @@
                         self.executor.spawn(state.serve(stream, slot)).detach();
                     } else {
                         // All connections have a request in progress.
-                        let refusal = raw_refusal(LimitReason::ConnectionRefused);
+                        let refusal =
+                            raw_refusal(LimitReason::ConnectionRefused, self.next_retry_after());
                         let _ = future::poll_once(stream.write_all(refusal.as_bytes())).await;
                     }
                     registry.settle().await;
@@ -195,7 +207,8 @@
         let reason = monitor.end_reason();
         if let Some(reason) = slot.head_refusal() {
             // Does not wait: a refusal is smaller than the socket's buffer.
-            let _ = future::poll_once(socket.write_all(raw_refusal(reason).as_bytes())).await;
+            let refusal = raw_refusal(reason, self.next_retry_after());
+            let _ = future::poll_once(socket.write_all(refusal.as_bytes())).await;
         }
         let is_refused = result.is_err() || reason.is_some() || client.has_refused_body.get();
         if is_refused && !reason.is_some_and(LimitReason::is_eviction) {
@@ -236,7 +249,7 @@
             Ok(body) => body,
             Err(error) => {
                 client.has_refused_body.set(true);
-                return body_refusal(error);
+                return body_refusal(error, self.next_retry_after());
             }
         };
         let headers: Vec<(String, String)> = head
@@ -317,25 +330,22 @@
 }
 
 /// Returns the response to a request whose body was not read. The request has not run.
-fn body_refusal(error: BodyError) -> HttpResponse {
+fn body_refusal(error: BodyError, retry_after: u32) -> HttpResponse {
     let status = match error {
         BodyError::Limited(reason) => reason.status().0,
         BodyError::Malformed => 400,
     };
     let mut headers = vec![("connection", "close".to_owned())];
     if status == 503 {
-        headers.push(("retry-after", RETRY_AFTER_SECONDS.to_string()));
+        headers.push(("retry-after", retry_after.to_string()));
     }
     HttpResponse { status, headers, ..HttpResponse::default() }
 }
 
 /// Returns the response to a head or a connection that is refused.
-fn raw_refusal(reason: LimitReason) -> String {
+fn raw_refusal(reason: LimitReason, retry_after: u32) -> String {
     let (status, phrase) = reason.status();
-    let retry = if status == 503 {
-        format!("retry-after: {RETRY_AFTER_SECONDS}\r\n")
-    } else {
-        String::new()
-    };
+    let retry =
+        if status == 503 { format!("retry-after: {retry_after}\r\n") } else { String::new() };
     format!("HTTP/1.1 {status} {phrase}\r\ncontent-length: 0\r\n{retry}connection: close\r\n\r\n")
 }
