--- a/crates/magnoliapin/tests/floods/entry_jobs.rs
+++ b/crates/magnoliapin/tests/floods/entry_jobs.rs
@@ -5,6 +5,7 @@
 
 use crate::accepted_jobs::send_crowd;
 use crate::accepted_jobs::CrowdRequest;
+use crate::floods_support::free_address;
 use crate::floods_support::status;
 use crate::lock;
 use crate::platform::FakePlatform;
@@ -89,8 +90,7 @@
 #[test]
 fn an_entry_survives_datagrams_of_strangers() {
     let _guard = lock();
-    let port = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
-    let peers = port.expect("a port is free");
+    let peers = free_address();
     let site = start_entry("entry-datagrams", &[], peers);
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
     let datagram = vec![7; DATAGRAM_BYTES];
--- a/crates/magnoliapin/tests/floods_support/mod.rs
+++ b/crates/magnoliapin/tests/floods_support/mod.rs
@@ -6,11 +6,15 @@
 use std::io;
 use std::io::Read;
 use std::io::Write;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::process::Child;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -80,9 +84,7 @@
     /// Starts a node on a platform that has a configuration, and waits until it accepts jobs.
     pub fn join(platform: &Arc<FakePlatform>, name: &str, limits: MachineLimits) -> Self {
         let platform = Arc::clone(platform);
-        let free = || TcpListener::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
-        let [clients, ready, peers] =
-            [free(), free(), free()].map(|address| address.expect("a port is free"));
+        let [clients, ready, peers] = [free_address(), free_address(), free_address()];
         let settings = format!(
             "node_name = \"{name}\"\nzone = \"z\"\nip = \"127.0.0.1\"\nport_range = [{}, {}]\n\
              [listen_addrs]\nfrontend = \"{clients}\"\nready = \"{ready}\"\n\
@@ -180,6 +182,25 @@
     }
 }
 
+/// Returns an address that nothing listens on. Its port is not among those that the system gives to
+/// outgoing connections, which could take it before a process listens on it, or before it starts again.
+pub fn free_address() -> SocketAddr {
+    const FIRST_PORT: u32 = 10_000;
+    const PORTS: u32 = 20_000;
+    /// Distance between the first ports of processes with consecutive identifiers.
+    const PORTS_PER_PROCESS: u32 = 211;
+    static LAST: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    loop {
+        let number = start.wrapping_add(LAST.fetch_add(1, Ordering::Relaxed));
+        let port = u16::try_from(FIRST_PORT + number % PORTS).expect("the range is that of ports");
+        let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
 fn config(version: u64, body_bytes: usize) -> String {
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"q\",\"host\":\"h\",\
