Test uploads without a job, small inputs and a change of leader during a crowd

Unit tests: an upload that no job needs is removed once it is listed again, the input of a finished job at once and again after a failure, and a job whose input has gone is refused. Crowds: inputs that are in the rows of their jobs, and jobs of two teams and three sizes while the leader is killed and started again and the store is slow.

--- a/crates/magnoliapin/tests/floods/accepted_jobs.rs
+++ b/crates/magnoliapin/tests/floods/accepted_jobs.rs
@@ -7,6 +7,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -326,6 +327,50 @@
     nodes[1..].iter().for_each(TestNode::check_limits);
 }
 
+/// Guards against small inputs, which are in the rows of their jobs, that fill the memory of the leader.
+#[test]
+fn accepted_jobs_with_small_inputs_fit_in_the_leader() {
+    let _guard = lock();
+    let request = |job: &str| CrowdRequest::new("/k/", key_header(0), job, 7_500);
+    check_accepted_crowd("small", SMALL_MEMORY, 750, request);
+}
+
+/// Guards against jobs of several teams that are lost, or that fill the memory of a node, while the
+/// leader is killed and started again and the store is slow.
+#[test]
+fn accepted_jobs_survive_a_change_of_leader_during_the_crowd() {
+    let _guard = lock();
+    let mut nodes = vec![TestNode::start("during-1", SMALL_MEMORY)];
+    for number in 2..=3 {
+        let name = format!("during-{number}");
+        nodes.push(TestNode::join(&nodes[0].platform, &name, SMALL_MEMORY));
+    }
+    let platform = Arc::clone(&nodes[0].platform);
+    platform.state.lock().expect("no thread has panicked").commit_delay = Duration::from_millis(5);
+    let address = nodes[2].clients;
+    let crowd = thread::spawn(move || {
+        send_crowd(address, CLIENTS, 150, |job| {
+            let number = job.bytes().map(usize::from).sum::<usize>();
+            let size = [500, 7_500, 45_000][number % 3];
+            CrowdRequest::new("/k/", key_header(number % 2), job, size)
+        })
+    });
+    thread::sleep(Duration::from_millis(500));
+    nodes[0].kill();
+    thread::sleep(Duration::from_millis(1_500));
+    nodes[0].restart();
+    let crowd = crowd.join().expect("the crowd does not panic");
+    platform.register_target();
+    nodes.iter().for_each(TestNode::check);
+    check_completed(&nodes[1], &crowd.accepted);
+    let state = platform.state.lock().expect("no thread has panicked");
+    for job in &crowd.refused {
+        assert!(!state.started.contains_key(&format!("{job}.0.0.0")), "{job} was refused and ran");
+    }
+    drop(state);
+    nodes.iter().for_each(TestNode::check_limits);
+}
+
 /// Returns the request of a job with many tasks.
 fn many_tasks(job: &str) -> CrowdRequest {
     let body = format!("{{\"phases\":[{{\"count\":{TASKS_PER_JOB},\"cpu\":10}}],\"spec\":\"x\"}}");
--- a/crates/magnoliapin_scheduler/src/leader/uploads.rs
+++ b/crates/magnoliapin_scheduler/src/leader/uploads.rs
@@ -27,6 +27,10 @@
 use crate::rows;
 use crate::rows::UploadRow;
 
+#[cfg(test)]
+#[path = "uploads_tests.rs"]
+mod tests;
+
 /// Time between two lists of all uploads.
 const LIST_INTERVAL: Duration = Duration::from_secs(60);
 /// Maximum number of removals in flight.
