Send large inputs over a link that carries them in time

What callers would see: on machines with links of 10 Mbit/s, the smallest of the sites, a start with an input of 256 KB takes 0.2 s to send after 0.3 s to read it, beside other traffic longer than the 0.4 s that a start may take; with 1 MiB it could never arrive.

Change: a start with a stored input gets the whole time limit at once, and where the link of the usual node cannot carry the input in time, the node with the fastest link sends it.

--- a/crates/magnoliapin_scheduler/src/leader/agent_links.rs
+++ b/crates/magnoliapin_scheduler/src/leader/agent_links.rs
@@ -16,6 +16,7 @@
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
+use magnoliapin_model::ByteSize;
 use magnoliapin_model::Moment;
 use magnoliapin_site::AgentBatch;
 use magnoliapin_site::AgentCall;
@@ -56,6 +57,9 @@
 const SELECTION_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum number of agents in a zone, so that one can take over from another.
 const MIN_AGENTS_PER_ZONE: usize = 2;
+/// Number of times that a large input passes the link of the node which sends it: in Base64 from the
+/// store, and to the target, with some room.
+const INPUT_TRANSFERS: u64 = 3;
 /// Inputs of jobs that an agent is assumed to still have; less than what it keeps.
 const MAX_KNOWN_PAYLOADS: usize = 1_024;
 
@@ -67,6 +71,8 @@
     address: Option<SocketAddr>,
     /// Number of targets that this node can serve by itself.
     own_capacity: usize,
+    /// Bandwidth of this node's link, in kilobits per second.
+    own_link_kbps: u64,
     nodes: IndexMap<SocketAddr, AgentNode>,
     /// Agents in use, by zone of the node.
     selected: IndexMap<ZoneName, Vec<SocketAddr>>,
@@ -158,6 +164,7 @@
             generation,
             address: own_profile.address,
             own_capacity: own_profile.target_capacity() as usize,
+            own_link_kbps: own_profile.link_kbps,
             nodes: IndexMap::new(),
             selected: IndexMap::new(),
             next_selection_at: now,
@@ -274,6 +281,32 @@
         agent
     }
 
+    /// Returns the agent that sends a start with a large input; `None` if the leader sends it. Where the
+    /// link of the usual one cannot carry the input in time, it is the node with the fastest link.
+    pub(super) fn agent_for_input(
+        &self,
+        usual: Option<SocketAddr>,
+        size: ByteSize,
+        timeout: Duration,
+        now: Moment,
+    ) -> Option<SocketAddr> {
+        let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX).max(1);
+        // A kilobit per second is a bit per millisecond.
+        let needed_kbps = size.0.saturating_mul(8 * INPUT_TRANSFERS) / timeout_ms;
+        let link_of = |agent: Option<SocketAddr>| match agent {
+            Some(address) => self.nodes.get(&address).map_or(0, |node| node.profile.link_kbps),
+            None => self.own_link_kbps,
+        };
+        if link_of(usual) >= needed_kbps {
+            return usual;
+        }
+        let usable = self.nodes.iter().filter(|(_, node)| node.is_usable(now));
+        let others = usable.map(|(address, _)| Some(*address));
+        // The usual one stays where several are equal.
+        let candidates = others.chain([None, usual]);
+        candidates.max_by_key(|agent| link_of(*agent)).flatten()
+    }
+
     /// Adds a call to the next batch of an agent.
     pub(super) fn queue(&mut self, agent: SocketAddr, call: OutgoingCall<'_>, now: Moment) {
         let (generation, address) = (self.generation, self.address);
--- a/crates/magnoliapin_scheduler/src/leader/agent_links_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/agent_links_tests.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use magnoliapin_model::ByteSize;
 use magnoliapin_model::Moment;
 use magnoliapin_model::UnixMillis;
 use magnoliapin_site::AgentReplies;
@@ -232,3 +233,27 @@
     let fenced = PeerReply::Fenced { generation: 4 };
     assert_eq!(links.handle_batch_reply(call, &fenced, out.now), Some(Err(4)));
 }
+
+/// Guards against starts that a slow link can never carry within their time limit.
+#[test]
+fn large_inputs_are_sent_over_a_link_that_carries_them_in_time() {
+    let now = Moment::from_millis(10_000);
+    let mut own = profile(0, "a", 30);
+    own.link_kbps = 10_000;
+    let mut links = AgentLinks::new(3, &own, now);
+    let mut slow = profile(1, "a", 90);
+    slow.link_kbps = 10_000;
+    let fast = profile(2, "b", 90);
+    let (slow_address, fast_address) = (slow.address, fast.address);
+    links.record_ping(slow, 0, now);
+    links.record_ping(fast, 0, now);
+    let timeout = Duration::from_millis(400);
+    let agent = |usual, size| links.agent_for_input(usual, ByteSize(size), timeout, now);
+    for usual in [None, slow_address, fast_address] {
+        assert_eq!(agent(usual, 20_000), usual);
+        assert_eq!(agent(usual, 262_144), fast_address);
+    }
+    let much_later = now + Duration::from_secs(60);
+    let alone = links.agent_for_input(slow_address, ByteSize(262_144), timeout, much_later);
+    assert_eq!(alone, slow_address, "no other node has a faster link");
+}
--- a/crates/magnoliapin_scheduler/src/leader/delegation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/delegation.rs
@@ -57,7 +57,12 @@
         let call = out.next_call();
         self.target_calls.insert(call, SentCall { kind, fence: target.fence });
         let record = &target.record;
-        match self.agents.agent_for(key, record) {
+        let agent = self.agents.agent_for(key, record);
+        let agent = match input {
+            Some((_, input)) => self.agents.agent_for_input(agent, input.size, timeout, out.now),
+            None => agent,
+        };
+        match agent {
             Some(agent) => {
                 let input = input.map(|(_, input)| input);
                 let outgoing = OutgoingCall { call, target: key, record, request, input, timeout };
--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -78,7 +78,9 @@
             TargetRequest::Start { run, payload, lease_until_ms, fence, checkpoint, ticket: None };
         let Some(state) = target.runs.get(&run.task) else { return };
         let is_first = state.unconfirmed_starts == 0;
-        let timeout = if is_first { times.first_start_timeout } else { times.order_timeout };
+        // An input must be read before it is sent.
+        let is_short = is_first && input.is_none();
+        let timeout = if is_short { times.first_start_timeout } else { times.order_timeout };
         let kind = TargetCall::Start(key, run);
         self.call_target_with_input(key, kind, request, input, timeout, out);
     }
