Refuse no job for lack of room that has been accepted before

A leader that had just taken over knew no finished jobs of the one before, so a job that was handed in again after a lost response could be refused as not run although it had run; a node that refused a team's jobs by itself took every "unknown" of the leader for certain, also from one that may have been replaced.

Change: a leader states that a job is unknown only if it remembers all that have finished within 30 s; otherwise the node reads the store before it refuses, for at most 32 jobs at a time, and answers 504 beyond. A job that waits to be stored is neither known nor unknown. A node refuses by itself only jobs that are not smaller than the one that was refused.

--- a/crates/magnoliapin/tests/floods/accepted_jobs.rs
+++ b/crates/magnoliapin/tests/floods/accepted_jobs.rs
@@ -393,6 +393,44 @@
     check_accepted_crowd("mixed", large, 40, many_tasks);
 }
 
+/// Guards against a refusal of a job that has run: it was accepted before, and finished under an earlier
+/// leader.
+#[test]
+fn a_known_job_is_not_refused_for_lack_of_room() {
+    let _guard = lock();
+    let mut first = TestNode::start("known-1", SMALL_MEMORY);
+    let second = TestNode::join(&first.platform, "known-2", SMALL_MEMORY);
+    first.platform.register_target();
+    let headers = format!("{CLOSE}{}", key_header(0));
+    // No target has the label, so these jobs wait.
+    let step = format!("{{\"count\":{TASKS_PER_JOB},\"requirements\":\"nowhere\"}}");
+    let large = format!("{{\"spec\":\"x\",\"phases\":[{step}]}}");
+    let hand_in = |node: &TestNode, job: &str, body: &str| {
+        status(node.clients, &post(&format!("/k/{job}"), &headers, body, false))
+    };
+    let known = "00000000000000e1";
+    assert_eq!(hand_in(&second, known, &large.replace("nowhere", "")), Some(200));
+    wait_for("the job is completed", || state_of(&second, known).as_deref() == Some("completed"));
+    let new_job = |number: usize| format!("{:016x}", 0xe000 + number);
+    for number in 0..20 {
+        hand_in(&second, &new_job(number), &large);
+    }
+    first.kill();
+    check_team_is_served(&second, 1, "00000000000000e2");
+    wait_for("the next leader runs a job", || {
+        state_of(&second, "00000000000000e2").as_deref() == Some("completed")
+    });
+    wait_for("the next leader refuses the team's jobs", || {
+        hand_in(&second, &new_job(100), &large) == Some(429)
+    });
+    // The second time, the node refuses the jobs of the team by itself.
+    for _ in 0..2 {
+        assert_eq!(hand_in(&second, known, &large), Some(200));
+        assert_eq!(hand_in(&second, &new_job(100), &large), Some(429));
+    }
+    second.check();
+}
+
 /// Guards against occurrences of one job that fill the memory of the leader.
 #[test]
 fn jobs_with_many_occurrences_fit_in_the_leader() {
--- a/crates/magnoliapin_scheduler/src/client_handler.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler.rs
@@ -62,6 +62,9 @@
 const MAX_INLINE_INPUT: ByteSize = ByteSize(8 * 1024);
 /// Size of the largest input. Each node that starts tasks of the job has it in memory.
 const MAX_INPUT: ByteSize = ByteSize(4 * 1024 * 1024);
+/// Maximum number of jobs at a time of which a node reads from the store whether they are known, before it
+/// refuses them for lack of room.
+const MAX_CHECKS: usize = 32;
 /// Maximum number of jobs that a node caches; the others are read from the store.
 const MAX_KNOWN_JOBS: usize = 20_000;
 
@@ -337,12 +340,19 @@
         }
     }
 
-    /// Refuses a job for lack of room, unless it was accepted before.
+    /// Refuses a job for lack of room, unless the leader or the store knows it from an earlier
+    /// submission.
     fn refuse_unless_known(&mut self, request: &PendingRequest, out: &mut Outbox) {
         self.drop_upload(request, out);
-        let stage = RequestStage::Read(ReadStage::Outcome);
-        let request = request.context().with_stage(stage);
-        self.forward(PendingRequest { is_refused_if_unknown: true, ..request }, out);
+        let check = request.known_job_check();
+        self.forward(check, out);
+    }
+
+    /// The same for a job that the leader does not know, but may have finished under an earlier one.
+    fn refuse_unless_stored(&mut self, request: &PendingRequest, out: &mut Outbox) {
+        self.drop_upload(request, out);
+        let check = request.known_job_check();
+        self.send_to_store(check, out);
     }
 
     /// Replies to a request whose job was read.
@@ -375,6 +385,13 @@
         {
             return self.refuse_unless_known(&request, out);
         }
+        let is_check = |request: &PendingRequest| request.is_refused_if_unknown;
+        if is_check(&request)
+            && self.requests.values().filter(|one| is_check(one)).count() >= MAX_CHECKS
+        {
+            // Neither accepted nor refused: the job may have been stored by an earlier submission.
+            return out.reply(request.client, ClientReply::OutcomeUnknown);
+        }
         let store_request = match &request.stage {
             RequestStage::Upload(upload) => self.upload_store_request(request.job, upload),
             RequestStage::Submit(submission) => self.submit_store_request(request.job, submission),
@@ -415,6 +432,12 @@
     fn context(&self) -> RequestContext {
         RequestContext { client: self.client, job: self.job, deadline: self.deadline }
     }
+
+    /// Returns the request that reads whether the job is known, and refuses it otherwise.
+    fn known_job_check(&self) -> Self {
+        let check = self.context().with_stage(RequestStage::Read(ReadStage::Outcome));
+        Self { is_refused_if_unknown: true, ..check }
+    }
 }
 
 impl RequestContext {
@@ -447,27 +470,28 @@
         out: &mut Outbox,
     ) {
         let row = submit::new_row(spec, queue, team, out.wall_now());
-        let is_closed = self.admission.is_closed(row.team.as_ref(), out.now);
         let inline_bytes = (MAX_INLINE_INPUT.0 as usize).min(self.limits.value_bytes() / 2);
         let input_bytes = row.spec.payload.len();
         if input_bytes > MAX_INPUT.0 as usize {
             return self.refuse_large(context, "the input of the job", MAX_INPUT, out);
         }
-        let stage = if input_bytes > inline_bytes {
+        let team = row.team.clone();
+        let (row_bytes, size, stage) = if input_bytes > inline_bytes {
             let upload = Upload::new(row, UploadId(out.random.random()), self.limits);
             let head = Submission::new(upload.row(), Some(upload.stored_input()));
-            (head, RequestStage::Upload(upload))
+            let row_bytes = head.encoded_row().len() + VERSION_BYTES;
+            (row_bytes, head.size(), RequestStage::Upload(upload))
         } else {
             let submission = Submission::new(&row, None);
-            (submission.clone(), RequestStage::Submit(submission))
+            let row_bytes = submission.encoded_row().len();
+            (row_bytes, submission.size(), RequestStage::Submit(submission))
         };
-        let (head, stage) = stage;
-        if head.encoded_row().len() + VERSION_BYTES > self.limits.value_bytes() {
+        if row_bytes > self.limits.value_bytes() {
             let limit = ByteSize(self.limits.value_bytes() as u64);
             return self.refuse_large(context, "the job without its input", limit, out);
         }
         let request = context.with_stage(stage);
-        match is_closed {
+        match self.admission.is_closed(team.as_ref(), size, out.now) {
             true => self.refuse_unless_known(&request, out),
             false => self.forward(request, out),
         }
--- a/crates/magnoliapin_scheduler/src/client_handler/client_admission.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler/client_admission.rs
@@ -23,8 +23,8 @@
 /// What a node knows about the room for jobs.
 #[derive(Debug)]
 pub(super) struct ClientAdmission {
-    /// Teams whose jobs the leader has refused, and until when this node does the same.
-    closed_until: IndexMap<Option<TeamName>, Moment>,
+    /// Teams of which the leader has refused a job of this size, and until when this node does the same.
+    closed_until: IndexMap<Option<TeamName>, (Moment, JobSize)>,
     /// Memory of the jobs that this node has stored since a leader last took one.
     direct_memory: ByteSize,
     direct_limit: ByteSize,
@@ -41,9 +41,9 @@
     }
 
     /// Records that the leader has refused a job of a team for lack of room.
-    pub(super) fn record_full(&mut self, team: Option<TeamName>, now: Moment) {
-        self.closed_until.retain(|_, until| *until > now);
-        self.closed_until.insert(team, now + CLOSED_TIME);
+    pub(super) fn record_full(&mut self, team: Option<TeamName>, size: JobSize, now: Moment) {
+        self.closed_until.retain(|_, (until, _)| *until > now);
+        self.closed_until.insert(team, (now + CLOSED_TIME, size));
     }
 
     /// Records that a leader has accepted a job, so it knows all jobs that are stored.
@@ -56,10 +56,12 @@
         self.direct_memory.0 += size.memory.0;
     }
 
-    /// Returns whether a leader has refused a job of the team recently.
-    pub(super) fn is_closed(&self, team: Option<&TeamName>, now: Moment) -> bool {
-        let until = self.closed_until.get(&team.cloned());
-        until.is_some_and(|until| *until > now)
+    /// Returns whether a leader has recently refused a job of the team that is not larger.
+    pub(super) fn is_closed(&self, team: Option<&TeamName>, size: JobSize, now: Moment) -> bool {
+        let closed = self.closed_until.get(&team.cloned());
+        closed.is_some_and(|(until, refused)| {
+            *until > now && size.memory >= refused.memory && size.input >= refused.input
+        })
     }
 
     /// Returns whether this node has stored as much without a leader as it may.
--- a/crates/magnoliapin_scheduler/src/client_handler/forward.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler/forward.rs
@@ -97,13 +97,20 @@
                 self.admission.record_accepted();
                 ClientReply::Accepted
             }
-            PeerReply::Full => {
+            PeerReply::Full | PeerReply::FullIfUnknown => {
                 if let RequestStage::Submit(submission) = &request.stage {
-                    self.admission.record_full(submission.team().cloned(), out.now);
+                    let (team, size) = (submission.team().cloned(), submission.size());
+                    self.admission.record_full(team, size, out.now);
+                }
+                match reply {
+                    PeerReply::Full => self.refuse_full(&request, out),
+                    _ => self.refuse_unless_stored(&request, out),
                 }
-                self.refuse_full(&request, out);
                 return Some(true);
             }
+            PeerReply::OutcomeUnknown if request.is_refused_if_unknown => {
+                ClientReply::OutcomeUnknown
+            }
             PeerReply::Cancelled => ClientReply::Cancelled,
             PeerReply::State(state) => {
                 if state.is_final() {
--- a/crates/magnoliapin_scheduler/src/client_handler/submit.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler/submit.rs
@@ -60,6 +60,11 @@
         self.team.as_ref()
     }
 
+    /// Returns what the job takes until it has finished.
+    pub(super) fn size(&self) -> JobSize {
+        self.size
+    }
+
     /// Returns where the input of the job is stored, if that is not in the row.
     pub(super) fn input(&self) -> Option<StoredInput> {
         self.input
--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -131,6 +131,8 @@
     last_job_key: u64,
     /// Jobs that this leader has finished recently.
     finished_jobs: IndexMap<JobId, JobState>,
+    /// When it last removed some of them, or took over without those of the leader before.
+    forgot_finished_at: Moment,
     /// Cancellation requests that wait until the final state of their job is stored.
     pending_cancellations: IndexMap<JobId, Vec<Requester>>,
     targets: IndexMap<TargetKey, Target>,
@@ -302,6 +304,7 @@
             job_keys: IndexMap::new(),
             last_job_key: 0,
             finished_jobs: IndexMap::new(),
+            forgot_finished_at: out.now,
             pending_cancellations: IndexMap::new(),
             targets: IndexMap::new(),
             former_fences: FormerFences::default(),
--- a/crates/magnoliapin_scheduler/src/leader/commit.rs
+++ b/crates/magnoliapin_scheduler/src/leader/commit.rs
@@ -228,6 +228,7 @@
         self.reply_to_cancellations(id, out);
         if self.finished_jobs.len() > MAX_FINISHED_JOBS {
             self.finished_jobs.drain(..MAX_FINISHED_JOBS / 2);
+            self.forgot_finished_at = out.now;
         }
     }
 
--- a/crates/magnoliapin_scheduler/src/leader/submissions.rs
+++ b/crates/magnoliapin_scheduler/src/leader/submissions.rs
@@ -27,6 +27,9 @@
 use crate::NodeAction;
 use crate::PeerId;
 
+/// Time within which clients submit a job again if they got no response, with much to spare.
+const RESUBMISSION_TIME: Duration = Duration::from_secs(30);
+
 /// Origin of a request to the leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Requester {
@@ -102,7 +105,10 @@
             PeerRequest::Read(job) => {
                 let reply = match self.job_state(job, out.now) {
                     Some(state) => PeerReply::State(state),
-                    None => PeerReply::UnknownJob,
+                    None if self.is_being_submitted(job) => PeerReply::OutcomeUnknown,
+                    None if self.remembers_finished(out.now) => PeerReply::UnknownJob,
+                    // The store may know more.
+                    None => PeerReply::NotLeader,
                 };
                 self.send_reply(requester, reply, out);
             }
@@ -123,6 +129,20 @@
         Some(if job.has_started { JobState::Running } else { JobState::Queued })
     }
 
+    /// Returns whether a job waits to be stored.
+    fn is_being_submitted(&self, job: JobId) -> bool {
+        let partition = rows::partition_of(job, self.identity.partition_count) as usize;
+        self.partitions[partition].commit.submissions.contains_key(&job)
+    }
+
+    /// Returns whether this leader remembers all jobs that have finished recently, so that a job which
+    /// it does not know has not been submitted within that time. It may have been replaced if the store
+    /// has not confirmed it.
+    fn remembers_finished(&self, now: Moment) -> bool {
+        now.since(self.forgot_finished_at) >= RESUBMISSION_TIME
+            && now.since(self.confirmed_at) <= self.identity.times.leader_timeout
+    }
+
     fn handle_submit_request(
         &mut self,
         requester: Requester,
@@ -147,7 +167,11 @@
         };
         let size = JobSize::new(&row.spec, input.as_ref());
         if !self.job_ledger.admits(row.team.as_ref(), size, out.now) {
-            return self.send_reply(requester, PeerReply::Full, out);
+            let reply = match self.remembers_finished(out.now) {
+                true => PeerReply::Full,
+                false => PeerReply::FullIfUnknown,
+            };
+            return self.send_reply(requester, reply, out);
         }
         self.job_ledger.add(row.team.as_ref(), size);
         let requesters = vec![requester];
--- a/crates/magnoliapin_site/src/peer_message.rs
+++ b/crates/magnoliapin_site/src/peer_message.rs
@@ -86,7 +86,8 @@
         State(JobState),
         /// The job is cancelled, or had finished already.
         Cancelled,
-        /// The leader does not hold the job in memory; it may still be in the store.
+        /// The leader does not hold the job in memory; it may still be in the store if it finished some
+        /// time ago.
         UnknownJob,
         /// The node is not the leader.
         NotLeader,
@@ -105,5 +106,7 @@
         },
         /// The job was refused and is not stored, as too many jobs of its team wait.
         Full,
+        /// The same, unless the job was stored under an earlier leader and has finished.
+        FullIfUnknown,
     }
 }
