Split the links to agents and the refusals of the client handler

Refusals move out of client_handler.rs, and leader and agents share one function for calls whose input may be stored.

--- a/crates/magnoliapin/tests/floods/entry_jobs.rs
+++ b/crates/magnoliapin/tests/floods/entry_jobs.rs
@@ -8,7 +8,6 @@
 use crate::floods_support::free_address;
 use crate::floods_support::status;
 use crate::lock;
-use crate::platform::FakePlatform;
 use crate::start_entry;
 use crate::support::site::wait_for;
 use crate::support::site::TestSite;
@@ -100,37 +99,3 @@
     }
     check(&site);
 }
-
-/// Guards against a stand-in that no test would notice to take more than the store does.
-#[test]
-fn the_stand_in_for_the_store_enforces_its_limits() {
-    use crate::platform::NAME_BYTES;
-    use crate::platform::ROW_BYTES;
-    use crate::platform::TRANSACTION_BYTES;
-    use crate::platform::TRANSACTION_ENTRIES;
-
-    let _guard = lock();
-    let platform = FakePlatform::start();
-    let commit = |body: &str| {
-        let length = body.len();
-        let head = format!("POST /api/rows-tx HTTP/1.1\r\nhost: h\r\ncontent-length: {length}\r\n");
-        // The stand-in keeps connections open; a request that it cannot read ends this one.
-        let request = format!("{head}\r\n{body}\r\n\r\n");
-        status(platform.address, request.as_bytes())
-    };
-    let write = |key: &str, value: &str| {
-        format!("{{\"table\":\"t\",\"part\":\"\",\"key\":\"{key}\",\"value\":\"{value}\"}}")
-    };
-    let transaction = |writes: &[String]| {
-        format!("{{\"expected_rev\":[],\"set_keys\":[{}],\"remove\":[]}}", writes.join(","))
-    };
-    let row = write("k", &"A".repeat(ROW_BYTES));
-    assert_eq!(commit(&transaction(std::slice::from_ref(&row))), Some(200));
-    assert_eq!(commit(&transaction(&[write("k", &"A".repeat(ROW_BYTES + 4))])), Some(400));
-    assert_eq!(commit(&transaction(&[write(&"k".repeat(NAME_BYTES + 1), "")])), Some(400));
-    let many: Vec<String> = (0..=TRANSACTION_ENTRIES).map(|_| write("k", "")).collect();
-    assert_eq!(commit(&transaction(&many)), Some(400));
-    assert_eq!(commit(&transaction(&many[1..])), Some(200));
-    let large = vec![row; TRANSACTION_BYTES / ROW_BYTES + 1];
-    assert_eq!(commit(&transaction(&large)), Some(400));
-}
--- a/crates/magnoliapin_scheduler/src/agent.rs
+++ b/crates/magnoliapin_scheduler/src/agent.rs
@@ -23,11 +23,10 @@
 use magnoliapin_site::TargetReply;
 use magnoliapin_site::TargetRequest;
 
-use crate::input_loader::PendingStart;
 use crate::known_report::KnownReport;
 use crate::outbox::Outbox;
+use crate::outbox::TargetCallAction;
 use crate::CallId;
-use crate::NodeAction;
 
 #[cfg(test)]
 #[path = "agent_tests.rs"]
@@ -158,21 +157,14 @@
             _ => Duration::from_millis(call.timeout_ms).min(expires_at.since(out.now)),
         };
         let id = out.next_call();
-        let (name, address) = (target.name.clone(), target.address);
-        match input {
-            Some((job, input)) => out.push_stored_start(PendingStart {
-                call: id,
-                target: name,
-                address,
-                request,
-                timeout,
-                job,
-                input,
-            }),
-            None => {
-                out.push(NodeAction::Target { call: id, target: name, address, request, timeout });
-            }
-        }
+        out.call_target(TargetCallAction {
+            call: id,
+            target: target.name.clone(),
+            address: target.address,
+            request,
+            timeout,
+            input,
+        });
         let pending =
             PendingCall { session: session.number, call: call.call, target: call.target, base };
         self.calls.insert(id, pending);
--- a/crates/magnoliapin_scheduler/src/client_handler.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler.rs
@@ -4,6 +4,7 @@
 mod client_admission;
 mod forward;
 mod read;
+mod refusals;
 mod submit;
 mod upload;
 
@@ -326,57 +327,6 @@
         out.reply(request.client, reply);
     }
 
-    /// Removes the input of a job that is refused.
-    fn drop_upload(&self, request: &PendingRequest, out: &mut Outbox) {
-        let input = match &request.stage {
-            RequestStage::Upload(upload) => {
-                Some(upload.stored_input()).filter(|_| !upload.is_new())
-            }
-            RequestStage::Submit(submission) => submission.input(),
-            RequestStage::Read(_) | RequestStage::Cancel(_) => None,
-        };
-        if let Some(input) = input {
-            self.remove_upload(request.job, input, out);
-        }
-    }
-
-    /// Refuses a job for lack of room, unless the leader or the store knows it from an earlier
-    /// submission.
-    fn refuse_unless_known(&mut self, request: &PendingRequest, out: &mut Outbox) {
-        self.drop_upload(request, out);
-        let check = request.known_job_check();
-        self.forward(check, out);
-    }
-
-    /// The same for a job that the leader does not know, but may have finished under an earlier one.
-    fn refuse_unless_stored(&mut self, request: &PendingRequest, out: &mut Outbox) {
-        self.drop_upload(request, out);
-        let check = request.known_job_check();
-        self.send_to_store(check, out);
-    }
-
-    /// Replies to a request whose job was read.
-    fn reply_to_read(&self, request: &PendingRequest, reply: ClientReply, out: &mut Outbox) {
-        match reply {
-            ClientReply::State(_) if request.is_refused_if_unknown => {
-                out.reply(request.client, ClientReply::Accepted);
-            }
-            ClientReply::UnknownJob if request.is_refused_if_unknown => {
-                self.refuse_full(request, out);
-            }
-            reply => out.reply(request.client, reply),
-        }
-    }
-
-    /// Refuses a job for lack of room.
-    fn refuse_full(&self, request: &PendingRequest, out: &mut Outbox) {
-        log::info!("event=request_refused job={} why=too_many_jobs", request.job);
-        self.drop_upload(request, out);
-        let retry_after = ClientAdmission::return_delay(out);
-        let reason = RefusalReason::Overloaded;
-        out.reply(request.client, ClientReply::Refused { reason, retry_after });
-    }
-
     /// Makes the store call for the request's stage.
     fn send_to_store(&mut self, request: PendingRequest, out: &mut Outbox) {
         if matches!(request.stage, RequestStage::Submit(_))
@@ -497,13 +447,6 @@
         }
     }
 
-    /// Refuses for good a job that cannot be stored.
-    fn refuse_large(&self, context: RequestContext, what: &str, limit: ByteSize, out: &mut Outbox) {
-        log::info!("event=job_too_large job={} limit={limit}", context.job);
-        let reason = format!("{what} takes more than {limit} bytes");
-        out.reply(context.client, ClientReply::TooLarge(reason));
-    }
-
     fn read(&mut self, context: RequestContext, out: &mut Outbox) {
         if let Some(state) = self.known_jobs.get(&context.job).and_then(|known| known.final_state) {
             out.reply(context.client, ClientReply::State(state));
--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -6,6 +6,7 @@
 //! from the store, starts their tasks, and stores each completion before it acknowledges it to the
 //! target.
 
+mod agent_link;
 mod agent_links;
 mod cold_targets;
 mod commit;
--- a/crates/magnoliapin_scheduler/src/leader/agent_links_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/agent_links_tests.rs
@@ -27,7 +27,7 @@
 use magnoliapin_site::ZoneName;
 
 use super::AgentLinks;
-use super::OutgoingCall;
+use crate::leader::agent_link::OutgoingCall;
 use crate::leader::target::TargetKey;
 use crate::outbox::Outbox;
 use crate::CallId;
--- a/crates/magnoliapin_scheduler/src/leader/delegation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/delegation.rs
@@ -13,17 +13,16 @@
 use magnoliapin_site::TargetRequest;
 use magnoliapin_site::ZoneName;
 
-use crate::input_loader::PendingStart;
+use crate::leader::agent_link::OutgoingCall;
 use crate::leader::agent_links::FailedCall;
-use crate::leader::agent_links::OutgoingCall;
 use crate::leader::target::HeartbeatState;
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
 use crate::leader::SentCall;
 use crate::leader::TargetCall;
 use crate::outbox::Outbox;
+use crate::outbox::TargetCallAction;
 use crate::CallId;
-use crate::NodeAction;
 
 /// Time after which a new leader without agents calls the targets itself.
 const FIRST_AGENTS_WAIT: Duration = Duration::from_millis(1_000);
@@ -68,23 +67,14 @@
                 let outgoing = OutgoingCall { call, target: key, record, request, input, timeout };
                 self.agents.queue(agent, outgoing, out.now);
             }
-            None => {
-                let (target, address) = (record.name.clone(), record.address);
-                match input {
-                    Some((job, input)) => out.push_stored_start(PendingStart {
-                        call,
-                        target,
-                        address,
-                        request,
-                        timeout,
-                        job,
-                        input,
-                    }),
-                    None => {
-                        out.push(NodeAction::Target { call, target, address, request, timeout });
-                    }
-                }
-            }
+            None => out.call_target(TargetCallAction {
+                call,
+                target: record.name.clone(),
+                address: record.address,
+                request,
+                timeout,
+                input,
+            }),
         }
         Some(call)
     }
--- a/crates/magnoliapin_scheduler/src/outbox.rs
+++ b/crates/magnoliapin_scheduler/src/outbox.rs
@@ -6,8 +6,12 @@
 use magnoliapin_model::Moment;
 use magnoliapin_model::UnixMillis;
 use magnoliapin_site::ClientReply;
+use magnoliapin_site::JobId;
 use magnoliapin_site::PeerRequest;
 use magnoliapin_site::StoreRequest;
+use magnoliapin_site::StoredInput;
+use magnoliapin_site::TargetName;
+use magnoliapin_site::TargetRequest;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -18,6 +22,19 @@
 use crate::ConnectionChoice;
 use crate::NodeAction;
 
+/// A call to a target.
+#[derive(Debug)]
+pub(crate) struct TargetCallAction {
+    pub(crate) call: CallId,
+    pub(crate) target: TargetName,
+    pub(crate) address: SocketAddr,
+    pub(crate) request: TargetRequest,
+    /// Time after which the call fails.
+    pub(crate) timeout: Duration,
+    /// Job and place of the input of a start, if the request lacks it.
+    pub(crate) input: Option<(JobId, StoredInput)>,
+}
+
 /// Pending actions, with the time, random numbers and the latency of the store.
 #[derive(Debug)]
 pub(crate) struct Outbox {
@@ -139,9 +156,21 @@
         self.push(NodeAction::ReplyToClient(client, reply));
     }
 
-    /// Adds a start whose input must be read from the store.
-    pub(crate) fn push_stored_start(&mut self, start: PendingStart) {
-        self.stored_starts.push(start);
+    /// Calls a target. `input` is where the input of a start is stored, if the request lacks it.
+    pub(crate) fn call_target(&mut self, target_call: TargetCallAction) {
+        let TargetCallAction { call, target, address, request, timeout, input } = target_call;
+        match input {
+            Some((job, input)) => self.stored_starts.push(PendingStart {
+                call,
+                target,
+                address,
+                request,
+                timeout,
+                job,
+                input,
+            }),
+            None => self.push(NodeAction::Target { call, target, address, request, timeout }),
+        }
     }
 
     /// Removes and returns the starts whose inputs must be read from the store.
