--- a/review/standin-3/rig.py
+++ b/review/standin-3/rig.py
@@ -224,6 +224,11 @@
         self.is_up = False
         # Answers every start with this status, as an unhealthy executor does; None: it works.
         self.refusal = None
+        # Decides about a start: an async function of its body that returns "answer", or "break"
+        # if the call gets no answer and is not carried out now.
+        self.start_gate = None
+        # Time between the start of an executor and its registration.
+        self.registers_after_s = 0
         self.server = None
         self.port = 0
 
@@ -262,6 +267,7 @@
         return int((time.monotonic() - self.clock_from) * 1000)
 
     async def _register(self):
+        await asyncio.sleep(self.registers_after_s)
         while True:
             self.sequence += 1
             self.rig.store.put("servers", self.name, json.dumps({
@@ -296,6 +302,12 @@
                 elif self.clock() > self.deadline_ms:
                     self._end(task, "lapsed")
 
+    async def carry_out_late(self, headers, body):
+        """Carries out a start that got no answer, on the lifetime that is up now."""
+        if self.is_up:
+            status, answer = await self._handle("POST", "/api/run-start", headers, body)
+            self.rig.note(f"late start at executor={self.name}: {status} {json.dumps(answer)}")
+
     def _used(self, what):
         return sum(run[what] for run in self.runs.values())
 
@@ -313,6 +325,9 @@
             self.rig.note(f"start-refused task={call['task']} attempt={call['attempt']} "
                           f"executor={self.name} status={self.refusal}")
             return self.refusal, {"clock_ms": self.clock(), "born": self.born}
+        if path == "/api/run-start" and self.start_gate:
+            if await self.start_gate(headers, body) == "break":
+                return None
         if fence < self.fence:
             return refused("fence")
         self.fence = fence
@@ -428,11 +443,11 @@
             await executor.start()
             self.executors.append(executor)
         for number in range(nodes):
-            self._start_node(number, binary, stdout)
+            self._start_node(number, stdout)
         await self.until(self._all_ready, 20, "the nodes are ready")
         self.note("nodes ready")
 
-    def _start_node(self, number, binary, stdout):
+    def _start_node(self, number, stdout):
         front, ready, control, inner = free_ports(4)
         name = f"frontend-z{number % 3}-{number}"
         bounds = "\n".join(f"{key} = {json.dumps(value)}" for key, value in BOUNDS.items())
@@ -496,13 +511,26 @@
         path.write_text(text, encoding="utf-8")
         log = self.temp / f"{name}.log"
         output = stdout(number) if stdout else open(log, "wb")
+        self.nodes.append({"name": name, "front": front, "ready": ready, "settings": path,
+                           "output": output, "log": log})
+        self.start_process(self.nodes[-1])
+
+    def start_process(self, node):
+        """Starts the process of a node, with the command of the deploy file."""
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG")
                        if key in os.environ}
-        process = subprocess.Popen(
-            [str(binary), "node"], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=output,
-            stderr=subprocess.STDOUT, env={**environment, "MAGNOLIAPIN_SETTINGS": str(path)})
-        self.nodes.append({"name": name, "front": front, "ready": ready, "process": process,
-                           "log": log})
+        node["process"] = subprocess.Popen(
+            [str(ROOT / "target" / "release" / "magnoliapin"), "node"], cwd=ROOT,
+            stdin=subprocess.DEVNULL, stdout=node["output"], stderr=subprocess.STDOUT,
+            env={**environment, "MAGNOLIAPIN_SETTINGS": str(node["settings"])})
+
+    def restart(self, node):
+        """Starts a node again that has ended."""
+        text = node["settings"].read_text(encoding="utf-8")
+        text = text.replace("bootstrap = true", "bootstrap = false")
+        node["settings"].write_text(text, encoding="utf-8")
+        self.note(f"start again node={node['name']}")
+        self.start_process(node)
 
     async def _all_ready(self):
         for node in self.nodes:
