Show that a subtask runs twice when the leader ends that waits for a late start

Cause: the time until which a start may still be carried out is kept in the memory of the leader only, and the row of the executor is removed.

--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
