--- a/review/15/case.py
+++ b/review/15/case.py
@@ -12,6 +12,11 @@
 
 import rig as stand_ins  # noqa: E402
 
+# Share and length of `applied_late` on the site.
+LATE_SHARE = 0.055
+LATE_FOR_S = 5.5
+# Sound subtasks that start beside the one that is looked at.
+OTHERS = 24
 # All times count from the first start of the subtask.
 CRASH_AT_S = 1.5
 KILL_AT_S = 2.0
@@ -25,32 +30,37 @@
 async def case(rig):
     await rig.start(stand_ins.small_config(), stand_ins.small_pool(8))
     await asyncio.sleep(4)
-    if rig.trouble:
-        arm(rig)
     job = stand_ins.new_job()
+    if rig.trouble:
+        arm(rig, job)
+    began = time.monotonic()
     status, _ = await rig.submit(
         0, job, f"work_ms={WORK_MS}",
         [{"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": WORK_MS}])
     if status != 200:
         raise stand_ins.CannotRun("the job was not accepted")
+    await rig.submit(1, stand_ins.new_job(), "work_ms=400",
+                     [{"count": OTHERS, "cpu": 500, "mem_mb": 64, "estimate_ms": 400}])
     await asyncio.sleep(22)
-    if not rig.runs:
+    if rig.trouble:
+        rig.check_share("starts without an answer", 1, rig.start_orders, began, LATE_FOR_S, LATE_SHARE)
+    if not any(task.startswith(job) for task, _, _ in rig.runs):
         raise stand_ins.CannotRun("the subtask never ran")
     overlap = rig.longest_overlap()
     rig.note(f"longest time of two runs of one subtask at the same time: {overlap:.3f} s")
     return overlap <= 0
 
 
-def arm(rig):
-    """Withholds the first start that any executor gets, and plays the rest at that executor."""
+def arm(rig, job):
+    """Withholds the first start of a job's subtask, and plays the rest at that executor."""
     withheld = []
 
     def gate_of(executor):
         async def gate(headers, body):
-            if withheld:
+            call = json.loads(body)
+            if withheld or not call["task"].startswith(job):
                 return "answer"
             withheld.append(body)
-            call = json.loads(body)
             rig.note(f"start without an answer: task={call['task']} attempt={call['attempt']} "
                      f"executor={executor.name}")
             asyncio.ensure_future(play(rig, executor, headers, body))
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,9 +1,10 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 11 to 15. They are Python programs without dependencies, so this
-# checks that an interpreter is there and accepts them. It writes nothing.
+# Prepares the stand-ins of the cases 11 to 15 and of trials-3. They are Python programs that need only
+# the standard library, so nothing is compiled: this checks the interpreter and that it accepts them.
+# The only other program that the scripts start is the release build of the deploy file.
 set -eu
 cd "$(dirname "$0")"
-python3 - standin-3/rig.py 1[1-5]/case.py <<'CHECK'
+python3 - standin-3/*.py 1[1-5]/case.py trials-3/*/case.py <<'CHECK'
 import ast
 import sys
 
--- a/review/standin-3/rig.py
+++ b/review/standin-3/rig.py
@@ -119,6 +119,8 @@
         self.version = 0
         self.changed = asyncio.Event()
         self.started = time.monotonic()
+        # Times at which transactions arrived.
+        self.writes = []
         # Decides about the answer to a transaction: an async function of its body that returns
         # "answer", or "break" if the call gets no answer and is not performed.
         self.transaction_gate = None
@@ -176,6 +178,7 @@
         await asyncio.sleep(STORE_DELAY_S)
         if path == "/api/rows-tx":
             call = json.loads(body)
+            self.writes.append(time.monotonic())
             if self.transaction_gate and await self.transaction_gate(call) == "break":
                 return None
             version = self.perform(call)
@@ -325,6 +328,8 @@
             self.rig.note(f"start-refused task={call['task']} attempt={call['attempt']} "
                           f"executor={self.name} status={self.refusal}")
             return self.refusal, {"clock_ms": self.clock(), "born": self.born}
+        if path == "/api/run-start":
+            self.rig.start_orders.append(time.monotonic())
         if path == "/api/run-start" and self.start_gate:
             if await self.start_gate(headers, body) == "break":
                 return None
@@ -400,6 +405,8 @@
         self.jobs = {}
         self.nodes = []
         self.start_hooks = []
+        # Times at which executors were told to start a subtask.
+        self.start_orders = []
         # Runs as the executors saw them, by task, attempt and executor: [began, ended].
         self.runs = {}
         self.cloud = HttpServer(self._handle_cloud)
@@ -412,6 +419,13 @@
         self.record.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
         self.record.flush()
 
+    def check_share(self, what, affected, times, began, seconds, limit):
+        """Checks that a disruption stays inside the share that the pages allow."""
+        count = sum(1 for at in times if began <= at <= began + seconds)
+        self.note(f"{what}: {affected} of {count} in {seconds} s; allowed: {limit}")
+        if affected > count * limit:
+            raise CannotRun(f"the share of {what} is over {limit}")
+
     def longest_overlap(self):
         """Returns the longest time, in seconds, for which two runs of one subtask went on."""
         longest, now = 0.0, time.monotonic()
