Wait for unanswered starts of long-running tasks

Cause: its first start got no reply and its repetition was answered. When the target crashed, the list of instances showed its instance without a target, and the leader started the task elsewhere at once: it waited 0.5 s for starts of long-running tasks, counted from the start, and 12 s for all others. The first start arrived 6 s late, at the target's next incarnation, before the leader had called that one.

Evidence: the record of the case on: crash at 5.569 s, attempt 2 elsewhere at 5.623 s, attempt 1 at the restarted target from 10.070 to 10.349 s.

Change: a run with a start that has no reply waits until that start must have arrived, as other tasks do, but at most 7 s after the last report of the target arrived. The users' rules want such a task at work 9 s after its last run; the target was up when its report arrived. A task all of whose starts have a reply waits as before.

--- a/crates/magnoliapin_scheduler/src/leader/incarnations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations.rs
@@ -35,6 +35,7 @@
 use crate::times::CLOCK_DRIFT;
 use crate::times::LEASE_SLACK;
 use crate::times::MAX_ORDER_DELAY;
+use crate::times::MAX_SERVICE_WAIT;
 
 #[cfg(test)]
 #[path = "incarnations_tests.rs"]
@@ -234,16 +235,24 @@
     }
 
     /// Returns the end of the time in which a start of it may begin it on the next incarnation of its target,
-    /// although the last one has ended; `None` if none may. A long-running task only waits for starts
-    /// whose calls were in progress, as its service lacks it meanwhile.
+    /// although the last one has ended; `None` if none may.
+    ///
+    /// The service of a long-running task lacks it meanwhile. So it waits only for starts without a reply,
+    /// and not beyond [`MAX_SERVICE_WAIT`] after `heard_at`, when a report of the target last arrived; if
+    /// all have a reply, it waits only for calls that were in progress.
     pub(super) fn may_arrive_until(
         &self,
         last_contact_at: Moment,
+        heard_at: Moment,
         in_transit: Duration,
     ) -> Option<Moment> {
-        let delay = if self.is_long_running { in_transit } else { MAX_ORDER_DELAY };
-        let sent_at = self.start_sent_at.filter(|_| !self.is_confined(last_contact_at));
-        sent_at.map(|at| at + delay)
+        let sent_at = self.start_sent_at.filter(|_| !self.is_confined(last_contact_at))?;
+        let arrives_by = sent_at + MAX_ORDER_DELAY;
+        Some(match self.is_long_running {
+            false => arrives_by,
+            true if self.open_starts == 0 => sent_at + in_transit,
+            true => arrives_by.min(heard_at + MAX_SERVICE_WAIT),
+        })
     }
 
     /// Returns whether the run may start on the current incarnation of its target, whose first report omits
--- a/crates/magnoliapin_scheduler/src/leader/incarnations_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations_tests.rs
@@ -25,6 +25,7 @@
 use crate::leader::previous_runs::tests::target_record;
 use crate::leader::previous_runs::tests::FakeSite;
 use crate::leader::registrations::TargetLoss;
+use crate::leader::target::ClockReading;
 use crate::leader::target::HeartbeatState;
 use crate::leader::target::Run;
 use crate::leader::target::RunStage;
@@ -32,6 +33,7 @@
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
+use crate::times::MAX_SERVICE_WAIT;
 use crate::CallId;
 use crate::NodeAction;
 
@@ -262,6 +264,35 @@
     }
 }
 
+/// Guards against two runs of a long-running task (review/12): a start without a reply begins it on the next
+/// incarnation of its target while it runs elsewhere. It must be at work again 9 s after its last run.
+#[test]
+fn late_starts_of_long_running_tasks_are_waited_for_within_their_bound() {
+    for (open_starts, silent_for, expected_wait) in [
+        // The last start that may arrive late has arrived.
+        (1, Duration::from_secs(6), Duration::from_secs(6)),
+        // The service would lack the task for too long.
+        (1, Duration::ZERO, MAX_SERVICE_WAIT),
+        // Each start has a reply.
+        (0, Duration::ZERO, Duration::ZERO),
+    ] {
+        let mut site = LeaderFixture::new(|run| {
+            run.is_long_running = true;
+            run.open_starts = open_starts;
+        });
+        let sent_at = site.target().runs[&RUN.task].start_sent_at.expect("it was sent");
+        site.out.now = sent_at + silent_for;
+        let now = site.out.now;
+        // The heartbeat that this report answers was sent long before.
+        site.target().clock = Some(ClockReading { clock_ms: 1_000, read_at: now });
+        site.leader.remove_target(KEY, TargetLoss::Unhosted, &mut site.out);
+        let job = &site.leader.jobs[&site.leader.job_keys[&JOB]];
+        let lost_at = job.task(RUN.task).and_then(|task| task.lost_at).expect("the run is lost");
+        assert_eq!(lost_at.since(now), expected_wait, "{open_starts} {silent_for:?}");
+        assert!(expected_wait < Duration::from_secs(9));
+    }
+}
+
 /// Guards against a task that starts again right after it was done: a late start of an earlier attempt ends on
 /// the target on which a later attempt is placed, and its start is not sent yet.
 #[test]
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -212,9 +212,10 @@
             self.remember_lapsed_target(&target, out.now);
         }
         let in_transit = self.identity.times.order_timeout + LEASE_SLACK;
+        let heard_at = target.last_heard_at();
         for (task, run) in target.runs {
             self.release_team(&run);
-            let late_until = run.may_arrive_until(target.last_contact_at, in_transit);
+            let late_until = run.may_arrive_until(target.last_contact_at, heard_at, in_transit);
             let ended_at = late_until.filter(|_| may_come_back).unwrap_or(out.now);
             self.requeue_lost_run(key, task, run.attempt, ended_at.max(out.now), out);
         }
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -274,6 +274,11 @@
         Some(run)
     }
 
+    /// Returns when its last report arrived. It was up then, which may be long after the heartbeat was sent.
+    pub(crate) fn last_heard_at(&self) -> Moment {
+        self.clock.map_or(self.last_contact_at, |reading| reading.read_at)
+    }
+
     /// Returns the estimated reading of the target's clock at a moment, in milliseconds.
     pub(crate) fn clock_at(&self, at: Moment) -> Option<u64> {
         let reading = self.clock?;
--- a/crates/magnoliapin_scheduler/src/times.rs
+++ b/crates/magnoliapin_scheduler/src/times.rs
@@ -89,6 +89,14 @@
 pub(crate) const CLOCK_DRIFT: f64 = 0.02;
 /// Longest time for which an order without a reply may be on its way.
 pub(crate) const MAX_ORDER_DELAY: Duration = Duration::from_secs(12);
+/// Longest time for which a service may lack a long-running task that there is room for, as the users'
+/// rules state it: 6 s after its last run and 3 s more.
+const MAX_TASK_ABSENCE: Duration = Duration::from_secs(9);
+/// Part of [`MAX_TASK_ABSENCE`] for a change of leader and the start itself.
+const RESTART_RESERVE: Duration = Duration::from_secs(2);
+/// Longest time without a report of a target after which its long-running tasks start elsewhere, although
+/// starts of them may still be on their way.
+pub(crate) const MAX_SERVICE_WAIT: Duration = MAX_TASK_ABSENCE.saturating_sub(RESTART_RESERVE);
 /// Margin added to the end of a target's lease, as the target's clock is read over the network.
 pub(crate) const LEASE_SLACK: Duration = Duration::from_millis(100);
 /// How long after its last confirmation by the store a leader takes decisions that another leader
