Pass starts without a reply on to the next leader

Cause: after a crash the leader waits for the starts of a task that have no reply, as the next incarnation of the target may carry them out late. Only this leader knew of them, and it removed the row of the target. The next leader knew of no run and started the task at once.

Evidence: the record of the case on: crash, the leader is killed 0.5 s later, the next one starts the task elsewhere, and the first start arrives 0.1 s after the target is back.

Change: the row of the last batch lists the starts without a reply, each with its target and the rest of its time (late_starts.rs). They go with the next batch, within 0.5 s, and at once when a target falls silent or a task has lost its run; while a task waits, the row is written once a second, so that the waits of several leaders do not add up. The next leader lets these tasks wait for the rest of the time, until the target has reported under its fence, which refuses such starts. Long-running tasks wait for at most 5 s after the takeover. At most 400 starts are listed.

Why not the row of each target: a write for each start would be needed to tell which of its runs have a reply. A start that the leader sent less than its timeout (0.15 s) and that delay before it ended may be missing.

--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -22,6 +22,7 @@
 mod isolation;
 mod job;
 mod job_ledger;
+mod late_starts;
 mod lease;
 mod orders;
 mod placement;
@@ -72,6 +73,7 @@
 use self::job::Job;
 use self::job::JobKey;
 use self::job_ledger::JobLedger;
+use self::late_starts::LateStarts;
 use self::lease::Renewal;
 use self::previous_runs::PreviousIncarnation;
 use self::previous_runs::SilentTargets;
@@ -90,6 +92,7 @@
 use crate::decisions::team_shares::TeamShares;
 use crate::election::AcquiredLease;
 use crate::outbox::Outbox;
+use crate::rows::LateStartRow;
 use crate::watch::Watch;
 use crate::CallId;
 use crate::NodeTimes;
@@ -154,6 +157,9 @@
     /// Whether all runs of the previous leader are resolved.
     previous_runs_resolved: bool,
     silent_targets: SilentTargets,
+    late_starts: LateStarts,
+    /// Starts that the leader before has listed, until all jobs are loaded.
+    inherited_late_starts: Vec<LateStartRow>,
     /// When the log last listed the runs that are not resolved.
     unresolved_logged_at: Moment,
     /// Targets with runs that are not recorded in the store yet.
@@ -321,6 +327,8 @@
             unconfirmed_runs: IndexMap::new(),
             previous_runs_resolved: false,
             silent_targets: SilentTargets::new(out.now),
+            late_starts: LateStarts::new(out.now),
+            inherited_late_starts: Vec::new(),
             unresolved_logged_at: out.now,
             unrecorded: IndexSet::new(),
             records: RecordLog::new(out.now),
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -139,6 +139,7 @@
         if is_first {
             // The instance list may show that its instance is out of service.
             self.fleet.list_soon(out.now);
+            self.late_starts.record_soon(out.now);
             log::warn!(
                 "event=target_silent target={} reply={reply} runs={}",
                 target.record.name,
@@ -228,6 +229,9 @@
         }
         self.reconcile(key, sent_at, report, out);
         self.adopt_unlisted_runs(key, &unlisted_runs, out);
+        if is_first {
+            self.end_wait_for_late_starts(&name, now);
+        }
         self.acknowledge_completions(key, now);
         if let Some(target) = self.targets.get_mut(&key) {
             let pause =
--- a/crates/magnoliapin_scheduler/src/leader/incarnations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations.rs
@@ -168,6 +168,15 @@
     }
 }
 
+impl Leader {
+    /// Returns until when a start of a run may begin it on the next incarnation of its target; `None` if
+    /// none may.
+    pub(super) fn late_until(&self, target: &Target, run: &Run) -> Option<Moment> {
+        let in_transit = self.identity.times.order_timeout + LEASE_SLACK;
+        run.may_arrive_until(target.last_contact_at, target.last_heard_at(), in_transit)
+    }
+}
+
 impl Target {
     /// Records that a request is sent to it.
     pub(super) fn record_sent(&mut self, request: &TargetRequest, now: Moment) {
@@ -189,8 +198,9 @@
         }
     }
 
-    /// Records the first report under its fence, with a reading of its clock. No start that was sent
-    /// before can arrive any more, but one of these calls may have extended the lease.
+    /// Records the first report under its fence, with a reading of its clock. It refuses the starts that
+    /// were sent before, which its next incarnation may still carry out, and one of these calls may have
+    /// extended the lease.
     pub(super) fn begin_contact(&mut self, clock_ms: u64, max_lease: Duration) {
         let max_lease_ms = u64::try_from(max_lease.as_millis()).unwrap_or(u64::MAX);
         self.inherited_lease_until_ms = clock_ms.saturating_add(max_lease_ms);
@@ -240,7 +250,7 @@
     /// The service of a long-running task lacks it meanwhile. So it waits only for starts without a reply,
     /// and not beyond [`MAX_SERVICE_WAIT`] after `heard_at`, when a report of the target last arrived; if
     /// all have a reply, it waits only for calls that were in progress.
-    pub(super) fn may_arrive_until(
+    fn may_arrive_until(
         &self,
         last_contact_at: Moment,
         heard_at: Moment,
--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -191,7 +191,8 @@
             let job = self.job_keys.get(&name.job).and_then(|key| self.jobs.get_mut(key));
             let task = job.and_then(|job| job.task_mut(*name));
             if let Some(task) = task.filter(|task| task.state == TaskState::Waiting) {
-                task.lost_at = Some(now);
+                // A start of the leader before may arrive later.
+                task.lost_at = task.lost_at.max(Some(now));
                 self.unconfirmed_losses.insert(*name);
             }
         }
--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -16,6 +16,7 @@
 use crate::leader::Leader;
 use crate::leader::TargetCall;
 use crate::outbox::Outbox;
+use crate::times::MAX_ORDER_DELAY;
 
 #[cfg(test)]
 #[path = "orders_tests.rs"]
@@ -118,10 +119,15 @@
                     id.attempt,
                     run.unconfirmed_starts
                 );
+                let late_until = run.start_sent_at.map(|at| at + MAX_ORDER_DELAY);
                 if run.unconfirmed_starts >= MAX_UNCONFIRMED_STARTS {
                     run.stage = RunStage::Stopping;
                     run.unconfirmed_starts = 0;
                 }
+                if let Some(until) = late_until {
+                    let target = self.target_name(key);
+                    self.late_starts.add_unanswered(id.task, target, until, out.now);
+                }
                 self.due_orders.push((key, id.task));
             }
             TargetReply::Failed(_) | TargetReply::Report(_) => {
--- a/crates/magnoliapin_scheduler/src/leader/reconciliation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/reconciliation.rs
@@ -89,7 +89,9 @@
         run.demand =
             self.targets.get(&key).map_or(Resources::NONE, |target| target.record.capacity);
         let is_adopted = self.adopt_run(key, task, &mut run);
-        if !is_adopted {
+        if is_adopted {
+            self.inherit_open_start(&self.target_name(key), task, &mut run);
+        } else {
             run.stage = RunStage::Stopping;
             self.due_orders.push((key, task));
         }
@@ -129,6 +131,7 @@
             }
             if let Some(task_state) = job.task_mut(task) {
                 task_state.attempt = task_state.attempt.max(run.attempt);
+                task_state.lost_at = None;
                 task_state.unavailable_since = None;
             }
         }
--- a/crates/magnoliapin_scheduler/src/leader/records.rs
+++ b/crates/magnoliapin_scheduler/src/leader/records.rs
@@ -153,7 +153,8 @@
         let has_changes = !self.unrecorded.is_empty()
             || !self.obsolete_rows.is_empty()
             || self.fleet.has_planned_orders()
-            || self.must_record_silence(out.now);
+            || self.must_record_silence(out.now)
+            || self.late_starts.must_record(out.now);
         if !is_due
             || !(has_changes || should_send_unrecorded != self.records.sends_unrecorded_starts)
         {
@@ -178,10 +179,11 @@
             silent_targets: self.silent_targets(out.now),
         };
         self.silent_targets.record(&row, out.now);
+        let late_starts = self.late_starts.record(out.now);
         let mut transaction = StoreTransaction::default()
             .with_expected(rows::control_fence(), self.control_fence)
             .with_expected(rows::batch_row(), self.records.version)
-            .with_write(rows::batch_row(), rows::encode(&row));
+            .with_write(rows::batch_row(), rows::encode_extended(&row, &late_starts));
         let mut recorded = Vec::new();
         for (value, incarnation) in incarnations {
             transaction = transaction.with_write(rows::assignment_row(&incarnation.name), value);
@@ -353,6 +355,7 @@
 
     /// Queues the changes of a failed batch again and drops its orders to instances.
     fn requeue_batch(&mut self, batch: RecordBatch, out: &Outbox) {
+        self.late_starts.record_again(out.now);
         for order in batch.orders {
             self.drop_order(&order, out.now);
         }
--- a/crates/magnoliapin_scheduler/src/leader/recovery.rs
+++ b/crates/magnoliapin_scheduler/src/leader/recovery.rs
@@ -22,6 +22,7 @@
 use crate::rows::AssignmentRow;
 use crate::rows::FenceRow;
 use crate::rows::IntakeKey;
+use crate::rows::LateStartRow;
 use crate::rows::ProgressRow;
 use crate::rows::TaskCrashes;
 use crate::watch::Watch;
@@ -277,7 +278,10 @@
         };
         for row in rows {
             if row.key == rows::BATCH_KEY {
-                let batch: Option<AssignmentBatchRow> = row.value.as_deref().and_then(rows::decode);
+                let decoded = row.value.as_deref().and_then(rows::decode_extended);
+                let (batch, late_starts): (Option<AssignmentBatchRow>, Vec<LateStartRow>) =
+                    decoded.map_or((None, Vec::new()), |(batch, starts)| (Some(batch), starts));
+                self.inherited_late_starts = late_starts;
                 self.pause_inherited_orders(batch.as_ref());
                 self.records.set_last_batch(row.version, batch.as_ref());
                 if let Some(batch) = &batch {
@@ -330,6 +334,7 @@
             self.apply_loaded_rows(&jobs, &progress, out);
         }
         self.charge_unconfirmed();
+        self.inherit_late_starts(out.now);
         self.intake = Some(Watch::new_after(WatchKind::Intake, from));
         log::info!(
             "event=scheduler_loaded generation={} jobs={} old_lives={} after_ms={}",
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -1,5 +1,6 @@
 //! Applies registrations of targets.
 
+use magnoliapin_model::Moment;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::TargetChange;
 use magnoliapin_site::TargetName;
@@ -9,7 +10,6 @@
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
-use crate::times::LEASE_SLACK;
 use crate::watch::WatchUpdate;
 
 #[cfg(test)]
@@ -211,12 +211,15 @@
         } else {
             self.remember_lapsed_target(&target, out.now);
         }
-        let in_transit = self.identity.times.order_timeout + LEASE_SLACK;
-        let heard_at = target.last_heard_at();
-        for (task, run) in target.runs {
+        let late_until: Vec<Option<Moment>> =
+            target.runs.values().map(|run| self.late_until(&target, run)).collect();
+        for ((task, run), late_until) in target.runs.into_iter().zip(late_until) {
             self.release_team(&run);
-            let late_until = run.may_arrive_until(target.last_contact_at, heard_at, in_transit);
-            let ended_at = late_until.filter(|_| may_come_back).unwrap_or(out.now);
+            let late_until = late_until.filter(|until| may_come_back && *until > out.now);
+            if let Some(until) = late_until {
+                self.late_starts.add_awaited(task, name.clone(), until, out.now);
+            }
+            let ended_at = late_until.unwrap_or(out.now);
             self.requeue_lost_run(key, task, run.attempt, ended_at.max(out.now), out);
         }
         // A target that has never reported may still execute runs of the previous leader.
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -11,7 +11,7 @@
 //! | [`UPLOAD`] | a job and an upload | an input of the job that is larger than its row may be |
 //! | [`INPUT`] | a job, an upload and a number | a piece of that input |
 //! | [`LEASE`] | [`LEASE_KEY`] | lease of the leader |
-//! | [`ASSIGNMENTS`] | [`BATCH_KEY`] | last batch of changes in this table; recent orders to instances |
+//! | [`ASSIGNMENTS`] | [`BATCH_KEY`] | last batch of changes in this table; recent orders to instances; starts that may be late |
 //! | [`ASSIGNMENTS`] | a target | possible runs, written before they start unless the batch row allows gaps |
 //! | [`WAVE`] | a wave | instances whose maintenance has started |
 //!
@@ -40,6 +40,7 @@
 use magnoliapin_site::RunId;
 use magnoliapin_site::StoreRow;
 use magnoliapin_site::TargetName;
+use magnoliapin_site::TaskName;
 use magnoliapin_site::TeamName;
 use magnoliapin_site::UploadId;
 
@@ -213,6 +214,18 @@
         pub(crate) silent_targets: Vec<(TargetName, u64)>,
     }
 
+    /// A start without a reply, which a later incarnation of its target may carry out. These follow the
+    /// batch in its row.
+    #[derive(Eq)]
+    pub(crate) struct LateStartRow {
+        /// The task that it starts.
+        pub(crate) task: TaskName,
+        /// The target that it was sent to.
+        pub(crate) target: TargetName,
+        /// For how many milliseconds the task waits for it, from when the row was written.
+        pub(crate) wait_ms: u64,
+    }
+
     /// Lease of the leader.
     #[derive(Eq)]
     pub(crate) struct LeaseRow {
--- a/crates/magnoliapin_scheduler/src/times.rs
+++ b/crates/magnoliapin_scheduler/src/times.rs
@@ -97,6 +97,10 @@
 /// Longest time without a report of a target after which its long-running tasks start elsewhere, although
 /// starts of them may still be on their way.
 pub(crate) const MAX_SERVICE_WAIT: Duration = MAX_TASK_ABSENCE.saturating_sub(RESTART_RESERVE);
+/// The same after a change of leader, counted from then. The next leader does not know when the target was
+/// last heard; a leader that fails is replaced within about 2 s.
+pub(crate) const MAX_INHERITED_SERVICE_WAIT: Duration =
+    MAX_SERVICE_WAIT.saturating_sub(RESTART_RESERVE);
 /// Margin added to the end of a target's lease, as the target's clock is read over the network.
 pub(crate) const LEASE_SLACK: Duration = Duration::from_millis(100);
 /// How long after its last confirmation by the store a leader takes decisions that another leader
