Keep a job that was cancelled before it was stored from being stored

Cause: the write of the job had no reply yet when the client left and cancelled it. The leader did not count it as one of its jobs, the store had no row, and the node answered that there was no such job. That was true, but nothing kept the write, or its repetition, from storing the job afterwards. It is the same for a node that stores the job itself, for a job whose input is still being uploaded, for a change of leader in between, and for a submission that arrives after the cancellation; the leader's memory, where the claim looks for the cause, covers none of these.

Change: a cancellation that finds neither the job nor an outcome stores an outcome, marked as withdrawn, on the condition that both are still missing. Every transaction that stores a job expects that it has no outcome, so the store itself decides which of the two came first: either the job is there and is cancelled, or it never will be. Clients that cancel or read it get 410; one that submits it again is refused ("cancelled before it was stored"), with a Retry-After of 60 s, as it never runs. A lost reply to the withdrawal is found out by its own row. The memory is a row as small as that of any outcome, and is kept as long; it costs one write for each cancellation of an unknown job.

The soak counts a cancellation that was answered with "no such job" as acknowledged now, so that the job must not start afterwards; before, its clients repeated it for long-running jobs.

--- a/crates/magnoliapin_scheduler/src/client_handler.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler.rs
@@ -43,6 +43,10 @@
 use crate::CallId;
 use crate::ClientId;
 
+#[cfg(test)]
+#[path = "client_handler_tests.rs"]
+mod tests;
+
 /// Delay before a call that was refused or could not be sent is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(30);
 /// Retries of a call that was refused or could not be sent. After that the client may have more
@@ -346,7 +350,9 @@
             RequestStage::Upload(upload) => self.upload_store_request(request.job, upload),
             RequestStage::Submit(submission) => self.submit_store_request(request.job, submission),
             RequestStage::Read(stage) => self.read_store_request(request.job, *stage),
-            RequestStage::Cancel(stage) => self.cancel_store_request(request.job, *stage),
+            RequestStage::Cancel(stage) => {
+                self.cancel_store_request(request.job, *stage, out.wall_now())
+            }
         };
         self.call_store(request, store_request, out);
     }
--- a/crates/magnoliapin_scheduler/src/client_handler/cancel.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler/cancel.rs
@@ -1,6 +1,12 @@
 //! Cancels jobs: a cancellation takes effect once its request is stored next to the job.
+//!
+//! A job that is not stored may still be on its way to the store: in a transaction of the leader or of any
+//! node whose reply is missing, or in a submission that arrives later. So its cancellation stores an outcome
+//! before the client is told that there is no such job. Every transaction that stores a job expects that
+//! it has no outcome.
 
 use magnoliapin_model::RowVersion;
+use magnoliapin_model::UnixMillis;
 use magnoliapin_site::ClientReply;
 use magnoliapin_site::JobId;
 use magnoliapin_site::RefusalReason;
@@ -25,10 +31,17 @@
     Write(RowVersion),
     /// The read of the job's outcome, because its row was removed or has changed.
     Outcome,
+    /// The write of an outcome that keeps the job from being stored, as there is neither.
+    Withdraw,
 }
 
 impl ClientHandler {
-    pub(super) fn cancel_store_request(&self, job: JobId, stage: CancelStage) -> StoreRequest {
+    pub(super) fn cancel_store_request(
+        &self,
+        job: JobId,
+        stage: CancelStage,
+        wall_now: UnixMillis,
+    ) -> StoreRequest {
         let row = rows::job_row(rows::INTAKE, job, self.partition_count);
         match stage {
             CancelStage::Job => StoreRequest::Read(RowRange::single(&row)),
@@ -41,6 +54,16 @@
                 let row = rows::job_row(rows::OUTCOME, job, self.partition_count);
                 StoreRequest::Read(RowRange::single(&row))
             }
+            CancelStage::Withdraw => {
+                let outcome = rows::job_row(rows::OUTCOME, job, self.partition_count);
+                let value = rows::encode_withdrawal(wall_now);
+                StoreRequest::Commit(
+                    StoreTransaction::default()
+                        .with_expected(row, RowVersion(0))
+                        .with_expected(outcome.clone(), RowVersion(0))
+                        .with_write(outcome, value),
+                )
+            }
         }
     }
 
@@ -63,17 +86,24 @@
                 return;
             }
             (CancelStage::Write(_), StoreReply::Conflict(_)) => CancelStage::Outcome,
-            (CancelStage::Outcome, StoreReply::Rows { rows, .. }) => {
-                let client_reply = match rows.first() {
-                    Some(row) => {
-                        self.record_outcome(job, row);
-                        ClientReply::Cancelled
-                    }
-                    None => ClientReply::UnknownJob,
-                };
-                out.reply(request.client, client_reply);
+            (CancelStage::Outcome, StoreReply::Rows { rows, .. }) => match rows.first() {
+                Some(row) => {
+                    let client_reply = match self.record_outcome(job, row) {
+                        ClientReply::UnknownJob => ClientReply::UnknownJob,
+                        _ => ClientReply::Cancelled,
+                    };
+                    out.reply(request.client, client_reply);
+                    return;
+                }
+                None => CancelStage::Withdraw,
+            },
+            (CancelStage::Withdraw, StoreReply::Committed(_)) => {
+                log::info!("event=job_withdrawn job={job}");
+                out.reply(request.client, ClientReply::UnknownJob);
                 return;
             }
+            // The job, or its outcome, has been stored meanwhile.
+            (CancelStage::Withdraw, StoreReply::Conflict(_)) => CancelStage::Job,
             _ => {
                 out.reply(request.client, refusal(RefusalReason::StoreUnavailable));
                 return;
--- a/crates/magnoliapin_scheduler/src/client_handler/read.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler/read.rs
@@ -86,6 +86,9 @@
 
     /// Records the outcome of a job and returns the reply for the client.
     pub(super) fn record_outcome(&mut self, job: JobId, row: &StoreRow) -> ClientReply {
+        if rows::is_withdrawn(std::slice::from_ref(row), job) {
+            return ClientReply::UnknownJob;
+        }
         let outcome: Option<OutcomeRow> = row.value.as_deref().and_then(rows::decode);
         match outcome {
             Some(outcome) => {
--- a/crates/magnoliapin_scheduler/src/client_handler/submit.rs
+++ b/crates/magnoliapin_scheduler/src/client_handler/submit.rs
@@ -1,5 +1,7 @@
 //! Accepts jobs: a job is accepted once its row is stored.
 
+use std::time::Duration;
+
 use magnoliapin_model::RowVersion;
 use magnoliapin_model::UnixMillis;
 use magnoliapin_site::ClientReply;
@@ -25,6 +27,10 @@
 use crate::rows::JobRow;
 use crate::rows::JobRule;
 
+/// Time after which a client may submit a job again that it has cancelled before it was stored. It is long,
+/// as the job stays cancelled.
+const CANCELLED_RETRY_DELAY: Duration = Duration::from_secs(60);
+
 /// A job that is being stored.
 #[derive(Clone, Debug)]
 pub(super) struct Submission {
@@ -139,6 +145,14 @@
                 self.admission.record_direct(submission.size);
                 ClientReply::Accepted
             }
+            StoreReply::Conflict(found) if rows::is_withdrawn(found, job) => {
+                log::info!("event=request_refused job={job} why=cancelled");
+                if let Some(input) = submission.input {
+                    self.remove_upload(job, input, out);
+                }
+                let (reason, retry_after) = (RefusalReason::Cancelled, CANCELLED_RETRY_DELAY);
+                ClientReply::Refused { reason, retry_after }
+            }
             // The input has been removed, as no job needed it.
             StoreReply::Conflict(found) if submission.input.is_some() && !has_job(found, job) => {
                 log::warn!("event=request_refused job={job} why=upload_removed");
--- a/crates/magnoliapin_scheduler/src/leader/submissions.rs
+++ b/crates/magnoliapin_scheduler/src/leader/submissions.rs
@@ -249,6 +249,9 @@
         for job in jobs {
             let reply = match reply {
                 StoreReply::Committed(_) => PeerReply::Accepted,
+                StoreReply::Conflict(found) if rows::is_withdrawn(found, *job) => {
+                    PeerReply::Refused
+                }
                 StoreReply::Conflict(found) if has_job(found, *job) => PeerReply::Accepted,
                 StoreReply::Conflict(found) if self.lacks_input(partition, *job, found) => {
                     PeerReply::Refused
--- a/crates/magnoliapin_scheduler/src/rows.rs
+++ b/crates/magnoliapin_scheduler/src/rows.rs
@@ -182,7 +182,7 @@
         pub(crate) pieces: u32,
     }
 
-    /// Outcome of a job.
+    /// Outcome of a job. A flag that may follow it tells whether the job was cancelled before it was stored.
     #[derive(Copy, Eq)]
     pub(crate) struct OutcomeRow {
         /// Final state of the job.
@@ -370,6 +370,21 @@
     })
 }
 
+/// Encodes the outcome of a job that was cancelled before it was stored, so that it never is.
+pub(crate) fn encode_withdrawal(ended_at: UnixMillis) -> Vec<u8> {
+    let is_withdrawn = true;
+    encode_extended(&OutcomeRow { state: JobState::Cancelled, ended_at }, &is_withdrawn)
+}
+
+/// Returns whether rows contain such an outcome of a job.
+pub(crate) fn is_withdrawn(found: &[StoreRow], job: JobId) -> bool {
+    let key = job.to_string();
+    found.iter().filter(|row| row.table == OUTCOME && row.key == key).any(|row| {
+        let decoded = row.value.as_deref().and_then(decode_extended::<OutcomeRow, bool>);
+        decoded.is_some_and(|(_, is_withdrawn)| is_withdrawn)
+    })
+}
+
 /// Meaning of a key of the job table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum IntakeKey {
--- a/crates/magnoliapin_scheduler/tests/soak/clients.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/clients.rs
@@ -260,17 +260,11 @@
                     .violations
                     .push(format!("{job}: accepted, but a read returned that the job is unknown"));
             }
-            (RequestKind::Cancel, ClientReply::Cancelled) => {
+            // No such job: then it must not run later either.
+            (RequestKind::Cancel, ClientReply::Cancelled | ClientReply::UnknownJob) => {
                 let Some(client_job) = self.checker.jobs.get_mut(&job) else { return };
                 client_job.cancelled_at.get_or_insert(now);
             }
-            (RequestKind::Cancel, ClientReply::UnknownJob) => {
-                let client_job = &self.checker.jobs[&job];
-                if client_job.spec.is_long_running() && now.0 < LOAD_END.as_micros() as u64 * 2 {
-                    // The job may still be accepted later and would then run forever.
-                    self.schedule_retry(job, kind, Duration::from_secs(2));
-                }
-            }
             (RequestKind::Cancel, _) => self.schedule_retry(job, kind, Duration::from_millis(500)),
             (RequestKind::Read, _) => {}
         }
--- a/crates/magnoliapin_site/src/client_message.rs
+++ b/crates/magnoliapin_site/src/client_message.rs
@@ -75,4 +75,6 @@
     StoreUnavailable,
     /// Too many requests or jobs are waiting.
     Overloaded,
+    /// The job was cancelled before it was stored, and never runs.
+    Cancelled,
 }
