Let the report of a restarted target end no wait for late starts

Change: such a report ends the wait only if it is that of the incarnation which the row of the leader before names, so that the target has not restarted.

--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -227,7 +227,7 @@
                 }
             }
         }
-        if is_first {
+        if is_first && previous_start == Some(report.started_at) {
             self.end_wait_for_late_starts(&name, now);
         }
         self.reconcile(key, sent_at, report, out);
--- a/crates/magnoliapin_scheduler/src/leader/late_starts.rs
+++ b/crates/magnoliapin_scheduler/src/leader/late_starts.rs
@@ -147,8 +147,9 @@
         }
     }
 
-    /// Ends the wait for the starts on a target that has reported under this leader's fence: it refuses
-    /// them from now on.
+    /// Ends the wait for starts on a target that has reported under this leader's fence, if its incarnation is
+    /// the one that the leader before has recorded: it refuses them from now on. One that has restarted may
+    /// do so again, and its next incarnation carries them out.
     pub(super) fn end_wait_for_late_starts(&mut self, target: &TargetName, now: Moment) {
         let starts = self.late_starts.starts.iter_mut();
         let awaited = starts.filter(|(_, start)| start.is_awaited && start.target == *target);
--- a/crates/magnoliapin_scheduler/src/leader/late_starts_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/late_starts_tests.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use magnoliapin_model::Moment;
+use magnoliapin_model::UnixMillis;
 use magnoliapin_site::CallFailure;
 use magnoliapin_site::RunId;
+use magnoliapin_site::RunReport;
 use magnoliapin_site::StoreRequest;
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetReply;
@@ -17,6 +19,7 @@
 use crate::leader::previous_runs::tests::target_record;
 use crate::leader::previous_runs::tests::FakeSite;
 use crate::leader::registrations::TargetLoss;
+use crate::leader::target::HeartbeatState;
 use crate::leader::target::Run;
 use crate::leader::target::Target;
 use crate::leader::target::TargetKey;
@@ -118,6 +121,24 @@
     }
 }
 
+/// Guards against a wait that the report of the next incarnation ends, although the target restarts once more
+/// before the start arrives.
+#[test]
+fn reports_of_restarted_targets_end_no_wait() {
+    let (mut leader, mut out) = leader_with_run(false);
+    leader.remove_target(KEY, TargetLoss::Unhosted, &mut out);
+    let lost_at = task_of(&leader).expect("the task waits");
+    assert!(lost_at > out.now + Duration::from_secs(11));
+    leader.apply_record(target_record("i-7", 6), &mut out);
+    let key = leader.target_keys[&TargetName::new("i-7")];
+    let report = RunReport { started_at: UnixMillis(6), ..RunReport::default() };
+    let sent_at = out.now;
+    leader.targets[&key].heartbeat = HeartbeatState::InFlight(out.next_call(), sent_at);
+    leader.handle_heartbeat_reply(key, sent_at, &TargetReply::Report(report), &mut out);
+    assert!(leader.targets[&key].has_reported);
+    assert_eq!(task_of(&leader), Some(lost_at));
+}
+
 /// Starts that have a reply, or whose time is over, are not listed.
 #[test]
 fn starts_that_cannot_be_late_are_not_recorded() {
