--- a/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
@@ -87,6 +87,16 @@
         InstanceName::new("m-1")
     }
 
+    /// Returns a site whose target has a run and stops answering after 3 s.
+    fn falling_silent() -> Self {
+        Self {
+            is_registered: true,
+            answers_from: Some(Moment::START),
+            answers_until: Some(Moment::START + Duration::from_secs(3)),
+            ..Self::default()
+        }
+    }
+
     fn assignment() -> StoreRow {
         let run = RunId { task: TaskName::default(), attempt: 1 };
         let row = AssignmentRow {
@@ -318,12 +328,7 @@
 /// long-running task was idle for 10.5 s and 10.7 s after two orderly changes of leader.
 #[test]
 fn wait_for_a_target_that_fell_silent_goes_on_after_a_takeover() {
-    let mut site = FakeSite {
-        is_registered: true,
-        answers_from: Some(Moment::START),
-        answers_until: Some(Moment::START + Duration::from_secs(3)),
-        ..FakeSite::default()
-    };
+    let mut site = FakeSite::falling_silent();
     site.lead(Duration::from_secs(7));
     site.answers_from = None;
     site.answers_until = None;
@@ -335,12 +340,7 @@
 /// Guards against a target that answers again and is leased while the next leader would not count on it.
 #[test]
 fn leases_of_targets_that_answer_again_are_extended_once_they_are_not_listed() {
-    let mut site = FakeSite {
-        is_registered: true,
-        answers_from: Some(Moment::START),
-        answers_until: Some(Moment::START + Duration::from_secs(3)),
-        ..FakeSite::default()
-    };
+    let mut site = FakeSite::falling_silent();
     let (mut leader, mut out) = site.lead(Duration::from_secs(6));
     assert!(site.lists_silent_target());
     let key = leader.target_keys[&TargetName::new("i-1")];
