Log which evidence ends an incarnation of a target

The log could not tell why: `target_gone why=OtherLife` stood for a later registration on the same instance, for the reply of another target at the address, and for the list of instances. Each has a reason of its own now; what follows from them is unchanged.

--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -110,7 +110,7 @@
             TargetReply::Refused { reason: StartRefusal::Fenced, .. } => {
                 self.depose("a target obeys a newer leader");
             }
-            TargetReply::OtherIncarnation => self.remove_target(key, TargetLoss::OtherLife, out),
+            TargetReply::OtherIncarnation => self.remove_target(key, TargetLoss::OtherName, out),
             TargetReply::Refused { .. } | TargetReply::Done { .. } | TargetReply::Failed(_) => {
                 self.handle_failed_heartbeat(key, sent_at, &format!("{reply:?}"), out);
             }
--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -110,7 +110,7 @@
                     self.check_clock(key, *clock_ms, out);
                 }
             }
-            TargetReply::OtherIncarnation => self.remove_target(key, TargetLoss::OtherLife, out),
+            TargetReply::OtherIncarnation => self.remove_target(key, TargetLoss::OtherName, out),
             TargetReply::Failed(failure) if may_be_applied(*failure) => {
                 run.unconfirmed_starts += 1;
                 log::warn!(
@@ -187,7 +187,7 @@
             TargetReply::Refused { reason: StartRefusal::Fenced, .. } => {
                 self.depose("a target obeys a newer leader");
             }
-            TargetReply::OtherIncarnation => self.remove_target(key, TargetLoss::OtherLife, out),
+            TargetReply::OtherIncarnation => self.remove_target(key, TargetLoss::OtherName, out),
             TargetReply::Refused { .. } | TargetReply::Failed(_) | TargetReply::Report(_) => {
                 self.retry_order_at(key, id.task, out.now + RETRY_DELAY);
             }
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -22,9 +22,13 @@
 /// Why the leader removes an incarnation of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TargetLoss {
-    /// The incarnation has ended, so it has no runs left: the target or its instance has a newer one, or
-    /// the instance is not down and hosts no target.
+    /// The incarnation has ended, so it has no runs left: the list shows that its instance hosts another
+    /// target, or none although it is not down.
     OtherLife,
+    /// The incarnation has ended: a target with another name replies at its address.
+    OtherName,
+    /// The incarnation has ended: a later target is registered on its instance.
+    Succeeded,
     /// The incarnation has ended, as its instance is down and hosts no target. Its next one may get its
     /// late starts.
     Unhosted,
@@ -177,7 +181,7 @@
         let hosted = self.hosts.targets_of(instance).iter().copied();
         let earlier: Vec<TargetKey> = hosted.filter(is_earlier).collect();
         for key in earlier {
-            self.remove_target(key, TargetLoss::OtherLife, out);
+            self.remove_target(key, TargetLoss::Succeeded, out);
         }
         let is_predecessor = |name: &TargetName, incarnation: &PreviousIncarnation| {
             incarnation.instance.as_ref() == Some(instance)
@@ -206,7 +210,8 @@
             pool.targets.swap_remove(&key);
         }
         let may_come_back = matches!(loss, TargetLoss::Unhosted | TargetLoss::InstanceGone);
-        if may_come_back || loss == TargetLoss::OtherLife {
+        let is_lapsed = matches!(loss, TargetLoss::LeaseOver | TargetLoss::NeverHeard);
+        if !is_lapsed {
             self.record_crash(&target, out);
         } else {
             self.remember_lapsed_target(&target, out.now);
