--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -8,6 +8,7 @@
 
 mod agent_link;
 mod agent_links;
+mod challenges;
 mod cold_targets;
 mod commit;
 mod completions;
--- /dev/null
+++ b/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
@@ -0,0 +1,230 @@
+//! Tests of the evidence that ends an incarnation of a target.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use magnoliapin_model::Moment;
+use magnoliapin_model::RowVersion;
+use magnoliapin_model::UnixMillis;
+use magnoliapin_site::CallFailure;
+use magnoliapin_site::InstanceName;
+use magnoliapin_site::InstancePage;
+use magnoliapin_site::InstanceRecord;
+use magnoliapin_site::InstanceReply;
+use magnoliapin_site::InstanceState;
+use magnoliapin_site::PoolName;
+use magnoliapin_site::Resources;
+use magnoliapin_site::RunId;
+use magnoliapin_site::RunReport;
+use magnoliapin_site::RunningTask;
+use magnoliapin_site::StoreReply;
+use magnoliapin_site::TargetChange;
+use magnoliapin_site::TargetName;
+use magnoliapin_site::TargetRecord;
+use magnoliapin_site::TargetReply;
+use magnoliapin_site::ZoneName;
+
+use crate::leader::crashes::tests::job_row;
+use crate::leader::crashes::tests::running;
+use crate::leader::crashes::tests::task;
+use crate::leader::crashes::tests::JOB;
+use crate::leader::job::TaskState;
+use crate::leader::previous_runs::tests::target_record;
+use crate::leader::previous_runs::tests::FakeSite;
+use crate::leader::Leader;
+use crate::outbox::Outbox;
+use crate::watch::WatchUpdate;
+use crate::NodeAction;
+
+const RUN: RunId = RunId { task: task(JOB, 0), attempt: 1 };
+const TICK: Duration = Duration::from_millis(20);
+/// Longest time for which a service may lack a task after its last run, as the users' rules state it.
+const MAX_ABSENCE: Duration = Duration::from_secs(9);
+
+/// A leader whose one run is on target i-7, and the targets that answer it.
+struct ChallengeSite {
+    leader: Leader,
+    out: Outbox,
+    /// Start of the incarnation that answers under each name.
+    answering: IndexMap<TargetName, u64>,
+    /// Calls without an answer, and when they time out; `None` if they fail at once.
+    timeout: Option<Duration>,
+    pending: Vec<(Moment, crate::CallId)>,
+    /// Target that the list shows on the instance of i-7, and the one on another instance.
+    listed: (Option<&'static str>, Option<&'static str>),
+}
+
+impl ChallengeSite {
+    fn new() -> Self {
+        let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+        leader.add_job(JOB, job_row(false), None, false, &mut out);
+        let mut site = Self {
+            leader,
+            out,
+            answering: IndexMap::new(),
+            timeout: None,
+            pending: Vec::new(),
+            listed: (Some("i-7"), None),
+        };
+        site.answering.insert(TargetName::new("i-7"), 5);
+        site.register(target_record("i-7", 5));
+        site.pass(Duration::from_millis(200));
+        let key = site.leader.target_keys[&TargetName::new("i-7")];
+        let now = site.out.now;
+        let target = site.leader.targets.get_mut(&key).expect("the target is known");
+        target.add_run(RUN.task, running(RUN.attempt, now));
+        let job = site.leader.job_keys[&JOB];
+        let task = site.leader.jobs.get_mut(&job).and_then(|job| job.task_mut(RUN.task));
+        let task = task.expect("the task is open");
+        (task.state, task.attempt) = (TaskState::Placed(key), RUN.attempt);
+        site.pass(Duration::from_millis(200));
+        site
+    }
+
+    fn register(&mut self, record: TargetRecord) {
+        self.change(TargetChange::Registered(record));
+    }
+
+    fn change(&mut self, change: TargetChange) {
+        let version = RowVersion(9);
+        let reply = StoreReply::Targets { changes: vec![change], next: None, version };
+        self.leader.handle_registration_update(WatchUpdate::Changed(reply), &mut self.out);
+    }
+
+    fn list(&self) -> InstanceReply {
+        let record = |name: &str, target: Option<&str>| InstanceRecord {
+            name: InstanceName::new(name),
+            pool: PoolName::new("pool"),
+            state: InstanceState::Up,
+            zone: ZoneName::new("zone"),
+            labels: Vec::new(),
+            capacity: Resources::NONE,
+            target: target.map(TargetName::new),
+        };
+        let instances = vec![record("m-1", self.listed.0), record("m-2", self.listed.1)];
+        InstanceReply::Page(InstancePage { instances, next: None, unreadable: Vec::new() })
+    }
+
+    fn report(&self, name: &TargetName) -> Option<TargetReply> {
+        let started_at = self.answering.get(name)?;
+        let has_run = name.as_str() == "i-7" && *started_at == 5;
+        let running = has_run.then_some(RunningTask { run: RUN, ..RunningTask::default() });
+        Some(TargetReply::Report(RunReport {
+            clock_ms: self.out.now.0 / 1_000,
+            started_at: UnixMillis(*started_at),
+            running: running.into_iter().collect(),
+            ..RunReport::default()
+        }))
+    }
+
+    /// Lets time pass, in which the targets and the instance service answer.
+    fn pass(&mut self, time: Duration) {
+        let end = self.out.now + time;
+        while self.out.now < end {
+            self.out.now = self.out.now + TICK;
+            let now = self.out.now;
+            self.leader.record_confirmation(now);
+            self.leader.tick(&mut self.out);
+            self.leader.finish_batch(&mut self.out);
+            for (_, call) in self.pending.extract_if(.., |(at, _)| *at <= now) {
+                let reply = TargetReply::Failed(CallFailure::Unknown);
+                self.leader.handle_target_reply(call, &reply, &mut self.out);
+            }
+            let mut actions = Vec::new();
+            self.out.take_actions(&mut actions);
+            for action in actions {
+                match action {
+                    NodeAction::Target { call, target, .. } => {
+                        let reply = self.report(&target);
+                        match (reply, self.timeout) {
+                            (Some(reply), _) => {
+                                self.leader.handle_target_reply(call, &reply, &mut self.out);
+                            }
+                            (None, Some(timeout)) => self.pending.push((now + timeout, call)),
+                            (None, None) => {
+                                let reply = TargetReply::Failed(CallFailure::NotDone);
+                                self.leader.handle_target_reply(call, &reply, &mut self.out);
+                            }
+                        }
+                    }
+                    NodeAction::Instances { call, .. } => {
+                        let reply = self.list();
+                        self.leader.handle_instance_reply(call, &reply, &mut self.out);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// Returns whether the run is still taken to be on target i-7, so that its task starts nowhere else.
+    fn has_run(&self) -> bool {
+        let key = self.leader.target_keys.get(&TargetName::new("i-7"));
+        let target = key.and_then(|key| self.leader.targets.get(key));
+        target.is_some_and(|target| target.runs.contains_key(&RUN.task))
+    }
+}
+
+/// Guards against tasks that start again beside their runs (review/11): an entry of another writer names the
+/// instance of their target and a later start, and nobody answers at its address.
+#[test]
+fn registrations_without_an_answer_end_no_target_of_their_instance() {
+    let mut site = ChallengeSite::new();
+    site.register(target_record("exporter-1", 8));
+    assert!(site.has_run());
+    site.pass(Duration::from_secs(3));
+    assert!(site.has_run());
+    // Neither does its removal, or another entry.
+    site.change(TargetChange::Removed(TargetName::new("exporter-1")));
+    site.register(target_record("exporter-2", 9));
+    site.pass(Duration::from_secs(3));
+    assert!(site.has_run());
+}
+
+/// Guards against the same where the entry was made under the name of another target, which answers.
+#[test]
+fn targets_that_answer_are_not_ended_by_a_later_one_on_their_instance() {
+    for listed in [(None, None), (Some("i-7"), None), (Some("i-7"), Some("i-8"))] {
+        let mut site = ChallengeSite::new();
+        site.listed = listed;
+        site.answering.insert(TargetName::new("i-8"), 8);
+        site.register(target_record("i-8", 8));
+        site.pass(Duration::from_secs(3));
+        assert!(site.has_run(), "{listed:?}");
+    }
+}
+
+/// Guards against the same while the first target does not answer for a while: the list shows the later one on
+/// another instance.
+#[test]
+fn targets_that_the_list_shows_elsewhere_end_no_target() {
+    let mut site = ChallengeSite::new();
+    site.listed = (Some("i-7"), Some("i-8"));
+    site.pass(Duration::from_secs(1));
+    site.answering.insert(TargetName::new("i-8"), 8);
+    site.answering.swap_remove(&TargetName::new("i-7"));
+    site.timeout = Some(Duration::from_millis(700));
+    site.register(target_record("i-8", 8));
+    site.pass(Duration::from_secs(3));
+    assert!(site.has_run());
+}
+
+/// Guards against tasks that wait for the longest lease although their target was replaced on its instance,
+/// which no list shows. The target before may refuse connections, or not answer at all.
+#[test]
+fn replaced_targets_end_soon_after_their_successor_has_answered() {
+    for timeout in [None, Some(Duration::from_millis(700))] {
+        let mut site = ChallengeSite::new();
+        site.listed = (None, None);
+        site.timeout = timeout;
+        site.answering.swap_remove(&TargetName::new("i-7"));
+        site.answering.insert(TargetName::new("i-8"), 8);
+        site.register(target_record("i-8", 8));
+        let began_at = site.out.now;
+        while site.has_run() && site.out.now < began_at + Duration::from_secs(30) {
+            site.pass(TICK);
+        }
+        let waited = site.out.now.since(began_at);
+        assert!(waited < MAX_ABSENCE, "{timeout:?}: {waited:?}");
+    }
+}
--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -199,6 +199,12 @@
         Some(format!("{:?}:{target}", record.state))
     }
 
+    /// Returns whether the list shows a target on another instance than `name`.
+    pub(crate) fn is_hosted_elsewhere(&self, target: &TargetName, name: &InstanceName) -> bool {
+        let mut others = self.instances.iter().filter(|(listed, _)| *listed != name);
+        others.any(|(_, instance)| instance.record.target.as_ref() == Some(target))
+    }
+
     /// Returns the zone of an instance; `None` if it is not listed.
     pub(crate) fn zone_of(&self, name: &InstanceName) -> Option<&ZoneName> {
         Some(&self.instances.get(name)?.record.zone)
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -53,7 +53,7 @@
         }
     }
 
-    fn send_heartbeat(&mut self, key: TargetKey, out: &mut Outbox) {
+    pub(super) fn send_heartbeat(&mut self, key: TargetKey, out: &mut Outbox) {
         let times = self.identity.times;
         let confirmed_at = self.confirmed_at;
         let Some(target) = self.targets.get_mut(&key) else { return };
@@ -62,7 +62,8 @@
         let may_wait = target.has_reported
             && target.is_same_incarnation
             && target.unstored.is_empty()
-            && target.failed_heartbeats == 0;
+            && target.failed_heartbeats == 0
+            && target.challenge.is_none();
         let is_busy = target.runs.values().any(|run| !run.is_long_running);
         let (longest_wait, slack) = match is_busy {
             true => (times.busy_heartbeat_wait, times.busy_reply_slack),
@@ -112,6 +113,9 @@
             }
             TargetReply::OtherIncarnation => self.remove_target(key, TargetLoss::OtherName, out),
             TargetReply::Refused { .. } | TargetReply::Done { .. } | TargetReply::Failed(_) => {
+                if matches!(reply, TargetReply::Failed(_)) {
+                    self.record_unanswered(key, sent_at, out);
+                }
                 self.handle_failed_heartbeat(key, sent_at, &format!("{reply:?}"), out);
             }
         }
@@ -132,9 +136,10 @@
         }
         target.failed_heartbeats += 1;
         target.is_same_incarnation = false;
-        // A single lost reply is made up for at once.
+        // A single lost reply is made up for at once, and a challenge is decided soon.
         let is_first = target.failed_heartbeats == 1;
-        let pause = if is_first { Duration::ZERO } else { FAILED_HEARTBEAT_PAUSE };
+        let is_urgent = is_first || target.challenge.is_some();
+        let pause = if is_urgent { Duration::ZERO } else { FAILED_HEARTBEAT_PAUSE };
         target.heartbeat = HeartbeatState::Pausing(out.now + pause);
         if is_first {
             // The instance list may show that its instance is out of service.
@@ -181,6 +186,7 @@
         let was_unresponsive = target.failed_heartbeats > 0;
         // The incarnation lives, so they have ended with their lease.
         target.lapsed_runs.clear();
+        target.record_answer(sent_at);
         target.failed_heartbeats = 0;
         target.last_contact_at = target.last_contact_at.max(sent_at);
         target.clock = Some(ClockReading { clock_ms: report.clock_ms, read_at: now });
@@ -212,6 +218,9 @@
             unlisted_runs = self.unlisted_previous_runs(&name, report);
             self.resolve_previous_incarnation(&name);
         }
+        if is_first {
+            self.confirm_registration(key, out);
+        }
         for completion in &report.completions {
             let handled = self.targets.get(&key).map_or(0, |target| target.handled_completion);
             if completion.number > handled {
--- a/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
@@ -66,6 +66,8 @@
     is_registered: bool,
     /// Whether a later target is registered on the same instance.
     has_successor: bool,
+    /// Whether that target answers.
+    is_successor_up: bool,
     /// State in which the list shows the instance; `None` if the list omits it.
     pub(in crate::leader) listed: Option<InstanceState>,
     has_unreadable_entry: bool,
@@ -176,7 +178,19 @@
         RunningTask { run, checkpoint: None, percent: 0, gauge: None }
     }
 
-    fn target_reply(&mut self, request: &TargetRequest, now: Moment) -> TargetReply {
+    fn target_reply(
+        &mut self,
+        name: &TargetName,
+        request: &TargetRequest,
+        now: Moment,
+    ) -> TargetReply {
+        if name.as_str() == "i-2" && self.is_successor_up {
+            return TargetReply::Report(RunReport {
+                clock_ms: now.0 / 1_000,
+                started_at: UnixMillis(9),
+                ..RunReport::default()
+            });
+        }
         let is_over = self.answers_until.is_some_and(|until| now >= until);
         if is_over || self.answers_from.is_none_or(|from| now < from) {
             return TargetReply::Failed(CallFailure::Unknown);
@@ -222,8 +236,8 @@
                     NodeAction::Instances { call, .. } => {
                         leader.handle_instance_reply(call, &self.instance_reply(), &mut out);
                     }
-                    NodeAction::Target { call, request, .. } => {
-                        let reply = self.target_reply(&request, out.now);
+                    NodeAction::Target { call, target, request, .. } => {
+                        let reply = self.target_reply(&target, &request, out.now);
                         leader.handle_target_reply(call, &reply, &mut out);
                     }
                     _ => {}
@@ -244,12 +258,35 @@
     assert!(FakeSite::default().accounts_within(Duration::from_secs(2)));
 }
 
-/// Guards against the same where no list shows it, but a later target on the same instance does.
+/// Guards against the same where no list shows it, but the answer of a later target on the same instance
+/// does.
 #[test]
 fn runs_on_replaced_targets_are_not_waited_for() {
-    let mut site =
-        FakeSite { has_successor: true, has_unreadable_entry: true, ..FakeSite::default() };
-    assert!(site.accounts_within(Duration::from_secs(2)));
+    for is_registered in [false, true] {
+        let mut site = FakeSite {
+            is_registered,
+            has_successor: true,
+            is_successor_up: true,
+            has_unreadable_entry: true,
+            ..FakeSite::default()
+        };
+        assert!(site.accounts_within(Duration::from_secs(2)), "{is_registered}");
+    }
+}
+
+/// Guards against tasks that start again beside their runs after a takeover, because an entry of another
+/// writer names the instance of their target and a later start, but nobody answers at its address.
+#[test]
+fn registrations_without_an_answer_resolve_no_previous_runs() {
+    for is_registered in [false, true] {
+        let mut site = FakeSite {
+            is_registered,
+            has_successor: true,
+            has_unreadable_entry: true,
+            ..FakeSite::default()
+        };
+        assert!(!site.accounts_within(Duration::from_secs(12)), "{is_registered}");
+    }
 }
 
 /// The run may go on as long as the instance may exist: two runs of a task are worse than none.
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -6,7 +6,6 @@
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetRecord;
 
-use crate::leader::previous_runs::PreviousIncarnation;
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
@@ -27,7 +26,7 @@
     OtherLife,
     /// The incarnation has ended: a target with another name replies at its address.
     OtherName,
-    /// The incarnation has ended: a later target is registered on its instance.
+    /// The incarnation has ended: a later target of its instance answers, and it does not.
     Succeeded,
     /// The incarnation has ended, as its instance is down and hosts no target. Its next one may get its
     /// late starts.
@@ -49,6 +48,7 @@
                 self.apply_target_changes(changes, out);
                 if !self.registrations.is_reading() {
                     self.mark_unlisted_missing(out);
+                    self.resolve_all_predecessors(out);
                 }
             }
             WatchUpdate::Changed(StoreReply::Targets { changes, .. }) => {
@@ -161,7 +161,6 @@
             record.started_at
         );
         self.check_lapsed(&record, out);
-        self.remove_predecessors(&record, out);
         self.last_target_key += 1;
         let key = TargetKey(self.last_target_key);
         self.target_keys.insert(record.name.clone(), key);
@@ -171,33 +170,6 @@
         self.targets.insert(key, target);
     }
 
-    /// Removes the targets that an instance hosted before the one in `record`, and resolves its
-    /// previous incarnations.
-    fn remove_predecessors(&mut self, record: &TargetRecord, out: &mut Outbox) {
-        let Some(instance) = &record.instance else { return };
-        let is_earlier = |key: &TargetKey| {
-            self.targets.get(key).is_some_and(|target| target.started_at() < record.started_at)
-        };
-        let hosted = self.hosts.targets_of(instance).iter().copied();
-        let earlier: Vec<TargetKey> = hosted.filter(is_earlier).collect();
-        for key in earlier {
-            self.remove_target(key, TargetLoss::Succeeded, out);
-        }
-        let is_predecessor = |name: &TargetName, incarnation: &PreviousIncarnation| {
-            incarnation.instance.as_ref() == Some(instance)
-                && incarnation.started_at < record.started_at
-                && *name != record.name
-        };
-        let ended = self.previous_incarnations.iter();
-        let ended = ended.filter(|(name, incarnation)| is_predecessor(name, incarnation));
-        let ended: Vec<TargetName> = ended.map(|(name, _)| name.clone()).collect();
-        for name in ended {
-            self.record_previous_crash(&name, out);
-            self.resolve_previous_incarnation(&name);
-            self.obsolete_rows.push(name);
-        }
-    }
-
     /// Removes a target whose incarnation can no longer execute runs, and treats its runs as lost.
     pub(super) fn remove_target(&mut self, key: TargetKey, loss: TargetLoss, out: &mut Outbox) {
         let Some(target) = self.targets.swap_remove(&key) else { return };
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -14,6 +14,7 @@
 use magnoliapin_site::TaskName;
 use magnoliapin_site::TeamName;
 
+use crate::leader::challenges::PlaceChallenge;
 use crate::leader::crashes::CrashedRun;
 use crate::leader::job::JobKey;
 use crate::leader::zone_evacuation::ZoneEvacuation;
@@ -75,6 +76,8 @@
     pub(crate) failed_heartbeats: u32,
     /// When the last heartbeat that it answered was sent.
     pub(crate) last_contact_at: Moment,
+    /// A claim to its place that is not decided yet.
+    pub(crate) challenge: Option<PlaceChallenge>,
     /// Completions up to this number are handled, though perhaps not stored.
     pub(crate) handled_completion: u64,
     /// Completions up to this number are stored and may be acknowledged.
@@ -201,6 +204,7 @@
             heartbeat: HeartbeatState::Pausing(now),
             failed_heartbeats: 0,
             last_contact_at: now,
+            challenge: None,
             handled_completion: 0,
             acked_completion: 0,
             has_more_completions: false,
