Tell the target of an instance by the list and by answers

What callers would see (AVAIL, TWICE): an instance in use is moved or maintained, and what runs there ends.

Cause: `hosted_target` took the registration with the latest start for the target that an instance hosts, and `is_vacant` asked that one alone. An entry of another writer runs nothing, so that the instance counted as empty, now that such an entry no longer ends the target in use.

Change: the target of an instance is the one that the list shows, else the last one that has answered; an instance is vacant if all targets that may be there are, the listed one included.

Test, failed before: instances_in_use_are_not_vacant_because_of_another_entry.

--- a/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
@@ -228,3 +228,22 @@
         assert!(waited < MAX_ABSENCE, "{timeout:?}: {waited:?}");
     }
 }
+
+/// Guards against maintenance or a move of an instance in use: an entry of another writer, which started later
+/// and runs nothing, was taken for the target that the instance hosts.
+#[test]
+fn instances_in_use_are_not_vacant_because_of_another_entry() {
+    let instance = InstanceName::new("m-1");
+    for listed in [(Some("i-7"), None), (None, None)] {
+        let mut site = ChallengeSite::new();
+        site.listed = listed;
+        site.pass(Duration::from_secs(1));
+        site.register(target_record("exporter-1", 8));
+        for _ in 0..2 {
+            assert!(!site.leader.is_vacant(&instance), "{listed:?}");
+            let hosted = site.leader.hosted_target(&instance);
+            assert_eq!(hosted, Some(site.leader.target_keys[&TargetName::new("i-7")]));
+            site.pass(Duration::from_secs(1));
+        }
+    }
+}
--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -414,28 +414,40 @@
         }
     }
 
-    /// Returns whether an instance certainly runs nothing.
-    fn is_vacant(&self, name: &InstanceName) -> bool {
-        match self.hosted_target(name).and_then(|key| self.targets.get(&key)) {
-            Some(target) => {
-                let has_no_previous_runs = self.has_no_previous_runs(&target.record.name);
-                target.is_vacant(has_no_previous_runs, self.confirmed_at)
-            }
-            // The previous leader may have started runs on a target that this leader has not seen
-            // registered.
-            None => self
-                .fleet
-                .instances
-                .get(name)
-                .and_then(|instance| instance.record.target.as_ref())
-                .is_none_or(|target| self.has_no_previous_runs(target)),
-        }
+    /// Returns whether an instance certainly runs nothing: no target that may be there does. One that the
+    /// list shows elsewhere is not.
+    pub(super) fn is_vacant(&self, name: &InstanceName) -> bool {
+        let is_target_vacant = |target: &Target| {
+            let has_no_previous_runs = self.has_no_previous_runs(&target.record.name);
+            target.is_vacant(has_no_previous_runs, self.confirmed_at)
+        };
+        let keys = self.hosts.targets_of(name);
+        let hosted = keys.iter().filter_map(|key| self.targets.get(key));
+        let mut here = hosted.filter(|target| {
+            keys.len() == 1 || !self.fleet.is_hosted_elsewhere(&target.record.name, name)
+        });
+        // The previous leader may have started runs on a target that this leader has not seen
+        // registered.
+        let listed =
+            self.fleet.instances.get(name).and_then(|instance| instance.record.target.as_ref());
+        let is_listed_vacant = listed.is_none_or(|target| {
+            self.target_keys.contains_key(target) || self.has_no_previous_runs(target)
+        });
+        is_listed_vacant && here.all(is_target_vacant)
     }
 
-    /// Returns the target that an instance hosts: the one that started last.
-    fn hosted_target(&self, name: &InstanceName) -> Option<TargetKey> {
+    /// Returns the target that an instance hosts: the one that the list shows, else the one that started
+    /// last of those that have answered, as any other may be an entry of another writer.
+    pub(super) fn hosted_target(&self, name: &InstanceName) -> Option<TargetKey> {
+        let listed =
+            self.fleet.instances.get(name).and_then(|instance| instance.record.target.as_ref());
         let hosted = self.hosts.targets_of(name).iter().copied();
-        hosted.max_by_key(|key| self.targets.get(key).map(Target::started_at))
+        hosted.max_by_key(|key| {
+            let target = self.targets.get(key);
+            let is_listed = target.is_some_and(|target| listed == Some(&target.record.name));
+            let has_reported = target.is_some_and(|target| target.has_reported);
+            (is_listed, has_reported, target.map(Target::started_at))
+        })
     }
 }
 
