Ask a target before its registration replaces its incarnation

Cause: `apply_record` took the start in a registration for a fact. It replaced the incarnation at once, called the address of the entry from then on, and took the runs that the earlier incarnation had listed for ended with the first call that failed there. A report with an earlier start counted as outdated, for ever.

Change: an incarnation that has reported is asked first, as with a later target of its instance. If it answers, it stays; if it reports a later start, that one's registration counts; if it leaves two heartbeats unanswered, the later registration is called, but its earlier runs end only with the first report from there, or with the lease. A start that no report has confirmed is corrected by the report to a later heartbeat.

Why it works: the start of an incarnation is what it reports itself, and a lease ends whatever an entry says.

--- a/crates/magnoliapin_scheduler/src/leader/challenges.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges.rs
@@ -1,12 +1,19 @@
 //! Which evidence ends an incarnation of a target once another one claims its place.
 //!
-//! Anyone may write a registration, so that alone it is a claim. It ends nothing until the target that it
-//! names has answered this leader. The answer proves that the incarnation lives, not that the one before
-//! has ended: the registration alone names the instance. So the earlier incarnation is challenged. It stays
-//! if it answers a heartbeat that was sent after the claim, and ends if it leaves [`MAX_UNANSWERED`] of
-//! them unanswered.
+//! Anyone may write a registration, so that alone it is a claim: of a later target on the instance of an
+//! earlier one, or of a later incarnation under the name of a target that has answered. It ends nothing
+//! by itself. The incarnation in question is challenged: it stays if it answers a heartbeat that was sent
+//! after the claim.
+//!
+//! A later target of the instance counts once it has answered itself. That proves that it lives, not that
+//! the one before has ended, as the registration alone names the instance. So the earlier one ends only if
+//! it leaves [`MAX_UNANSWERED`] heartbeats unanswered.
+//!
+//! A later incarnation under the same name is called in place of one that leaves as many unanswered. The
+//! runs of the earlier one end with the first report of the later one, or with their lease.
 
 use magnoliapin_model::Moment;
+use magnoliapin_model::UnixMillis;
 use magnoliapin_site::InstanceName;
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetRecord;
@@ -27,11 +34,19 @@
 /// lost now and then.
 const MAX_UNANSWERED: u32 = 2;
 
+/// Who claims the place of an incarnation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum PlaceClaim {
+    /// A later target of its instance, which has answered.
+    Successor(TargetName),
+    /// A later registration under its name.
+    Registration(TargetRecord),
+}
+
 /// A claim to the place of an incarnation, until a heartbeat decides which of the two lives.
 #[derive(Clone, Debug)]
 pub(crate) struct PlaceChallenge {
-    /// The later target of the instance, which has answered.
-    successor: TargetName,
+    claim: PlaceClaim,
     /// Heartbeats that were sent earlier decide nothing.
     since: Moment,
     /// Heartbeats sent since then that got no answer.
@@ -56,47 +71,99 @@
         let hosted = self.hosts.targets_of(instance).iter().copied();
         let earlier: Vec<TargetKey> = hosted.filter(is_earlier).collect();
         for key in earlier {
-            self.challenge(key, record.name.clone(), out);
+            self.challenge(key, PlaceClaim::Successor(record.name.clone()), out);
         }
         self.resolve_predecessors(&record, out);
     }
 
-    /// Challenges a target whose instance hosts a later one that has answered.
-    fn challenge(&mut self, key: TargetKey, successor: TargetName, out: &mut Outbox) {
+    /// Challenges a target. A claim to its name goes before one to its instance, as it tells where its next
+    /// incarnation is.
+    pub(super) fn challenge(&mut self, key: TargetKey, claim: PlaceClaim, out: &mut Outbox) {
         let Some(target) = self.targets.get_mut(&key) else { return };
-        let challenge = PlaceChallenge { successor, since: out.now, unanswered: 0 };
-        log::info!(
-            "event=target_challenged target={} by={}",
-            target.record.name,
-            challenge.successor
-        );
+        let current = target.challenge.as_ref().map(|challenge| &challenge.claim);
+        let is_to_instance = matches!(claim, PlaceClaim::Successor(_));
+        if current.is_some_and(|current| is_to_instance || *current == claim) {
+            return;
+        }
+        log::info!("event=target_challenged target={} by={}", target.record.name, claim.describe());
         if target.failed_heartbeats >= MAX_UNANSWERED {
-            return self.end_challenged(key, &challenge.successor, out);
+            return self.end_challenged(key, claim, out);
         }
-        target.challenge = Some(challenge);
+        target.challenge = Some(PlaceChallenge { claim, since: out.now, unanswered: 0 });
         // One that waits at the target would decide too late.
         target.heartbeat = HeartbeatState::Pausing(out.now);
         self.send_heartbeat(key, out);
     }
 
-    /// Records that a heartbeat got no answer. Ends the target if it has lost a challenge.
+    /// Records that a heartbeat got no answer. Ends the incarnation if it has lost a challenge.
     pub(super) fn record_unanswered(&mut self, key: TargetKey, sent_at: Moment, out: &mut Outbox) {
-        let challenge = self.targets.get_mut(&key).and_then(|target| target.challenge.as_mut());
-        let Some(challenge) = challenge.filter(|challenge| sent_at >= challenge.since) else {
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        let Some(challenge) = &mut target.challenge else { return };
+        if sent_at < challenge.since {
             return;
-        };
+        }
         challenge.unanswered += 1;
-        if challenge.unanswered >= MAX_UNANSWERED {
-            let successor = challenge.successor.clone();
-            self.end_challenged(key, &successor, out);
+        if challenge.unanswered < MAX_UNANSWERED {
+            return;
+        }
+        if let Some(challenge) = target.challenge.take() {
+            self.end_challenged(key, challenge.claim, out);
         }
     }
 
-    fn end_challenged(&mut self, key: TargetKey, successor: &TargetName, out: &mut Outbox) {
-        self.remove_target(key, TargetLoss::Succeeded, out);
-        let target = self.target_keys.get(successor).and_then(|key| self.targets.get(key));
-        if let Some(record) = target.map(|target| target.record.clone()) {
-            self.resolve_predecessors(&record, out);
+    fn end_challenged(&mut self, key: TargetKey, claim: PlaceClaim, out: &mut Outbox) {
+        match claim {
+            PlaceClaim::Successor(successor) => {
+                self.remove_target(key, TargetLoss::Succeeded, out);
+                let target = self.target_keys.get(&successor).and_then(|key| self.targets.get(key));
+                if let Some(record) = target.map(|target| target.record.clone()) {
+                    self.resolve_predecessors(&record, out);
+                }
+            }
+            PlaceClaim::Registration(record) => {
+                let longest_lease = out.now + self.longest_lease();
+                let lease_end = self.targets.get(&key).and_then(Target::lease_end);
+                self.replace_incarnation(key, record, out);
+                if let Some(target) = self.targets.get_mut(&key) {
+                    target.earlier_lease_end = Some(lease_end.unwrap_or(longest_lease));
+                }
+            }
+        }
+    }
+
+    /// Handles the reply of another target at the address of one. That has ended, and one that is
+    /// registered later under its name takes its place.
+    pub(super) fn handle_other_name(&mut self, key: TargetKey, out: &mut Outbox) {
+        let challenge = self.targets.get_mut(&key).and_then(|target| target.challenge.take());
+        self.remove_target(key, TargetLoss::OtherName, out);
+        if let Some(PlaceClaim::Registration(record)) = challenge.map(|challenge| challenge.claim) {
+            self.apply_record(record, out);
+        }
+    }
+
+    /// Takes the start that a target reports for that of its incarnation: its registration is of another
+    /// writer.
+    pub(super) fn correct_start(&mut self, key: TargetKey, started_at: UnixMillis) {
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        log::warn!(
+            "event=start_refuted target={} registered={} reported={started_at}",
+            target.record.name,
+            target.started_at()
+        );
+        target.record.started_at = started_at;
+    }
+
+    /// Returns the registration of an incarnation that a report shows to be the next one of a target. If
+    /// it is not known, the next one is taken to be as the last one was.
+    pub(super) fn next_record(&self, target: &Target, started_at: UnixMillis) -> TargetRecord {
+        match target.challenge.as_ref().map(|challenge| &challenge.claim) {
+            Some(PlaceClaim::Registration(record)) if record.started_at == started_at => {
+                record.clone()
+            }
+            _ => {
+                let cold_left = self.cold_time(&target.record.pool);
+                TargetRecord { started_at, cold_left, ..target.record.clone() }
+            }
         }
     }
 
@@ -145,18 +212,33 @@
     }
 }
 
+impl PlaceClaim {
+    /// Returns the claim for log messages.
+    fn describe(&self) -> String {
+        match self {
+            Self::Successor(name) => format!("successor:{name}"),
+            Self::Registration(record) => format!("registration:{}", record.started_at),
+        }
+    }
+}
+
 impl Target {
-    /// Records that a heartbeat was answered. Both targets then live, so one of them does not belong to
-    /// the instance that its registration names; which one is not known, and neither needs to end.
+    /// Records that a heartbeat was answered, so that the incarnation lives. A later target of its instance
+    /// may live as well; then one of them does not belong there, but neither needs to end.
     pub(super) fn record_answer(&mut self, sent_at: Moment) {
-        let won = self.challenge.take_if(|challenge| sent_at >= challenge.since);
-        if let Some(challenge) = won {
+        if let Some(challenge) = self.challenge.take_if(|challenge| sent_at >= challenge.since) {
             log::warn!(
-                "event=instance_contested target={} other={} instance={:?}",
+                "event=claim_refuted target={} by={}",
                 self.record.name,
-                challenge.successor,
-                self.record.instance
+                challenge.claim.describe()
             );
         }
     }
+
+    /// Returns whether an answer to a heartbeat refutes the start that the registration states: no answer has
+    /// confirmed it, and the heartbeat was sent after it had been read.
+    pub(super) fn refutes_start(&self, sent_at: Moment) -> bool {
+        let is_current = matches!(self.heartbeat, HeartbeatState::InFlight(_, at) if at == sent_at);
+        !self.is_start_confirmed && is_current && sent_at >= self.discovered_at
+    }
 }
--- a/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the evidence that ends an incarnation of a target.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -45,8 +46,8 @@
 struct ChallengeSite {
     leader: Leader,
     out: Outbox,
-    /// Start of the incarnation that answers under each name.
-    answering: IndexMap<TargetName, u64>,
+    /// Start of the incarnation that answers under each name, and the port at which it does.
+    answering: IndexMap<TargetName, (u64, u16)>,
     /// Calls without an answer, and when they time out; `None` if they fail at once.
     timeout: Option<Duration>,
     pending: Vec<(Moment, crate::CallId)>,
@@ -66,7 +67,7 @@
             pending: Vec::new(),
             listed: (Some("i-7"), None),
         };
-        site.answering.insert(TargetName::new("i-7"), 5);
+        site.answering.insert(TargetName::new("i-7"), (5, 1));
         site.register(target_record("i-7", 5));
         site.pass(Duration::from_millis(200));
         let key = site.leader.target_keys[&TargetName::new("i-7")];
@@ -105,8 +106,9 @@
         InstanceReply::Page(InstancePage { instances, next: None, unreadable: Vec::new() })
     }
 
-    fn report(&self, name: &TargetName) -> Option<TargetReply> {
-        let started_at = self.answering.get(name)?;
+    fn report(&self, name: &TargetName, address: SocketAddr) -> Option<TargetReply> {
+        let (started_at, _) =
+            self.answering.get(name).filter(|(_, port)| *port == address.port())?;
         let has_run = name.as_str() == "i-7" && *started_at == 5;
         let running = has_run.then_some(RunningTask { run: RUN, ..RunningTask::default() });
         Some(TargetReply::Report(RunReport {
@@ -134,8 +136,8 @@
             self.out.take_actions(&mut actions);
             for action in actions {
                 match action {
-                    NodeAction::Target { call, target, .. } => {
-                        let reply = self.report(&target);
+                    NodeAction::Target { call, target, address, .. } => {
+                        let reply = self.report(&target, address);
                         match (reply, self.timeout) {
                             (Some(reply), _) => {
                                 self.leader.handle_target_reply(call, &reply, &mut self.out);
@@ -187,7 +189,7 @@
     for listed in [(None, None), (Some("i-7"), None), (Some("i-7"), Some("i-8"))] {
         let mut site = ChallengeSite::new();
         site.listed = listed;
-        site.answering.insert(TargetName::new("i-8"), 8);
+        site.answering.insert(TargetName::new("i-8"), (8, 1));
         site.register(target_record("i-8", 8));
         site.pass(Duration::from_secs(3));
         assert!(site.has_run(), "{listed:?}");
@@ -201,7 +203,7 @@
     let mut site = ChallengeSite::new();
     site.listed = (Some("i-7"), Some("i-8"));
     site.pass(Duration::from_secs(1));
-    site.answering.insert(TargetName::new("i-8"), 8);
+    site.answering.insert(TargetName::new("i-8"), (8, 1));
     site.answering.swap_remove(&TargetName::new("i-7"));
     site.timeout = Some(Duration::from_millis(700));
     site.register(target_record("i-8", 8));
@@ -218,7 +220,7 @@
         site.listed = (None, None);
         site.timeout = timeout;
         site.answering.swap_remove(&TargetName::new("i-7"));
-        site.answering.insert(TargetName::new("i-8"), 8);
+        site.answering.insert(TargetName::new("i-8"), (8, 1));
         site.register(target_record("i-8", 8));
         let began_at = site.out.now;
         while site.has_run() && site.out.now < began_at + Duration::from_secs(30) {
@@ -247,3 +249,73 @@
         }
     }
 }
+
+/// Returns the registration of target i-7 with another start, at another port.
+fn moved_record(started_at: u64) -> TargetRecord {
+    let address = "127.0.0.1:2".parse().expect("an address");
+    TargetRecord { address, ..target_record("i-7", started_at) }
+}
+
+/// Guards against tasks that start again while their runs go on for seconds: an entry of another writer under
+/// the name of their target states a later start, and an address at which nobody answers.
+#[test]
+fn registrations_without_an_answer_end_no_incarnation_of_their_name() {
+    let mut site = ChallengeSite::new();
+    for record in [moved_record(8), target_record("i-7", 9), moved_record(2)] {
+        site.register(record);
+        assert!(site.has_run());
+        site.pass(Duration::from_secs(3));
+        let target = &site.leader.targets[&site.leader.target_keys[&TargetName::new("i-7")]];
+        assert!(target.runs[&RUN.task].is_listed && target.failed_heartbeats == 0);
+    }
+}
+
+/// Guards against the same while the target does not answer for a while: its runs last as long as its lease,
+/// and it is in contact again once its own registration is back.
+#[test]
+fn runs_outlast_a_registration_of_their_targets_name() {
+    let mut site = ChallengeSite::new();
+    site.answering.swap_remove(&TargetName::new("i-7"));
+    site.pass(Duration::from_secs(1));
+    site.register(moved_record(8));
+    site.pass(Duration::from_secs(2));
+    assert!(site.has_run());
+    site.answering.insert(TargetName::new("i-7"), (5, 1));
+    site.register(target_record("i-7", 5));
+    site.pass(Duration::from_secs(10));
+    let target = &site.leader.targets[&site.leader.target_keys[&TargetName::new("i-7")]];
+    assert!(target.has_reported && target.runs[&RUN.task].is_listed);
+}
+
+/// Guards against tasks that wait for a lease although their target has started again under its name, there or
+/// at another address. The incarnation before may refuse connections, or not answer at all.
+#[test]
+fn restarted_targets_lose_their_runs_soon() {
+    for (timeout, port) in [(None, 1), (None, 2), (Some(Duration::from_millis(700)), 2)] {
+        let mut site = ChallengeSite::new();
+        site.listed = (None, None);
+        site.timeout = timeout;
+        site.answering.insert(TargetName::new("i-7"), (8, port));
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        site.register(TargetRecord { address, ..target_record("i-7", 8) });
+        let began_at = site.out.now;
+        while site.has_run() && site.out.now < began_at + Duration::from_secs(30) {
+            site.pass(TICK);
+        }
+        let waited = site.out.now.since(began_at);
+        assert!(waited < MAX_ABSENCE, "{timeout:?} {port}: {waited:?}");
+    }
+}
+
+/// Guards against a target that no leader can use any more, because the last entry under its name states a
+/// later start than it has.
+#[test]
+fn reports_correct_the_start_of_a_registration() {
+    let mut site = ChallengeSite::new();
+    site.answering.insert(TargetName::new("i-9"), (5, 1));
+    site.register(target_record("i-9", 8));
+    site.pass(Duration::from_secs(1));
+    let target = &site.leader.targets[&site.leader.target_keys[&TargetName::new("i-9")]];
+    assert!(target.has_reported);
+    assert_eq!(target.started_at(), UnixMillis(5));
+}
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -99,7 +99,11 @@
         match reply {
             TargetReply::Report(report) => {
                 let is_other = report.started_at.0 != 0 && report.started_at != target.started_at();
-                if is_other && report.started_at < target.started_at() {
+                let is_earlier = is_other && report.started_at < target.started_at();
+                if is_earlier && target.refutes_start(sent_at) {
+                    self.correct_start(key, report.started_at);
+                    self.handle_report(key, sent_at, report, out);
+                } else if is_earlier {
                     // A delayed reply of an incarnation that has ended.
                     self.handle_failed_heartbeat(key, sent_at, "outdated report", out);
                 } else if is_other {
@@ -111,7 +115,7 @@
             TargetReply::Refused { reason: StartRefusal::Fenced, .. } => {
                 self.depose("a target obeys a newer leader");
             }
-            TargetReply::OtherIncarnation => self.remove_target(key, TargetLoss::OtherName, out),
+            TargetReply::OtherIncarnation => self.handle_other_name(key, out),
             TargetReply::Refused { .. } | TargetReply::Done { .. } | TargetReply::Failed(_) => {
                 if matches!(reply, TargetReply::Failed(_)) {
                     self.record_unanswered(key, sent_at, out);
@@ -164,10 +168,11 @@
     ) {
         let Some(target) = self.targets.get(&key) else { return };
         let fence = target.fence;
-        let mut record = target.record.clone();
-        record.started_at = report.started_at;
-        record.cold_left = self.cold_time(&record.pool);
+        let record = self.next_record(target, report.started_at);
         self.replace_incarnation(key, record, out);
+        if let Some(target) = self.targets.get_mut(&key) {
+            target.is_start_confirmed = true;
+        }
         if !self.is_outdated(key, fence) {
             // An agent does not repeat the completions of a report that it has passed on.
             self.handle_report(key, sent_at, report, out);
@@ -203,6 +208,7 @@
             );
         }
         target.has_reported = true;
+        target.is_start_confirmed = true;
         target.is_same_incarnation = true;
         target.record_listing(report);
         let pool = target.record.pool.clone();
--- a/crates/magnoliapin_scheduler/src/leader/incarnations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations.rs
@@ -113,10 +113,11 @@
         // An agent must not leave out of the next report what this one contained.
         self.agents.forget_report(key);
         if report.started_at > target.started_at() {
-            let cold_left = self.cold_time(&target.record.pool);
-            let started_at = report.started_at;
-            let record = TargetRecord { started_at, cold_left, ..target.record.clone() };
+            let record = self.next_record(target, report.started_at);
             self.replace_incarnation(key, record, out);
+            if let Some(target) = self.targets.get_mut(&key) {
+                target.is_start_confirmed = true;
+            }
         }
     }
 
@@ -135,6 +136,7 @@
         target.fence = fence;
         target.has_row = before.has_row;
         target.lease_sent_at = before.lease_sent_at;
+        target.earlier_lease_end = before.earlier_lease_end.filter(|_| !before.has_reported);
         if before.has_reported && fence == before.fence {
             target.heartbeat = HeartbeatState::Pausing(out.now + FENCELESS_PAUSE);
         }
@@ -211,6 +213,9 @@
     /// Returns the runs that have ended with their lease while the target is silent; `None` if the lease
     /// is not over. `now` is a moment until which no other leader can have extended it.
     pub(super) fn ended_runs(&self, now: Moment, max_lease: Duration) -> Option<Vec<TaskName>> {
+        if !self.has_reported && self.earlier_lease_end.is_some_and(|end| now <= end) {
+            return None;
+        }
         // Before its first report it runs only what was started on it by calls from before.
         if self.has_reported && !self.is_lease_expired(now) {
             return None;
--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -10,7 +10,6 @@
 use magnoliapin_site::TaskName;
 
 use crate::leader::heartbeats::may_be_applied;
-use crate::leader::registrations::TargetLoss;
 use crate::leader::target::RunStage;
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
@@ -110,7 +109,7 @@
                     self.check_clock(key, *clock_ms, out);
                 }
             }
-            TargetReply::OtherIncarnation => self.remove_target(key, TargetLoss::OtherName, out),
+            TargetReply::OtherIncarnation => self.handle_other_name(key, out),
             TargetReply::Failed(failure) if may_be_applied(*failure) => {
                 run.unconfirmed_starts += 1;
                 log::warn!(
@@ -187,7 +186,7 @@
             TargetReply::Refused { reason: StartRefusal::Fenced, .. } => {
                 self.depose("a target obeys a newer leader");
             }
-            TargetReply::OtherIncarnation => self.remove_target(key, TargetLoss::OtherName, out),
+            TargetReply::OtherIncarnation => self.handle_other_name(key, out),
             TargetReply::Refused { .. } | TargetReply::Failed(_) | TargetReply::Report(_) => {
                 self.retry_order_at(key, id.task, out.now + RETRY_DELAY);
             }
--- a/crates/magnoliapin_scheduler/src/leader/previous_runs.rs
+++ b/crates/magnoliapin_scheduler/src/leader/previous_runs.rs
@@ -218,7 +218,7 @@
     }
 
     /// Returns the longest time for which a lease can last after it was sent.
-    fn longest_lease(&self) -> Duration {
+    pub(super) fn longest_lease(&self) -> Duration {
         self.identity.times.max_lease.div_f64(1.0 - CLOCK_DRIFT) + LEASE_SLACK
     }
 
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -6,6 +6,7 @@
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetRecord;
 
+use crate::leader::challenges::PlaceClaim;
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
@@ -123,8 +124,11 @@
             return;
         };
         let Some(target) = self.targets.get_mut(&key) else { return };
-        if target.started_at() > record.started_at {
-            // The current incarnation has reported before its registration arrived.
+        if target.started_at() != record.started_at && target.is_start_confirmed {
+            // An earlier one is outdated: the current incarnation has reported before it arrived.
+            if target.started_at() < record.started_at {
+                self.challenge(key, PlaceClaim::Registration(record), out);
+            }
             return;
         }
         if target.started_at() != record.started_at || target.record.pool != record.pool {
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -76,6 +76,10 @@
     pub(crate) failed_heartbeats: u32,
     /// When the last heartbeat that it answered was sent.
     pub(crate) last_contact_at: Moment,
+    /// Whether a report has shown its start, and not only a registration.
+    pub(crate) is_start_confirmed: bool,
+    /// End of the lease of the incarnation before, should it live although a later one is registered.
+    pub(crate) earlier_lease_end: Option<Moment>,
     /// A claim to its place that is not decided yet.
     pub(crate) challenge: Option<PlaceChallenge>,
     /// Completions up to this number are handled, though perhaps not stored.
@@ -204,6 +208,8 @@
             heartbeat: HeartbeatState::Pausing(now),
             failed_heartbeats: 0,
             last_contact_at: now,
+            is_start_confirmed: false,
+            earlier_lease_end: None,
             challenge: None,
             handled_completion: 0,
             acked_completion: 0,
