Let the address of another target end only what was seen there

Cause: the reply of another target (421) was taken for the end of the incarnation and of its previous runs, though no target had ever answered there under this name: the address was the claim of an entry.

Change: such a reply ends an incarnation only if its start was confirmed at that address. Otherwise the registration is not used, and runs end with the list of instances, with the answer of a later target of the instance, or with their lease; that later target counts whether it answers before or after.

--- a/crates/magnoliapin_scheduler/src/leader/challenges.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges.rs
@@ -131,14 +131,24 @@
         }
     }
 
-    /// Handles the reply of another target at the address of one. That has ended, and one that is
-    /// registered later under its name takes its place.
-    pub(super) fn handle_other_name(&mut self, key: TargetKey, out: &mut Outbox) {
-        let challenge = self.targets.get_mut(&key).and_then(|target| target.challenge.take());
-        self.remove_target(key, TargetLoss::OtherName, out);
+    /// Handles the reply of another target at the address of one. If that has answered there before, it has
+    /// ended, and one that is registered later under its name takes its place. If not, its registration names
+    /// a wrong address, which tells nothing about its earlier runs. Returns whether the target is removed.
+    pub(super) fn handle_other_name(&mut self, key: TargetKey, out: &mut Outbox) -> bool {
+        let Some(target) = self.targets.get_mut(&key) else { return true };
+        let challenge = target.challenge.take();
+        let loss = match target.is_start_confirmed {
+            true => TargetLoss::OtherName,
+            false if target.runs.is_empty() => TargetLoss::NeverHeard,
+            false => return false,
+        };
+        self.remove_target(key, loss, out);
         if let Some(PlaceClaim::Registration(record)) = challenge.map(|challenge| challenge.claim) {
             self.apply_record(record, out);
         }
+        // A later target of the instance may have answered before.
+        self.resolve_all_predecessors(out);
+        true
     }
 
     /// Takes the start that a target reports for that of its incarnation: its registration is of another
--- a/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
@@ -48,6 +48,8 @@
     out: Outbox,
     /// Start of the incarnation that answers under each name, and the port at which it does.
     answering: IndexMap<TargetName, (u64, u16)>,
+    /// Port at which a target with another name replies.
+    other_name_at: Option<u16>,
     /// Calls without an answer, and when they time out; `None` if they fail at once.
     timeout: Option<Duration>,
     pending: Vec<(Moment, crate::CallId)>,
@@ -63,6 +65,7 @@
             leader,
             out,
             answering: IndexMap::new(),
+            other_name_at: None,
             timeout: None,
             pending: Vec::new(),
             listed: (Some("i-7"), None),
@@ -107,6 +110,9 @@
     }
 
     fn report(&self, name: &TargetName, address: SocketAddr) -> Option<TargetReply> {
+        if self.other_name_at == Some(address.port()) {
+            return Some(TargetReply::OtherIncarnation);
+        }
         let (started_at, _) =
             self.answering.get(name).filter(|(_, port)| *port == address.port())?;
         let has_run = name.as_str() == "i-7" && *started_at == 5;
@@ -319,3 +325,16 @@
     assert!(target.has_reported);
     assert_eq!(target.started_at(), UnixMillis(5));
 }
+
+/// Guards against tasks that start again beside their runs while their target does not answer: an entry of
+/// another writer under its name states a later start and the address of another target.
+#[test]
+fn addresses_of_other_targets_end_no_run() {
+    let mut site = ChallengeSite::new();
+    site.answering.swap_remove(&TargetName::new("i-7"));
+    site.other_name_at = Some(2);
+    site.pass(Duration::from_secs(1));
+    site.register(moved_record(8));
+    site.pass(Duration::from_secs(2));
+    assert!(site.has_run());
+}
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -115,7 +115,11 @@
             TargetReply::Refused { reason: StartRefusal::Fenced, .. } => {
                 self.depose("a target obeys a newer leader");
             }
-            TargetReply::OtherIncarnation => self.handle_other_name(key, out),
+            TargetReply::OtherIncarnation => {
+                if !self.handle_other_name(key, out) {
+                    self.handle_failed_heartbeat(key, sent_at, "another target", out);
+                }
+            }
             TargetReply::Refused { .. } | TargetReply::Done { .. } | TargetReply::Failed(_) => {
                 if matches!(reply, TargetReply::Failed(_)) {
                     self.record_unanswered(key, sent_at, out);
--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -109,7 +109,11 @@
                     self.check_clock(key, *clock_ms, out);
                 }
             }
-            TargetReply::OtherIncarnation => self.handle_other_name(key, out),
+            TargetReply::OtherIncarnation => {
+                if !self.handle_other_name(key, out) {
+                    self.retry_order_at(key, id.task, out.now + RETRY_DELAY);
+                }
+            }
             TargetReply::Failed(failure) if may_be_applied(*failure) => {
                 run.unconfirmed_starts += 1;
                 log::warn!(
@@ -186,7 +190,11 @@
             TargetReply::Refused { reason: StartRefusal::Fenced, .. } => {
                 self.depose("a target obeys a newer leader");
             }
-            TargetReply::OtherIncarnation => self.handle_other_name(key, out),
+            TargetReply::OtherIncarnation => {
+                if !self.handle_other_name(key, out) {
+                    self.retry_order_at(key, id.task, out.now + RETRY_DELAY);
+                }
+            }
             TargetReply::Refused { .. } | TargetReply::Failed(_) | TargetReply::Report(_) => {
                 self.retry_order_at(key, id.task, out.now + RETRY_DELAY);
             }
--- a/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
@@ -79,6 +79,8 @@
     answers_until: Option<Moment>,
     /// Whether its reports are those of an incarnation before the registered one.
     reports_earlier_incarnation: bool,
+    /// Whether another target replies at the address of the registration.
+    has_address_of_another: bool,
     heartbeats: u32,
     /// Whether the batch row listed the target as silent when its lease was extended.
     was_extended_while_silent: Option<bool>,
@@ -128,7 +130,7 @@
     fn registration(&self) -> Vec<TargetChange> {
         let record = target_record("i-1", 7);
         let successor = target_record("i-2", 9);
-        let records = [(self.is_registered, record), (self.has_successor, successor)];
+        let records = [(self.has_successor, successor), (self.is_registered, record)];
         let registered = records.into_iter().filter(|(is_registered, _)| *is_registered);
         registered.map(|(_, record)| TargetChange::Registered(record)).collect()
     }
@@ -191,6 +193,9 @@
                 ..RunReport::default()
             });
         }
+        if self.has_address_of_another {
+            return TargetReply::OtherIncarnation;
+        }
         let is_over = self.answers_until.is_some_and(|until| now >= until);
         if is_over || self.answers_from.is_none_or(|from| now < from) {
             return TargetReply::Failed(CallFailure::Unknown);
@@ -262,9 +267,11 @@
 /// does.
 #[test]
 fn runs_on_replaced_targets_are_not_waited_for() {
-    for is_registered in [false, true] {
+    // The later target may have the address of the one before.
+    for (is_registered, has_address_of_another) in [(false, false), (true, false), (true, true)] {
         let mut site = FakeSite {
             is_registered,
+            has_address_of_another,
             has_successor: true,
             is_successor_up: true,
             has_unreadable_entry: true,
@@ -431,3 +438,16 @@
     assert!(has_run_after(9));
     assert!(!has_run_after(12));
 }
+
+/// Guards against tasks that start again beside their runs after a takeover, because an entry of another
+/// writer under the name of their target states the address of another one.
+#[test]
+fn addresses_of_other_targets_resolve_no_previous_runs() {
+    let mut site = FakeSite {
+        is_registered: true,
+        has_address_of_another: true,
+        listed: Some(InstanceState::Up),
+        ..FakeSite::default()
+    };
+    assert!(!site.accounts_within(Duration::from_secs(12)));
+}
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -25,7 +25,7 @@
     /// The incarnation has ended, so it has no runs left: the list shows that its instance hosts another
     /// target, or none although it is not down.
     OtherLife,
-    /// The incarnation has ended: a target with another name replies at its address.
+    /// The incarnation has ended: a target with another name replies at the address where it did.
     OtherName,
     /// The incarnation has ended: a later target of its instance answers, and it does not.
     Succeeded,
@@ -36,7 +36,8 @@
     InstanceGone,
     /// The target is deregistered and its lease has expired.
     LeaseOver,
-    /// The target is deregistered and has never reported to this leader.
+    /// The target has never reported to this leader, and is deregistered or registered with the address of
+    /// another one.
     NeverHeard,
 }
 
