Tell agents the new address of a restarted target

What callers would see (LOST): a target that starts again under its name at another address is reached by no agent, so that it runs nothing until the leader changes.

Cause: an agent was told an address once for each target, and that was remembered as a flag.

Change: the leader remembers which address the agent has acknowledged, and lists the target again if it differs.

Test, failed before: agents_learn_the_address_of_the_next_incarnation.

--- a/crates/magnoliapin_scheduler/src/leader/agent_link.rs
+++ b/crates/magnoliapin_scheduler/src/leader/agent_link.rs
@@ -50,8 +50,9 @@
 
 #[derive(Debug, Default)]
 pub(super) struct LinkTarget {
-    /// Whether the agent has acknowledged a batch with the target's address.
-    pub(super) is_known: bool,
+    /// Address of the target in the last batch with one that the agent has acknowledged. The next incarnation
+    /// of the target may have another.
+    pub(super) known_address: Option<SocketAddr>,
     pub(super) report: KnownReport,
 }
 
@@ -68,7 +69,7 @@
 #[derive(Debug)]
 pub(super) struct SentBatch {
     pub(super) calls: Vec<CallId>,
-    pub(super) targets: Vec<TargetKey>,
+    pub(super) targets: Vec<(TargetKey, SocketAddr)>,
     pub(super) payloads: Vec<JobId>,
 }
 
@@ -102,13 +103,16 @@
         let number = call.target.0 as u32;
         let target = self.targets.entry(call.target).or_default();
         let report = target.report.number();
-        let is_listed = self.queue.targets.iter().any(|listed| listed.number == number);
-        if !target.is_known && !is_listed {
-            self.queue.targets.push(AgentTarget {
-                number,
-                name: call.record.name.clone(),
-                address: call.record.address,
-            });
+        let address = call.record.address;
+        let listed = self.queue.targets.iter_mut().find(|listed| listed.number == number);
+        match listed {
+            // Calls to the incarnation before that wait in the same batch are of no use any more.
+            Some(listed) => listed.address = address,
+            None if target.known_address == Some(address) => {}
+            None => {
+                let name = call.record.name.clone();
+                self.queue.targets.push(AgentTarget { number, name, address });
+            }
         }
         let fence = call.request.fence();
         if fence != self.queue.generation {
@@ -161,7 +165,11 @@
         let batch = std::mem::replace(&mut self.queue, empty);
         let sent = SentBatch {
             calls: batch.calls.iter().map(|call| CallId(call.call)).collect(),
-            targets: batch.targets.iter().map(|target| TargetKey(target.number.into())).collect(),
+            targets: batch
+                .targets
+                .iter()
+                .map(|target| (TargetKey(target.number.into()), target.address))
+                .collect(),
             payloads: batch
                 .payloads
                 .iter()
@@ -182,9 +190,9 @@
 
     /// Records what the agent knows from a batch that it has acknowledged.
     pub(super) fn confirm(&mut self, sent: SentBatch) {
-        for key in sent.targets {
+        for (key, address) in sent.targets {
             if let Some(target) = self.targets.get_mut(&key) {
-                target.is_known = true;
+                target.known_address = Some(address);
             }
         }
         if self.payloads.len() >= MAX_KNOWN_PAYLOADS {
@@ -213,7 +221,7 @@
             AgentReply::Failed(failure) => TargetReply::Failed(failure),
             AgentReply::Missing => {
                 if let Some(target) = target {
-                    target.is_known = false;
+                    target.known_address = None;
                 }
                 if let Some(job) = outstanding.job {
                     self.payloads.swap_remove(&job);
--- a/crates/magnoliapin_scheduler/src/leader/agent_links_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/agent_links_tests.rs
@@ -77,8 +77,18 @@
 }
 
 fn start_under(fence: u64, links: &mut AgentLinks, call: u64, job: u64, now: Moment) -> SocketAddr {
-    let record = record(1, "a");
-    let agent = links.agent_for(TargetKey(1), &record).expect("an agent in zone a");
+    start_at(&record(1, "a"), fence, links, call, job, now)
+}
+
+fn start_at(
+    record: &TargetRecord,
+    fence: u64,
+    links: &mut AgentLinks,
+    call: u64,
+    job: u64,
+    now: Moment,
+) -> SocketAddr {
+    let agent = links.agent_for(TargetKey(1), record).expect("an agent in zone a");
     let task = TaskName { job: JobId(job), ..TaskName::default() };
     let request = TargetRequest::Start {
         run: RunId { task, attempt: 1 },
@@ -90,8 +100,7 @@
     };
     let timeout = Duration::from_millis(400);
     let target = TargetKey(1);
-    let call =
-        OutgoingCall { call: CallId(call), target, record: &record, request, input: None, timeout };
+    let call = OutgoingCall { call: CallId(call), target, record, request, input: None, timeout };
     links.queue(agent, call, now);
     agent
 }
@@ -257,3 +266,23 @@
     let alone = links.agent_for_input(slow_address, ByteSize(262_144), timeout, much_later);
     assert_eq!(alone, slow_address, "no other node has a faster link");
 }
+
+/// Guards against a target that no agent reaches any more, as it has started again at another address.
+#[test]
+fn agents_learn_the_address_of_the_next_incarnation() {
+    let (mut links, mut out) = (links(Moment::START), Outbox::new(1));
+    let moved = TargetRecord { address: SocketAddr::from(([10, 2, 0, 9], 80)), ..record(1, "a") };
+    for (call, record, lists_address) in [
+        (1, record(1, "a"), true),
+        (2, record(1, "a"), false),
+        (3, moved.clone(), true),
+        (4, moved, false),
+    ] {
+        start_at(&record, 3, &mut links, call, call, Moment::START);
+        let (id, batch) = send(&mut links, &mut out);
+        let listed: Vec<SocketAddr> = batch.targets.iter().map(|target| target.address).collect();
+        let expected = if lists_address { vec![record.address] } else { Vec::new() };
+        assert_eq!(listed, expected, "call {call}");
+        links.handle_batch_reply(id, &PeerReply::Received, Moment::START);
+    }
+}
