Keep what a target was confirmed with against other entries

Cause: pool, instance, zone and address of the last registration replaced those with which the incarnation had answered. Another pool even counted as another incarnation, whose runs were not wanted.

Change: these four stay with an incarnation, so that an entry which contradicts them is not used, unless the list of instances agrees with it and not with the one before. An incarnation that was seen in a report first takes over its registration when that is read, without a further change of its runs.

Why it works: the target answers at that address under that name and start, which the entry cannot change.

Tests: registrations_that_contradict_an_incarnation_are_not_used (failed before); contradicting_registrations_are_told_apart_by_the_list and registrations_complete_what_a_report_has_shown guard the other side and passed before.

--- a/crates/magnoliapin_scheduler/src/leader/challenges.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges.rs
@@ -163,17 +163,30 @@
         target.record.started_at = started_at;
     }
 
-    /// Returns the registration of an incarnation that a report shows to be the next one of a target. If
-    /// it is not known, the next one is taken to be as the last one was.
-    pub(super) fn next_record(&self, target: &Target, started_at: UnixMillis) -> TargetRecord {
-        match target.challenge.as_ref().map(|challenge| &challenge.claim) {
+    /// Replaces an incarnation by the one that a report shows to be the next. If the registration of that is
+    /// not known, it is taken to be as the last one was.
+    pub(super) fn replace_by_reported(
+        &mut self,
+        key: TargetKey,
+        started_at: UnixMillis,
+        out: &mut Outbox,
+    ) {
+        let Some(target) = self.targets.get(&key) else { return };
+        let registered = match target.challenge.as_ref().map(|challenge| &challenge.claim) {
             Some(PlaceClaim::Registration(record)) if record.started_at == started_at => {
-                record.clone()
-            }
-            _ => {
-                let cold_left = self.cold_time(&target.record.pool);
-                TargetRecord { started_at, cold_left, ..target.record.clone() }
+                Some(record.clone())
             }
+            _ => None,
+        };
+        let is_assumed = registered.is_none();
+        let record = registered.unwrap_or_else(|| {
+            let cold_left = self.cold_time(&target.record.pool);
+            TargetRecord { started_at, cold_left, ..target.record.clone() }
+        });
+        self.replace_incarnation(key, record, out);
+        if let Some(target) = self.targets.get_mut(&key) {
+            target.is_start_confirmed = true;
+            target.is_record_assumed = is_assumed;
         }
     }
 
--- a/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
@@ -32,6 +32,7 @@
 use crate::leader::job::TaskState;
 use crate::leader::previous_runs::tests::target_record;
 use crate::leader::previous_runs::tests::FakeSite;
+use crate::leader::target::Target;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
 use crate::watch::WatchUpdate;
@@ -165,6 +166,10 @@
         }
     }
 
+    fn target(&self, name: &str) -> &Target {
+        &self.leader.targets[&self.leader.target_keys[&TargetName::new(name)]]
+    }
+
     /// Returns whether the run is still taken to be on target i-7, so that its task starts nowhere else.
     fn has_run(&self) -> bool {
         let key = self.leader.target_keys.get(&TargetName::new("i-7"));
@@ -271,7 +276,7 @@
         site.register(record);
         assert!(site.has_run());
         site.pass(Duration::from_secs(3));
-        let target = &site.leader.targets[&site.leader.target_keys[&TargetName::new("i-7")]];
+        let target = site.target("i-7");
         assert!(target.runs[&RUN.task].is_listed && target.failed_heartbeats == 0);
     }
 }
@@ -289,7 +294,7 @@
     site.answering.insert(TargetName::new("i-7"), (5, 1));
     site.register(target_record("i-7", 5));
     site.pass(Duration::from_secs(10));
-    let target = &site.leader.targets[&site.leader.target_keys[&TargetName::new("i-7")]];
+    let target = site.target("i-7");
     assert!(target.has_reported && target.runs[&RUN.task].is_listed);
 }
 
@@ -321,7 +326,7 @@
     site.answering.insert(TargetName::new("i-9"), (5, 1));
     site.register(target_record("i-9", 8));
     site.pass(Duration::from_secs(1));
-    let target = &site.leader.targets[&site.leader.target_keys[&TargetName::new("i-9")]];
+    let target = site.target("i-9");
     assert!(target.has_reported);
     assert_eq!(target.started_at(), UnixMillis(5));
 }
@@ -338,3 +343,54 @@
     site.pass(Duration::from_secs(2));
     assert!(site.has_run());
 }
+
+/// Guards against tasks that are stopped, or whose target is called where nobody answers, because an entry of
+/// another writer has the name and the start of their target, but another pool, instance, zone or address.
+#[test]
+fn registrations_that_contradict_an_incarnation_are_not_used() {
+    let record = || target_record("i-7", 5);
+    for odd in [
+        TargetRecord { pool: PoolName::new("other"), ..record() },
+        TargetRecord { instance: Some(InstanceName::new("m-2")), ..record() },
+        TargetRecord { zone: ZoneName::new("other"), ..record() },
+        moved_record(5),
+    ] {
+        let mut site = ChallengeSite::new();
+        site.register(odd.clone());
+        site.pass(Duration::from_secs(3));
+        let target = site.target("i-7");
+        assert_eq!(target.record, record(), "{odd:?}");
+        assert!(target.runs[&RUN.task].is_listed && target.missing_since.is_none());
+    }
+}
+
+/// Guards against a target that is used in a pool that it does not serve, because a new leader has read an entry
+/// of another writer under its name before its own.
+#[test]
+fn contradicting_registrations_are_told_apart_by_the_list() {
+    let mut site = ChallengeSite::new();
+    site.answering.insert(TargetName::new("i-9"), (5, 1));
+    let instance = Some(InstanceName::new("m-2"));
+    let own = TargetRecord { instance, ..target_record("i-9", 5) };
+    site.listed = (Some("i-7"), Some("i-9"));
+    site.register(TargetRecord { pool: PoolName::new("other"), ..own.clone() });
+    site.pass(Duration::from_secs(1));
+    assert_eq!(site.target("i-9").record.pool, PoolName::new("other"));
+    site.register(own.clone());
+    assert_eq!(site.target("i-9").record, own);
+    assert!(site.leader.pools[&own.pool].targets.contains(&site.leader.target_keys[&own.name]));
+}
+
+/// Guards against a target that stays in the pool of its last incarnation: it had reported before its
+/// registration in another pool was read.
+#[test]
+fn registrations_complete_what_a_report_has_shown() {
+    let mut site = ChallengeSite::new();
+    site.answering.insert(TargetName::new("i-7"), (8, 1));
+    site.pass(Duration::from_secs(1));
+    let target = site.target("i-7");
+    assert!(target.has_reported && target.started_at() == UnixMillis(8));
+    let moved = TargetRecord { pool: PoolName::new("other"), ..target_record("i-7", 8) };
+    site.register(moved.clone());
+    assert_eq!(site.target("i-7").record, moved);
+}
--- a/crates/magnoliapin_scheduler/src/leader/fleet.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet.rs
@@ -21,6 +21,7 @@
 use magnoliapin_site::OrderSender;
 use magnoliapin_site::PoolName;
 use magnoliapin_site::TargetName;
+use magnoliapin_site::TargetRecord;
 use magnoliapin_site::ZoneName;
 
 use self::pool_demand::PoolDemand;
@@ -199,6 +200,15 @@
         Some(format!("{:?}:{target}", record.state))
     }
 
+    /// Returns whether the list shows a target on the instance and in the pool that its registration states.
+    pub(crate) fn hosts(&self, record: &TargetRecord) -> bool {
+        let instance = record.instance.as_ref().and_then(|name| self.instances.get(name));
+        instance.is_some_and(|instance| {
+            instance.record.target.as_ref() == Some(&record.name)
+                && instance.record.pool == record.pool
+        })
+    }
+
     /// Returns whether the list shows a target on another instance than `name`.
     pub(crate) fn is_hosted_elsewhere(&self, target: &TargetName, name: &InstanceName) -> bool {
         let mut others = self.instances.iter().filter(|(listed, _)| *listed != name);
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -172,11 +172,7 @@
     ) {
         let Some(target) = self.targets.get(&key) else { return };
         let fence = target.fence;
-        let record = self.next_record(target, report.started_at);
-        self.replace_incarnation(key, record, out);
-        if let Some(target) = self.targets.get_mut(&key) {
-            target.is_start_confirmed = true;
-        }
+        self.replace_by_reported(key, report.started_at, out);
         if !self.is_outdated(key, fence) {
             // An agent does not repeat the completions of a report that it has passed on.
             self.handle_report(key, sent_at, report, out);
--- a/crates/magnoliapin_scheduler/src/leader/incarnations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations.rs
@@ -113,11 +113,7 @@
         // An agent must not leave out of the next report what this one contained.
         self.agents.forget_report(key);
         if report.started_at > target.started_at() {
-            let record = self.next_record(target, report.started_at);
-            self.replace_incarnation(key, record, out);
-            if let Some(target) = self.targets.get_mut(&key) {
-                target.is_start_confirmed = true;
-            }
+            self.replace_by_reported(key, report.started_at, out);
         }
     }
 
@@ -148,14 +144,8 @@
             record.started_at,
             before.runs.len()
         );
-        self.hosts.remove(before.record.instance.as_ref(), key);
-        self.hosts.add(record.instance.as_ref(), key);
-        if before.record.pool != record.pool {
-            if let Some(pool) = self.pools.get_mut(&before.record.pool) {
-                pool.targets.swap_remove(&key);
-            }
-            self.pools.entry(record.pool.clone()).or_default().targets.insert(key);
-        }
+        let record = record.clone();
+        self.move_indexed(key, &before.record, &record);
         self.agents.forget_report(key);
         self.record_crash(&before, out);
         for (task, mut run) in before.runs {
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -1,6 +1,7 @@
 //! Applies registrations of targets.
 
 use magnoliapin_model::Moment;
+use magnoliapin_model::UnixMillis;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::TargetChange;
 use magnoliapin_site::TargetName;
@@ -125,17 +126,33 @@
             return;
         };
         let Some(target) = self.targets.get_mut(&key) else { return };
-        if target.started_at() != record.started_at && target.is_start_confirmed {
-            // An earlier one is outdated: the current incarnation has reported before it arrived.
-            if target.started_at() < record.started_at {
-                self.challenge(key, PlaceClaim::Registration(record), out);
+        if target.started_at() != record.started_at {
+            match target.is_start_confirmed {
+                // An earlier one is outdated: the current incarnation has reported before it arrived.
+                true if target.started_at() > record.started_at => {}
+                true => self.challenge(key, PlaceClaim::Registration(record), out),
+                false => self.replace_incarnation(key, record, out),
             }
             return;
         }
-        if target.started_at() != record.started_at || target.record.pool != record.pool {
-            self.replace_incarnation(key, record, out);
+        let target_pool = target.record.pool.clone();
+        if self.contradicts_incarnation(key, &record) {
+            log::warn!(
+                "event=registration_unusable target={} why=\"not of its incarnation\"",
+                record.name
+            );
             return;
         }
+        // On sites without starts, another pool shows another incarnation.
+        if record.started_at == UnixMillis::default() && target_pool != record.pool {
+            return self.replace_incarnation(key, record, out);
+        }
+        self.update_record(key, &record, out);
+    }
+
+    /// Replaces the registration of an incarnation by a newer one.
+    fn update_record(&mut self, key: TargetKey, record: &TargetRecord, out: &mut Outbox) {
+        let Some(target) = self.targets.get_mut(&key) else { return };
         if target.record.state != record.state {
             log::info!(
                 "event=target_state target={} state={:?} runs={}",
@@ -145,15 +162,48 @@
             );
         }
         target.missing_since = None;
-        self.hosts.remove(target.record.instance.as_ref(), key);
-        self.hosts.add(record.instance.as_ref(), key);
+        target.is_record_assumed = false;
         // The same row may be read again much later, after changes were missed.
         if target.record.cold_left != record.cold_left {
             target.cold_until = out.now + record.cold_left;
         }
-        target.record = record;
-        let pool = target.record.pool.clone();
-        self.mark_for_dispatch(&pool);
+        let before = std::mem::replace(&mut target.record, record.clone());
+        self.move_indexed(key, &before, record);
+        self.mark_for_dispatch(&record.pool);
+    }
+
+    /// Moves a target whose registration has changed to its pool and its instance.
+    pub(super) fn move_indexed(
+        &mut self,
+        key: TargetKey,
+        before: &TargetRecord,
+        now: &TargetRecord,
+    ) {
+        self.hosts.remove(before.instance.as_ref(), key);
+        self.hosts.add(now.instance.as_ref(), key);
+        if before.pool != now.pool {
+            if let Some(pool) = self.pools.get_mut(&before.pool) {
+                pool.targets.swap_remove(&key);
+            }
+            self.pools.entry(now.pool.clone()).or_default().targets.insert(key);
+        }
+    }
+
+    /// Returns whether a registration with the start of an incarnation that has reported is of another
+    /// writer: pool, instance, zone and address stay with an incarnation. If the list of instances agrees
+    /// with that one only, the earlier registration was.
+    fn contradicts_incarnation(&self, key: TargetKey, record: &TargetRecord) -> bool {
+        let Some(target) = self.targets.get(&key) else { return false };
+        let known = &target.record;
+        let is_same = known.pool == record.pool
+            && known.instance == record.instance
+            && known.zone == record.zone
+            && known.address == record.address;
+        if is_same || !target.is_start_confirmed || target.is_record_assumed {
+            return false;
+        }
+        let is_own = self.fleet.hosts(record) && !self.fleet.hosts(known);
+        record.started_at != UnixMillis::default() && !is_own
     }
 
     fn add_target(&mut self, record: TargetRecord, out: &mut Outbox) {
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -76,6 +76,8 @@
     pub(crate) failed_heartbeats: u32,
     /// When the last heartbeat that it answered was sent.
     pub(crate) last_contact_at: Moment,
+    /// Whether its registration has not been read yet, so that the one of the incarnation before stands in.
+    pub(crate) is_record_assumed: bool,
     /// Whether a report has shown its start, and not only a registration.
     pub(crate) is_start_confirmed: bool,
     /// End of the lease of the incarnation before, should it live although a later one is registered.
@@ -208,6 +210,7 @@
             heartbeat: HeartbeatState::Pausing(now),
             failed_heartbeats: 0,
             last_contact_at: now,
+            is_record_assumed: false,
             is_start_confirmed: false,
             earlier_lease_end: None,
             challenge: None,
