Log once why a registration is not used

Operators saw: nothing that tells an entry of another writer from a target that does not answer, or a new line for each time such an entry is written.

Cause: unusable entries were logged with every change of their row, and those that were not used for another reason (a start before or after the target that answers, another place) not at all.

Change: each unused registration is logged once with its reason, again when the reason changes, and once when it is used or gone. An entry that was refuted or never answered is not announced again when it is written again.

--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -35,6 +35,7 @@
 mod registrations;
 mod submissions;
 mod target;
+mod unused_registrations;
 mod uploads;
 mod zone_evacuation;
 
@@ -87,6 +88,7 @@
 pub(crate) use self::submissions::Requester;
 use self::target::Target;
 use self::target::TargetKey;
+use self::unused_registrations::UnusedRegistrations;
 use self::uploads::UploadCleaner;
 use self::uploads::UploadRemoval;
 use self::zone_evacuation::ZoneEvacuation;
@@ -169,6 +171,7 @@
     intake: Option<Watch>,
     reload: Reload,
     registrations: Watch,
+    unused_registrations: UnusedRegistrations,
     /// Targets that the list being read has contained so far.
     listed_targets: IndexSet<TargetName>,
     renewal: Renewal,
@@ -336,6 +339,7 @@
             intake: None,
             reload: Reload::default(),
             registrations: Watch::new(crate::watch::WatchKind::Targets),
+            unused_registrations: UnusedRegistrations::new(out.now),
             listed_targets: IndexSet::new(),
             renewal: Renewal::new(out.now),
             waiting_jobs,
@@ -388,6 +392,7 @@
             return;
         }
         self.poll_watches(out);
+        self.unused_registrations.poll(out.now);
         self.poll_agents(out);
         self.poll_occurrences(out);
         self.send_due_heartbeats(out);
--- a/crates/magnoliapin_scheduler/src/leader/challenges.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges.rs
@@ -23,6 +23,7 @@
 use crate::leader::target::HeartbeatState;
 use crate::leader::target::Target;
 use crate::leader::target::TargetKey;
+use crate::leader::unused_registrations::UnusedReason;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
 
@@ -59,6 +60,7 @@
     pub(super) fn confirm_registration(&mut self, key: TargetKey, out: &mut Outbox) {
         let Some(target) = self.targets.get(&key) else { return };
         let record = target.record.clone();
+        self.unused_registrations.forget(&record.name, "used", out.now);
         let Some(instance) = &record.instance else { return };
         if self.fleet.is_hosted_elsewhere(&record.name, instance) {
             // A target never changes its instance, so its registration is of another writer.
@@ -85,7 +87,14 @@
         if current.is_some_and(|current| is_to_instance || *current == claim) {
             return;
         }
-        log::info!("event=target_challenged target={} by={}", target.record.name, claim.describe());
+        let name = &target.record.name;
+        // An entry that was refuted may be written again and again.
+        let is_known = claim
+            .refuted_reason()
+            .is_some_and(|reason| self.unused_registrations.is_noted(name, &reason));
+        if !is_known {
+            log::info!("event=target_challenged target={name} by={}", claim.describe());
+        }
         if target.failed_heartbeats >= MAX_UNANSWERED {
             return self.end_challenged(key, claim, out);
         }
@@ -131,6 +140,20 @@
         }
     }
 
+    /// Logs that an incarnation still answers although another one claims its place.
+    pub(super) fn log_refuted(&mut self, name: &TargetName, claim: &PlaceClaim, now: Moment) {
+        match claim {
+            // Both live, so that one of them does not belong to the instance, but neither needs to end.
+            PlaceClaim::Successor(other) => {
+                log::warn!("event=instance_contested target={name} other={other}");
+            }
+            PlaceClaim::Registration(record) => {
+                let reason = UnusedReason::LaterStart(record.started_at);
+                self.unused_registrations.note(name, reason, now);
+            }
+        }
+    }
+
     /// Handles the reply of another target at the address of one. If that has answered there before, it has
     /// ended, and one that is registered later under its name takes its place. If not, its registration names
     /// a wrong address, which tells nothing about its earlier runs. Returns whether the target is removed.
@@ -236,6 +259,14 @@
 }
 
 impl PlaceClaim {
+    /// Returns why the registration behind the claim is not used once it is refuted; `None` if it still is.
+    fn refuted_reason(&self) -> Option<UnusedReason> {
+        match self {
+            Self::Successor(_) => None,
+            Self::Registration(record) => Some(UnusedReason::LaterStart(record.started_at)),
+        }
+    }
+
     /// Returns the claim for log messages.
     fn describe(&self) -> String {
         match self {
@@ -246,16 +277,10 @@
 }
 
 impl Target {
-    /// Records that a heartbeat was answered, so that the incarnation lives. A later target of its instance
-    /// may live as well; then one of them does not belong there, but neither needs to end.
-    pub(super) fn record_answer(&mut self, sent_at: Moment) {
-        if let Some(challenge) = self.challenge.take_if(|challenge| sent_at >= challenge.since) {
-            log::warn!(
-                "event=claim_refuted target={} by={}",
-                self.record.name,
-                challenge.claim.describe()
-            );
-        }
+    /// Records that a heartbeat was answered, so that the incarnation lives. Returns the claim that this refutes.
+    pub(super) fn record_answer(&mut self, sent_at: Moment) -> Option<PlaceClaim> {
+        let refuted = self.challenge.take_if(|challenge| sent_at >= challenge.since);
+        refuted.map(|challenge| challenge.claim)
     }
 
     /// Returns whether an answer to a heartbeat refutes the start that the registration states: no answer has
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -153,11 +153,14 @@
             // The instance list may show that its instance is out of service.
             self.fleet.list_soon(out.now);
             self.late_starts.record_soon(out.now);
-            log::warn!(
-                "event=target_silent target={} reply={reply} runs={}",
-                target.record.name,
-                target.runs.len()
-            );
+            let Some(target) = self.targets.get(&key) else { return };
+            if !self.is_known_unanswered(&target.record) {
+                log::warn!(
+                    "event=target_silent target={} reply={reply} runs={}",
+                    target.record.name,
+                    target.runs.len()
+                );
+            }
         }
     }
 
@@ -191,7 +194,7 @@
         let was_unresponsive = target.failed_heartbeats > 0;
         // The incarnation lives, so they have ended with their lease.
         target.lapsed_runs.clear();
-        target.record_answer(sent_at);
+        let refuted = target.record_answer(sent_at);
         target.failed_heartbeats = 0;
         target.last_contact_at = target.last_contact_at.max(sent_at);
         target.clock = Some(ClockReading { clock_ms: report.clock_ms, read_at: now });
@@ -224,6 +227,9 @@
             unlisted_runs = self.unlisted_previous_runs(&name, report);
             self.resolve_previous_incarnation(&name);
         }
+        if let Some(claim) = refuted {
+            self.log_refuted(&name, &claim, now);
+        }
         if is_first {
             self.confirm_registration(key, out);
         }
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -9,6 +9,7 @@
 
 use crate::leader::challenges::PlaceClaim;
 use crate::leader::target::TargetKey;
+use crate::leader::unused_registrations::UnusedReason;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
 use crate::watch::WatchUpdate;
@@ -69,17 +70,18 @@
         for change in changes {
             match change {
                 TargetChange::Registered(record) if is_from_future(&record, out) => {
-                    log::warn!(
-                        "event=registration_unusable target={} why=\"started at {}\"",
-                        record.name,
-                        record.started_at
-                    );
+                    let reason = UnusedReason::FutureStart(record.started_at);
+                    self.unused_registrations.note(&record.name, reason, out.now);
                     self.mark_missing(&record.name, out);
                 }
                 TargetChange::Registered(record) => self.apply_record(record, out),
-                TargetChange::Removed(name) => self.mark_missing(&name, out),
+                TargetChange::Removed(name) => {
+                    self.unused_registrations.forget(&name, "gone", out.now);
+                    self.mark_missing(&name, out);
+                }
                 TargetChange::Invalid(name, reason) => {
-                    log::warn!("event=registration_unusable target={name} why={reason:?}");
+                    let reason = UnusedReason::unreadable(&reason);
+                    self.unused_registrations.note(&name, reason, out.now);
                     self.mark_missing(&name, out);
                 }
             }
@@ -89,6 +91,7 @@
     /// Marks the targets that a complete list does not contain as missing.
     fn mark_unlisted_missing(&mut self, out: &mut Outbox) {
         let listed_targets = std::mem::take(&mut self.listed_targets);
+        self.unused_registrations.retain(|name| listed_targets.contains(name), out.now);
         let missing: Vec<TargetName> = self
             .target_keys
             .keys()
@@ -128,8 +131,11 @@
         let Some(target) = self.targets.get_mut(&key) else { return };
         if target.started_at() != record.started_at {
             match target.is_start_confirmed {
-                // An earlier one is outdated: the current incarnation has reported before it arrived.
-                true if target.started_at() > record.started_at => {}
+                // It is outdated: the current incarnation has reported before it arrived.
+                true if target.started_at() > record.started_at => {
+                    let reason = UnusedReason::EarlierStart(record.started_at);
+                    self.unused_registrations.note(&record.name, reason, out.now);
+                }
                 true => self.challenge(key, PlaceClaim::Registration(record), out),
                 false => self.replace_incarnation(key, record, out),
             }
@@ -137,11 +143,8 @@
         }
         let target_pool = target.record.pool.clone();
         if self.contradicts_incarnation(key, &record) {
-            log::warn!(
-                "event=registration_unusable target={} why=\"not of its incarnation\"",
-                record.name
-            );
-            return;
+            let reason = UnusedReason::OtherPlace(record.started_at);
+            return self.unused_registrations.note(&record.name, reason, out.now);
         }
         // On sites without starts, another pool shows another incarnation.
         if record.started_at == UnixMillis::default() && target_pool != record.pool {
@@ -161,6 +164,7 @@
                 target.runs.len()
             );
         }
+        self.unused_registrations.forget(&record.name, "used", out.now);
         target.missing_since = None;
         target.is_record_assumed = false;
         // The same row may be read again much later, after changes were missed.
@@ -207,14 +211,16 @@
     }
 
     fn add_target(&mut self, record: TargetRecord, out: &mut Outbox) {
-        log::info!(
-            "event=target_learned target={} pool={} zone={} state={:?} born={}",
-            record.name,
-            record.pool,
-            record.zone,
-            record.state,
-            record.started_at
-        );
+        if !self.is_known_unanswered(&record) {
+            log::info!(
+                "event=target_learned target={} pool={} zone={} state={:?} born={}",
+                record.name,
+                record.pool,
+                record.zone,
+                record.state,
+                record.started_at
+            );
+        }
         self.check_lapsed(&record, out);
         self.last_target_key += 1;
         let key = TargetKey(self.last_target_key);
@@ -225,13 +231,26 @@
         self.targets.insert(key, target);
     }
 
+    /// Returns whether a target of this registration was removed before as nobody answered, which is logged
+    /// once.
+    pub(super) fn is_known_unanswered(&self, record: &TargetRecord) -> bool {
+        let reason = UnusedReason::NeverAnswered(record.started_at);
+        self.unused_registrations.is_noted(&record.name, &reason)
+    }
+
     /// Removes a target whose incarnation can no longer execute runs, and treats its runs as lost.
     pub(super) fn remove_target(&mut self, key: TargetKey, loss: TargetLoss, out: &mut Outbox) {
         let Some(target) = self.targets.swap_remove(&key) else { return };
         let name = target.record.name.clone();
         self.keep_fence(&target, out);
         self.hosts.remove(target.record.instance.as_ref(), key);
-        log::info!("event=target_gone target={name} runs={} why={loss:?}", target.runs.len());
+        if !self.is_known_unanswered(&target.record) {
+            log::info!("event=target_gone target={name} runs={} why={loss:?}", target.runs.len());
+        }
+        if !target.is_start_confirmed {
+            let reason = UnusedReason::NeverAnswered(target.started_at());
+            self.unused_registrations.note(&name, reason, out.now);
+        }
         self.target_keys.swap_remove(&name);
         if let Some(pool) = self.pools.get_mut(&target.record.pool) {
             pool.targets.swap_remove(&key);
