Announce a target that never answers once

Cause: an entry that had been removed as nobody answered counted as a new target with each start that it stated.

Change: the reason belongs to the name, and lines about targets that have not answered are limited to 1,000 a second. Lines about targets that have answered are not.

Test: unused_registrations_are_logged_once_and_within_bounds, extended.

--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -154,10 +154,11 @@
             self.fleet.list_soon(out.now);
             self.late_starts.record_soon(out.now);
             let Some(target) = self.targets.get(&key) else { return };
-            if !self.is_known_unanswered(&target.record) {
+            let name = &target.record.name;
+            let unused = &mut self.unused_registrations;
+            if target.is_start_confirmed || unused.may_announce(name, out.now) {
                 log::warn!(
-                    "event=target_silent target={} reply={reply} runs={}",
-                    target.record.name,
+                    "event=target_silent target={name} reply={reply} runs={}",
                     target.runs.len()
                 );
             }
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -211,7 +211,7 @@
     }
 
     fn add_target(&mut self, record: TargetRecord, out: &mut Outbox) {
-        if !self.is_known_unanswered(&record) {
+        if self.unused_registrations.may_announce(&record.name, out.now) {
             log::info!(
                 "event=target_learned target={} pool={} zone={} state={:?} born={}",
                 record.name,
@@ -231,25 +231,18 @@
         self.targets.insert(key, target);
     }
 
-    /// Returns whether a target of this registration was removed before as nobody answered, which is logged
-    /// once.
-    pub(super) fn is_known_unanswered(&self, record: &TargetRecord) -> bool {
-        let reason = UnusedReason::NeverAnswered(record.started_at);
-        self.unused_registrations.is_noted(&record.name, &reason)
-    }
-
     /// Removes a target whose incarnation can no longer execute runs, and treats its runs as lost.
     pub(super) fn remove_target(&mut self, key: TargetKey, loss: TargetLoss, out: &mut Outbox) {
         let Some(target) = self.targets.swap_remove(&key) else { return };
         let name = target.record.name.clone();
         self.keep_fence(&target, out);
         self.hosts.remove(target.record.instance.as_ref(), key);
-        if !self.is_known_unanswered(&target.record) {
+        let is_confirmed = target.is_start_confirmed;
+        if is_confirmed || self.unused_registrations.may_announce(&name, out.now) {
             log::info!("event=target_gone target={name} runs={} why={loss:?}", target.runs.len());
         }
-        if !target.is_start_confirmed {
-            let reason = UnusedReason::NeverAnswered(target.started_at());
-            self.unused_registrations.note(&name, reason, out.now);
+        if !is_confirmed {
+            self.unused_registrations.note(&name, UnusedReason::NeverAnswered, out.now);
         }
         self.target_keys.swap_remove(&name);
         if let Some(pool) = self.pools.get_mut(&target.record.pool) {
--- a/crates/magnoliapin_scheduler/src/leader/unused_registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/unused_registrations.rs
@@ -19,6 +19,8 @@
 const MAX_REMEMBERED: usize = 4_096;
 /// Maximum number of lines that are logged in each [`LOG_INTERVAL`].
 const MAX_LINES: u32 = 20;
+/// The same for lines about targets that have not answered yet; enough for all targets of a large site.
+const MAX_ANNOUNCEMENTS: u32 = 1_000;
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum length of the part of a decoder's message that is logged, in characters.
 const MAX_REASON_LENGTH: usize = 160;
@@ -37,7 +39,7 @@
     /// Pool, instance, zone or address are not those of the incarnation that answers under its name.
     OtherPlace(UnixMillis),
     /// Nobody has answered under its name.
-    NeverAnswered(UnixMillis),
+    NeverAnswered,
 }
 
 impl UnusedReason {
@@ -55,7 +57,7 @@
             Self::EarlierStart(at) => write!(f, "started at {at}, before the target that answers"),
             Self::LaterStart(at) => write!(f, "started at {at}, after the target that answers"),
             Self::OtherPlace(at) => write!(f, "not where the target started at {at} answers"),
-            Self::NeverAnswered(at) => write!(f, "started at {at}, but has never answered"),
+            Self::NeverAnswered => write!(f, "nobody has answered under this name"),
         }
     }
 }
@@ -66,13 +68,20 @@
     reasons: IndexMap<TargetName, UnusedReason>,
     interval_began_at: Moment,
     logged_lines: u32,
+    announcements: u32,
     omitted_lines: u64,
 }
 
 impl UnusedRegistrations {
     /// Creates an empty list.
     pub(super) fn new(now: Moment) -> Self {
-        Self { reasons: IndexMap::new(), interval_began_at: now, logged_lines: 0, omitted_lines: 0 }
+        Self {
+            reasons: IndexMap::new(),
+            interval_began_at: now,
+            logged_lines: 0,
+            announcements: 0,
+            omitted_lines: 0,
+        }
     }
 
     /// Returns whether a registration was last logged with a reason.
@@ -123,7 +132,21 @@
                 self.omitted_lines
             );
         }
-        (self.interval_began_at, self.logged_lines, self.omitted_lines) = (now, 0, 0);
+        self.interval_began_at = now;
+        (self.logged_lines, self.announcements, self.omitted_lines) = (0, 0, 0);
+    }
+
+    /// Counts a line about a target that has not answered yet. Returns whether it may be logged: not if the
+    /// target was removed before for that reason.
+    pub(super) fn may_announce(&mut self, name: &TargetName, now: Moment) -> bool {
+        if self.is_noted(name, &UnusedReason::NeverAnswered) {
+            return false;
+        }
+        self.poll(now);
+        let may_log = self.announcements < MAX_ANNOUNCEMENTS;
+        self.announcements += u32::from(may_log);
+        self.omitted_lines += u64::from(!may_log);
+        may_log
     }
 
     /// Counts a line. Returns whether it may be logged.
--- a/crates/magnoliapin_scheduler/src/leader/unused_registrations_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/unused_registrations_tests.rs
@@ -8,6 +8,7 @@
 
 use super::UnusedReason;
 use super::UnusedRegistrations;
+use super::MAX_ANNOUNCEMENTS;
 use super::MAX_LINES;
 use super::MAX_REMEMBERED;
 
@@ -33,6 +34,12 @@
     assert_eq!(unused.omitted_lines, 2 * MAX_REMEMBERED as u64 + 3 - u64::from(MAX_LINES));
     assert_eq!(unused.reasons.len(), MAX_REMEMBERED);
     assert!(unused.reasons.values().all(|reason| reason.to_string().len() < 1_000));
+    let announced = (0..2 * MAX_ANNOUNCEMENTS)
+        .filter(|number| unused.may_announce(&TargetName::new(&format!("other-{number}")), now));
+    assert_eq!(announced.count(), MAX_ANNOUNCEMENTS as usize);
+    now = now + Duration::from_secs(1);
+    unused.note(&name, UnusedReason::NeverAnswered, now);
+    assert!(!unused.may_announce(&name, now) && unused.may_announce(&TargetName::new("i-1"), now));
     now = now + Duration::from_secs(1);
     unused.poll(now);
     assert_eq!((unused.logged_lines, unused.omitted_lines), (0, 0));
