Hold back registrations whose pool nothing names

Cause: `apply_record` took any registration that can be decoded for a target, whatever its pool.

Change: a registration of an unknown name is used once the configuration or an unfinished job names its pool, or if it may have runs of the previous leader. Until then it is held back, not dropped: a node may be behind with its configuration, and a pool may be named later. Known targets stay when their pool leaves the configuration.

Tests: targets_are_called_once_their_pool_is_named (failed before); targets_of_unfinished_jobs_are_called_without_a_configuration guards the other side, and registrations_are_read_again_if_too_many_were_held_back the bound. The configuration of the tests' site names its pools now, as no target of it is used otherwise.

--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -370,6 +370,12 @@
 
     /// Sets the configuration and marks every pool for dispatch.
     pub(crate) fn set_config(&mut self, config: Rc<SiteConfig>) {
+        let names_other_pool =
+            config.pools.keys().any(|pool| !self.config.pools.contains_key(pool));
+        if names_other_pool && self.unused_registrations.take_dropped() {
+            self.registrations = Watch::new(crate::watch::WatchKind::Targets);
+            self.listed_targets.clear();
+        }
         self.config = config;
         let teams = self.config.teams.iter();
         let weights = teams.map(|team| (team.name.clone(), team.weight.unwrap_or_default()));
@@ -393,6 +399,7 @@
         }
         self.poll_watches(out);
         self.unused_registrations.poll(out.now);
+        self.poll_held_registrations(out);
         self.poll_agents(out);
         self.poll_occurrences(out);
         self.send_due_heartbeats(out);
--- a/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the evidence that ends an incarnation of a target.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -18,6 +19,7 @@
 use magnoliapin_site::RunId;
 use magnoliapin_site::RunReport;
 use magnoliapin_site::RunningTask;
+use magnoliapin_site::SiteConfig;
 use magnoliapin_site::StoreReply;
 use magnoliapin_site::TargetChange;
 use magnoliapin_site::TargetName;
@@ -394,3 +396,63 @@
     site.register(moved.clone());
     assert_eq!(site.target("i-7").record, moved);
 }
+
+/// Guards against calls to whatever other writers register, and against pools without end: nothing names the
+/// pool of their entries. Once a configuration does, the targets of the pool are in use.
+#[test]
+fn targets_are_called_once_their_pool_is_named() {
+    let mut site = ChallengeSite::new();
+    site.answering.insert(TargetName::new("i-9"), (8, 1));
+    let pool = PoolName::new("late");
+    let instance = Some(InstanceName::new("m-2"));
+    site.listed = (Some("i-7"), Some("i-9"));
+    site.register(TargetRecord { pool: pool.clone(), instance, ..target_record("i-9", 8) });
+    site.pass(Duration::from_secs(1));
+    assert!(!site.leader.pools.contains_key(&pool));
+    assert!(!site.leader.target_keys.contains_key(&TargetName::new("i-9")));
+    let rule = site.leader.config.pools[0];
+    let mut config = (*site.leader.config).clone();
+    config.pools.insert(pool.clone(), rule);
+    site.leader.set_config(Rc::new(config));
+    site.pass(Duration::from_millis(100));
+    assert!(site.target("i-9").has_reported);
+    // A pool may leave the configuration while its targets work.
+    let mut config = (*site.leader.config).clone();
+    config.pools.swap_remove(&pool);
+    site.leader.set_config(Rc::new(config));
+    site.pass(Duration::from_secs(1));
+    assert!(site.target("i-9").has_reported);
+}
+
+/// Guards against tasks that wait although targets of their pool are registered: the pool left the
+/// configuration before the leader took over, and a job that was accepted before needs it.
+#[test]
+fn targets_of_unfinished_jobs_are_called_without_a_configuration() {
+    let mut site = ChallengeSite::new();
+    site.leader.config = Rc::new(SiteConfig::default());
+    site.answering.insert(TargetName::new("i-8"), (8, 1));
+    let instance = Some(InstanceName::new("m-2"));
+    site.listed = (Some("i-7"), Some("i-8"));
+    site.register(TargetRecord { instance, ..target_record("i-8", 8) });
+    site.pass(Duration::from_millis(100));
+    assert!(site.target("i-8").has_reported);
+}
+
+/// Guards against targets that stay unused for good, as other writers had made too many entries at the time.
+#[test]
+fn registrations_are_read_again_if_too_many_were_held_back() {
+    let mut site = ChallengeSite::new();
+    let pool = |name: &str| PoolName::new(name);
+    for number in 0..5_000 {
+        let name = format!("exporter-{number}");
+        site.register(TargetRecord { pool: pool(&name), ..target_record(&name, 8) });
+    }
+    assert!(site.leader.unused_registrations.held().count() < 5_000);
+    assert!(!site.leader.registrations.is_reading());
+    let mut config = (*site.leader.config).clone();
+    site.leader.set_config(Rc::new(config.clone()));
+    assert!(!site.leader.registrations.is_reading());
+    config.pools.insert(pool("late"), config.pools[0]);
+    site.leader.set_config(Rc::new(config));
+    assert!(site.leader.registrations.is_reading());
+}
--- a/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
@@ -13,6 +13,7 @@
 use magnoliapin_site::InstanceReply;
 use magnoliapin_site::InstanceState;
 use magnoliapin_site::PoolName;
+use magnoliapin_site::PoolRule;
 use magnoliapin_site::Resources;
 use magnoliapin_site::RunId;
 use magnoliapin_site::RunReport;
@@ -226,7 +227,9 @@
             fence_version: RowVersion(1),
             requested_at: Moment::START,
         };
-        let config = Rc::new(SiteConfig::default());
+        let rule = PoolRule { enforces_capacity: true, ..PoolRule::default() };
+        let pools = ["pool", "other"].into_iter().map(|name| (PoolName::new(name), rule)).collect();
+        let config = Rc::new(SiteConfig { pools, ..SiteConfig::default() });
         let mut leader = Leader::new(identity(), lease, config, Vec::new(), None, &mut out);
         while out.now < Moment::START + time {
             let mut actions = Vec::new();
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -11,6 +11,7 @@
 use crate::leader::target::TargetKey;
 use crate::leader::unused_registrations::UnusedReason;
 use crate::leader::Leader;
+use crate::leader::Pool;
 use crate::outbox::Outbox;
 use crate::watch::WatchUpdate;
 
@@ -72,6 +73,7 @@
                 TargetChange::Registered(record) if is_from_future(&record, out) => {
                     let reason = UnusedReason::FutureStart(record.started_at);
                     self.unused_registrations.note(&record.name, reason, out.now);
+                    self.unused_registrations.drop_held(&record.name);
                     self.mark_missing(&record.name, out);
                 }
                 TargetChange::Registered(record) => self.apply_record(record, out),
@@ -82,6 +84,7 @@
                 TargetChange::Invalid(name, reason) => {
                     let reason = UnusedReason::unreadable(&reason);
                     self.unused_registrations.note(&name, reason, out.now);
+                    self.unused_registrations.drop_held(&name);
                     self.mark_missing(&name, out);
                 }
             }
@@ -125,7 +128,10 @@
     /// Adds a registered target, updates its record, or replaces its incarnation.
     pub(super) fn apply_record(&mut self, record: TargetRecord, out: &mut Outbox) {
         let Some(key) = self.target_keys.get(&record.name).copied() else {
-            self.add_target(record, out);
+            match self.is_pool_used(&record) {
+                true => self.add_target(record, out),
+                false => self.unused_registrations.hold(record, out.now),
+            }
             return;
         };
         let Some(target) = self.targets.get_mut(&key) else { return };
@@ -153,6 +159,26 @@
         self.update_record(key, &record, out);
     }
 
+    /// Returns whether a target of a registration may be needed: the configuration or an unfinished job
+    /// names its pool, or it may have runs of the previous leader.
+    fn is_pool_used(&self, record: &TargetRecord) -> bool {
+        let has_jobs = |pool: &Pool| !pool.jobs.is_empty();
+        self.config.pools.contains_key(&record.pool)
+            || self.pools.get(&record.pool).is_some_and(has_jobs)
+            || self.previous_incarnations.contains_key(&record.name)
+    }
+
+    /// Adds the targets whose registrations were held back until their pool is used.
+    pub(super) fn poll_held_registrations(&mut self, out: &mut Outbox) {
+        let held = self.unused_registrations.held();
+        let used: Vec<TargetRecord> =
+            held.filter(|record| self.is_pool_used(record)).cloned().collect();
+        for record in used {
+            self.unused_registrations.drop_held(&record.name);
+            self.apply_record(record, out);
+        }
+    }
+
     /// Replaces the registration of an incarnation by a newer one.
     fn update_record(&mut self, key: TargetKey, record: &TargetRecord, out: &mut Outbox) {
         let Some(target) = self.targets.get_mut(&key) else { return };
