Charge crashes of lapsed targets once another one has answered

What callers would see (LOST): a job fails for crashes that no target has had.

Cause: `check_lapsed` took a registration of the same name or instance for proof that an incarnation whose lease had run out had crashed, and charged the tasks that it had run.

Change: it does so with the first report of the later target, and not for an instance on which the list shows another one.

Tests, failed before: registrations_without_an_answer_show_no_crash, and crashes_of_targets_that_come_back_late_count, which now also requires that the registration alone charges nothing; what it expected before is expected after the first report.

--- a/crates/magnoliapin_scheduler/src/leader/challenges.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges.rs
@@ -59,14 +59,16 @@
     /// against earlier targets of the same instance.
     pub(super) fn confirm_registration(&mut self, key: TargetKey, out: &mut Outbox) {
         let Some(target) = self.targets.get(&key) else { return };
-        let record = target.record.clone();
+        let mut record = target.record.clone();
         self.unused_registrations.forget(&record.name, "used", out.now);
-        let Some(instance) = &record.instance else { return };
-        if self.fleet.is_hosted_elsewhere(&record.name, instance) {
+        let claimed = record.instance.as_ref();
+        if claimed.is_some_and(|instance| self.fleet.is_hosted_elsewhere(&record.name, instance)) {
             // A target never changes its instance, so its registration is of another writer.
-            log::warn!("event=instance_contradicted target={} claimed={instance}", record.name);
-            return;
+            log::warn!("event=instance_contradicted target={} claimed={claimed:?}", record.name);
+            record.instance = None;
         }
+        self.check_lapsed(&record, out);
+        let Some(instance) = &record.instance else { return };
         let is_earlier = |key: &TargetKey| {
             self.targets.get(key).is_some_and(|target| target.started_at() < record.started_at)
         };
--- a/crates/magnoliapin_scheduler/src/leader/crashes.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes.rs
@@ -263,7 +263,7 @@
         }
     }
 
-    /// Charges the runs of lapsed incarnations if a registration shows that these have ended.
+    /// Charges the runs of lapsed incarnations if a target that has answered shows that these have ended.
     pub(super) fn check_lapsed(&mut self, record: &TargetRecord, out: &mut Outbox) {
         let is_same_place = |name: &TargetName, lapsed: &LapsedIncarnation| {
             *name == record.name
--- a/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
@@ -245,8 +245,11 @@
         leader.remove_target(TargetKey(key), TargetLoss::LeaseOver, &mut out);
         assert_eq!(state_of(&leader, task(JOB, 0)).crashes.len(), 0);
         leader.apply_record(target_record("i-7", 2), &mut out);
-        assert_eq!(state_of(&leader, task(JOB, 0)).crashes.len(), expected);
         let key = leader.target_keys[&TargetName::new("i-7")];
+        // Its registration alone shows nothing.
+        assert_eq!(state_of(&leader, task(JOB, 0)).crashes.len(), 0);
+        leader.confirm_registration(key, &mut out);
+        assert_eq!(state_of(&leader, task(JOB, 0)).crashes.len(), expected);
         leader.remove_target(key, TargetLoss::NeverHeard, &mut out);
     }
 }
@@ -262,6 +265,21 @@
     leader.targets.insert(TargetKey(77), target);
     leader.remove_target(TargetKey(77), TargetLoss::LeaseOver, &mut out);
     leader.apply_record(target_record("i-7", 2), &mut out);
+    leader.confirm_registration(leader.target_keys[&TargetName::new("i-7")], &mut out);
+    assert_eq!(state_of(&leader, task(JOB, 0)).crashes.len(), 0);
+}
+
+/// Guards against a job that fails for crashes that no target has had: entries of another writer name the
+/// instance of a target whose lease is over, and nobody answers at their addresses.
+#[test]
+fn registrations_without_an_answer_show_no_crash() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    leader.add_job(JOB, job_row(false), None, false, &mut out);
+    let mut target = Target::new(target_record("i-7", 1), out.now);
+    target.add_run(task(JOB, 0), running(1, out.now));
+    leader.targets.insert(TargetKey(77), target);
+    leader.remove_target(TargetKey(77), TargetLoss::LeaseOver, &mut out);
+    leader.apply_record(target_record("exporter-1", 2), &mut out);
     assert_eq!(state_of(&leader, task(JOB, 0)).crashes.len(), 0);
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -247,7 +247,6 @@
                 record.started_at
             );
         }
-        self.check_lapsed(&record, out);
         self.last_target_key += 1;
         let key = TargetKey(self.last_target_key);
         self.target_keys.insert(record.name.clone(), key);
