Take the zone of an instance from targets that have answered

What callers would see: an instance takes part in no move and its services move out first, as if its zone were evacuated.

Cause: any registration on an instance told its zone, besides the list.

Change: only a target that has answered does.

Test, failed before: entries_without_an_answer_evacuate_no_instance.

--- a/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
@@ -31,12 +31,14 @@
 use crate::leader::crashes::tests::running;
 use crate::leader::crashes::tests::task;
 use crate::leader::crashes::tests::JOB;
+use crate::leader::fleet::Fleet;
 use crate::leader::job::TaskState;
 use crate::leader::previous_runs::tests::target_record;
 use crate::leader::previous_runs::tests::FakeSite;
 use crate::leader::target::Target;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
+use crate::site_watch::EvacuatedZones;
 use crate::watch::WatchUpdate;
 use crate::NodeAction;
 
@@ -438,6 +440,21 @@
     assert!(site.target("i-8").has_reported);
 }
 
+/// Guards against an instance that is moved by no plan, and whose services are moved out, because an entry of
+/// another writer states that it is in an evacuated zone.
+#[test]
+fn entries_without_an_answer_evacuate_no_instance() {
+    let mut site = ChallengeSite::new();
+    // The list has not shown the instance yet.
+    site.leader.fleet = Fleet::new(site.out.now);
+    let zone = ZoneName::new("evacuated");
+    let known_at = Some(site.out.now);
+    let zones = [zone.clone()].into_iter().collect();
+    site.leader.set_evacuated_zones(&EvacuatedZones { zones, known_at }, site.out.now);
+    site.register(TargetRecord { zone, ..target_record("exporter-1", 8) });
+    assert!(!site.leader.is_instance_evacuated(&InstanceName::new("m-1")));
+}
+
 /// Guards against targets that stay unused for good, as other writers had made too many entries at the time.
 #[test]
 fn registrations_are_read_again_if_too_many_were_held_back() {
--- a/crates/magnoliapin_scheduler/src/leader/zone_evacuation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/zone_evacuation.rs
@@ -157,14 +157,17 @@
         target.is_some_and(|target| self.zone_evacuation.includes(&target.record.zone))
     }
 
-    /// Returns whether an instance is in an evacuated zone, by the list or by its target.
+    /// Returns whether an instance is in an evacuated zone, by the list or by a target that has answered.
     pub(super) fn is_instance_evacuated(&self, name: &InstanceName) -> bool {
         if self.zone_evacuation.is_empty() {
             return false;
         }
         let zone = self.fleet.zone_of(name);
         zone.is_some_and(|zone| self.zone_evacuation.includes(zone))
-            || self.hosts.targets_of(name).iter().any(|key| self.is_evacuated(*key))
+            || self.hosts.targets_of(name).iter().any(|key| {
+                let has_answered = self.targets.get(key).is_some_and(|target| target.has_reported);
+                has_answered && self.is_evacuated(*key)
+            })
     }
 
     /// Returns whether starts are held because an evacuation may be unknown that has lasted too long.
