Count targets that have answered for the pace of a wave

What callers would see: more instances of a pool are evacuated at once than one in eight, so that the pool is short of room.

Cause: registrations of other writers counted as targets of the pool.

Change: only targets that have answered count.

Test, failed before: entries_without_an_answer_permit_no_more_evacuations.

--- a/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
@@ -455,6 +455,22 @@
     assert!(!site.leader.is_instance_evacuated(&InstanceName::new("m-1")));
 }
 
+/// Guards against a wave that evacuates more instances at once than the size of their pool permits, as entries
+/// of other writers count as targets of the pool.
+#[test]
+fn entries_without_an_answer_permit_no_more_evacuations() {
+    let mut site = ChallengeSite::new();
+    site.pass(Duration::from_secs(1));
+    for number in 0..40 {
+        let name = format!("exporter-{number}");
+        site.register(TargetRecord { instance: None, ..target_record(&name, 8) });
+    }
+    let mut evacuated = IndexMap::new();
+    let instance = InstanceName::new("m-1");
+    assert!(site.leader.may_evacuate_more(&instance, &mut evacuated));
+    assert!(!site.leader.may_evacuate_more(&instance, &mut evacuated));
+}
+
 /// Guards against targets that stay unused for good, as other writers had made too many entries at the time.
 #[test]
 fn registrations_are_read_again_if_too_many_were_held_back() {
--- a/crates/magnoliapin_scheduler/src/leader/fleet/waves.rs
+++ b/crates/magnoliapin_scheduler/src/leader/fleet/waves.rs
@@ -19,6 +19,7 @@
 
 use super::evacuation::Evacuation;
 use super::OrderKind;
+use crate::leader::target::TargetKey;
 use crate::leader::Leader;
 use crate::leader::LeaderCall;
 use crate::outbox::Outbox;
@@ -230,7 +231,7 @@
 
     /// Counts an instance to evacuate in its pool. Returns whether the pool permits it: only one in
     /// [`EVACUATED_INSTANCES_DIVISOR`] of its targets is evacuated at a time.
-    fn may_evacuate_more(
+    pub(in crate::leader) fn may_evacuate_more(
         &self,
         name: &InstanceName,
         evacuated: &mut IndexMap<PoolName, usize>,
@@ -238,7 +239,10 @@
         let Some(instance) = self.fleet.instances.get(name) else { return false };
         let pool = &instance.record.pool;
         let targets = self.pools.get(pool).into_iter().flat_map(|pool| &pool.targets);
-        let target_count = targets.filter(|key| !self.is_evacuated(**key)).count();
+        let has_answered =
+            |key: &TargetKey| self.targets.get(key).is_some_and(|target| target.has_reported);
+        let usable = targets.filter(|key| has_answered(key) && !self.is_evacuated(**key));
+        let target_count = usable.count();
         let evacuated = evacuated.entry(pool.clone()).or_default();
         *evacuated += 1;
         *evacuated <= target_count.div_ceil(EVACUATED_INSTANCES_DIVISOR)
