Ask an agent again for a report that was dropped

What callers would see (TWICE): a task starts again after it was done.

Cause: the report was dropped as outdated, since it answered a heartbeat from before the registration was read. The agent took the leader to have its completions, and left them out of the next report.

Change: the agent is asked for the next report as a whole.

--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -104,7 +104,9 @@
                     self.correct_start(key, report.started_at);
                     self.handle_report(key, sent_at, report, out);
                 } else if is_earlier {
-                    // A delayed reply of an incarnation that has ended.
+                    // A delayed reply of an incarnation that has ended, or one to a call from before its
+                    // registration was read; an agent must not leave out of the next report what it contained.
+                    self.agents.forget_report(key);
                     self.handle_failed_heartbeat(key, sent_at, "outdated report", out);
                 } else if is_other {
                     self.handle_other_incarnation(key, sent_at, report, out);
