Charge no crash and end no target by entries of other writers

(3) A late reply of another target, at an address that is not the target's any more, ends it.

Change: (1) such a crash is remembered and charged with the first report of the later incarnation, as the only cause if it was; if the earlier one answers, it is not. (2) The address at which an incarnation has answered stays, whatever else its registration completes. (3) A reply to a call from before the last answered one, or from before the address was read, ends nothing.

Tests, failed before: crashes_are_charged_once_the_next_incarnation_answers, registrations_complete_what_a_report_has_shown (extended), late_replies_of_other_targets_end_no_target.

--- a/crates/magnoliapin_scheduler/src/leader/challenges.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges.rs
@@ -182,14 +182,7 @@
                     self.resolve_predecessors(&record, out);
                 }
             }
-            PlaceClaim::Registration(record) => {
-                let longest_lease = out.now + self.longest_lease();
-                let lease_end = self.targets.get(&key).and_then(Target::lease_end);
-                self.replace_incarnation(key, record, out);
-                if let Some(target) = self.targets.get_mut(&key) {
-                    target.earlier_lease_end = Some(lease_end.unwrap_or(longest_lease));
-                }
-            }
+            PlaceClaim::Registration(record) => self.replace_by_unconfirmed(key, record, out),
         }
     }
 
@@ -327,6 +320,11 @@
         refuted.map(|challenge| challenge.claim)
     }
 
+    /// Returns whether it has answered a later heartbeat than one, or its registration was read later.
+    pub(super) fn has_changed_since(&self, sent_at: Moment) -> bool {
+        sent_at < self.last_contact_at.max(self.discovered_at)
+    }
+
     /// Returns whether nobody listens at its address any more.
     fn is_refusing(&self) -> bool {
         self.refused_heartbeats >= MAX_UNANSWERED
--- a/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
@@ -333,6 +333,31 @@
     assert!(target.has_reported && target.runs[&RUN.task].is_listed);
 }
 
+/// Guards against a job that fails for a crash that its target has not had: while that does not answer, an entry
+/// of another writer under its name states a later start. If that one answers, the crash counts.
+#[test]
+fn crashes_are_charged_once_the_next_incarnation_answers() {
+    for (started_at, port, expected) in [(5, 1, 0), (8, 2, 1)] {
+        let mut site = ChallengeSite::new();
+        site.answering.swap_remove(&TargetName::new("i-7"));
+        site.pass(Duration::from_secs(1));
+        site.register(moved_record(8));
+        site.pass(Duration::from_secs(1));
+        let crashes = |site: &ChallengeSite| {
+            let job = &site.leader.jobs[&site.leader.job_keys[&JOB]];
+            job.task(RUN.task).expect("the task is open").crashes.len()
+        };
+        assert_eq!(crashes(&site), 0);
+        site.answering.insert(TargetName::new("i-7"), (started_at, port));
+        if port == 1 {
+            site.register(target_record("i-7", 5));
+        }
+        site.pass(Duration::from_secs(1));
+        assert!(site.target("i-7").has_reported);
+        assert_eq!(crashes(&site), expected);
+    }
+}
+
 /// Guards against tasks that wait for a lease although their target has started again under its name, there or
 /// at another address. The incarnation before may refuse connections, or not answer at all.
 #[test]
@@ -366,6 +391,22 @@
     assert_eq!(target.started_at(), UnixMillis(5));
 }
 
+/// Guards against a target that is taken for ended by a late reply of another one, at the address that an entry of
+/// another writer had stated before its own was read.
+#[test]
+fn late_replies_of_other_targets_end_no_target() {
+    let mut site = ChallengeSite::new();
+    let key = site.leader.target_keys[&TargetName::new("i-7")];
+    let sent_at = site.out.now;
+    site.pass(Duration::from_millis(200));
+    let reply = TargetReply::OtherIncarnation;
+    site.leader.handle_heartbeat_reply(key, sent_at, &reply, &mut site.out);
+    assert!(site.has_run());
+    let now = site.out.now;
+    site.leader.handle_heartbeat_reply(key, now, &reply, &mut site.out);
+    assert!(!site.has_run());
+}
+
 /// Guards against tasks that start again beside their runs while their target does not answer: an entry of
 /// another writer under its name states a later start and the address of another target.
 #[test]
@@ -425,6 +466,10 @@
     site.pass(Duration::from_secs(1));
     let target = site.target("i-7");
     assert!(target.has_reported && target.started_at() == UnixMillis(8));
+    let address = target.record.address;
+    // It has answered at its address, so that an entry which states another one is of another writer.
+    site.register(moved_record(8));
+    assert_eq!(site.target("i-7").record.address, address);
     let moved = TargetRecord { pool: PoolName::new("other"), ..target_record("i-7", 8) };
     site.register(moved.clone());
     assert_eq!(site.target("i-7").record, moved);
--- a/crates/magnoliapin_scheduler/src/leader/crashes.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes.rs
@@ -67,6 +67,8 @@
     started_at: UnixMillis,
     instance: Option<InstanceName>,
     runs: Vec<CrashedRun>,
+    /// Whether one of them is the only possible cause, should it have crashed.
+    has_one_cause: bool,
     lapsed_at: Moment,
 }
 
@@ -232,10 +234,22 @@
         runs.extend(&target.lapsed_runs);
         let instance = target.record.instance.clone();
         let started_at = target.started_at();
-        let lapsed = LapsedIncarnation { started_at, instance, runs, lapsed_at: now };
+        let has_one_cause = false;
+        let lapsed =
+            LapsedIncarnation { started_at, instance, runs, has_one_cause, lapsed_at: now };
         self.remember_lapsed(target.record.name.clone(), lapsed);
     }
 
+    /// Remembers what to charge if a later incarnation of a target that does not answer proves to live.
+    pub(super) fn remember_possible_crash(&mut self, target: &Target, now: Moment) {
+        self.remember_lapsed_target(target, now);
+        let silence = now.since(target.last_contact_at);
+        if let Some(lapsed) = self.lapsed_incarnations.get_mut(&target.record.name) {
+            let suspects = lapsed.runs.iter().filter(|run| run.is_suspect).count();
+            lapsed.has_one_cause = suspects == 1 && silence < self.identity.times.max_lease;
+        }
+    }
+
     /// Remembers the runs of a previous incarnation whose leases are over.
     pub(super) fn remember_lapsed_previous(&mut self, name: &TargetName, now: Moment) {
         let Some(incarnation) = self.previous_incarnations.get(name) else { return };
@@ -250,6 +264,7 @@
             started_at: incarnation.started_at,
             instance: incarnation.instance.clone(),
             runs: runs.collect(),
+            has_one_cause: false,
             lapsed_at: now,
         };
         self.remember_lapsed(name.clone(), lapsed);
@@ -280,8 +295,9 @@
                 continue;
             }
             for run in lapsed.runs {
-                let crash = TaskCrash::new(run.id.attempt, lapsed.started_at);
-                let crash = TaskCrash { is_explained: !run.is_suspect, ..crash };
+                let mut crash = TaskCrash::new(run.id.attempt, lapsed.started_at);
+                crash.is_shared = !(lapsed.has_one_cause && run.is_certain);
+                crash.is_explained = !run.is_suspect;
                 self.add_crash(run.id.task, crash, out);
             }
         }
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -118,7 +118,9 @@
                 self.depose("a target obeys a newer leader");
             }
             TargetReply::OtherIncarnation => {
-                if !self.handle_other_name(key, out) {
+                let is_outdated =
+                    self.targets.get(&key).is_some_and(|target| target.has_changed_since(sent_at));
+                if is_outdated || !self.handle_other_name(key, out) {
                     self.handle_failed_heartbeat(key, sent_at, "another target", out);
                 }
             }
--- a/crates/magnoliapin_scheduler/src/leader/incarnations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations.rs
@@ -117,18 +117,48 @@
         }
     }
 
-    /// Replaces an incarnation of a target by a new one. Its runs have ended, but for those whose start
-    /// reaches the new one; its first report shows which do.
+    /// Replaces an incarnation of a target by a new one that its registration or a report shows. Its runs have
+    /// ended, but for those whose start reaches the new one; its first report shows which do.
     pub(super) fn replace_incarnation(
         &mut self,
         key: TargetKey,
         record: TargetRecord,
         out: &mut Outbox,
     ) {
-        let Some(target) = self.targets.get_mut(&key) else { return };
+        if let Some(before) = self.exchange_incarnation(key, record, out) {
+            self.record_crash(&before, out);
+            self.keep_earlier_runs(key, before);
+        }
+    }
+
+    /// The same for a registration that nothing has confirmed. The runs may go on until the lease of the
+    /// incarnation before is over, and it has crashed only if the new one answers.
+    pub(super) fn replace_by_unconfirmed(
+        &mut self,
+        key: TargetKey,
+        record: TargetRecord,
+        out: &mut Outbox,
+    ) {
+        let Some(before) = self.exchange_incarnation(key, record, out) else { return };
+        self.remember_possible_crash(&before, out.now);
+        let longest_lease = out.now + self.longest_lease();
+        if let Some(target) = self.targets.get_mut(&key) {
+            target.earlier_lease_end = Some(before.lease_end().unwrap_or(longest_lease));
+        }
+        self.keep_earlier_runs(key, before);
+    }
+
+    /// Replaces the state of a target by that of a new incarnation without runs. Returns the one before.
+    fn exchange_incarnation(
+        &mut self,
+        key: TargetKey,
+        record: TargetRecord,
+        out: &mut Outbox,
+    ) -> Option<Target> {
+        let target = self.targets.get_mut(&key)?;
         let before = std::mem::replace(target, Target::new(record, out.now));
         let fence = self.next_fence(&before, out);
-        let Some(target) = self.targets.get_mut(&key) else { return };
+        let target = self.targets.get_mut(&key)?;
         target.fence = fence;
         target.has_row = before.has_row;
         target.lease_sent_at = before.lease_sent_at;
@@ -147,7 +177,11 @@
         let record = record.clone();
         self.move_indexed(key, &before.record, &record);
         self.agents.forget_report(key);
-        self.record_crash(&before, out);
+        Some(before)
+    }
+
+    /// Keeps the runs of the incarnation before until the first report of the new one.
+    fn keep_earlier_runs(&mut self, key: TargetKey, before: Target) {
         for (task, mut run) in before.runs {
             run.expect_report(before.last_contact_at);
             if run.stage == RunStage::Stopping || self.is_unwanted_here(task) {
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -193,6 +193,10 @@
         self.unused_registrations.forget(&record.name, "used", out.now);
         target.missing_since = None;
         target.is_record_assumed = false;
+        if target.record.address != record.address {
+            // Calls to the earlier address show nothing about it.
+            target.discovered_at = out.now;
+        }
         // The same row may be read again much later, after changes were missed.
         if target.record.cold_left != record.cold_left {
             target.cold_until = out.now + record.cold_left;
@@ -225,15 +229,16 @@
     fn contradicts_incarnation(&self, key: TargetKey, record: &TargetRecord) -> bool {
         let Some(target) = self.targets.get(&key) else { return false };
         let known = &target.record;
-        let is_same = known.pool == record.pool
-            && known.instance == record.instance
-            && known.zone == record.zone
-            && known.address == record.address;
-        if is_same || !target.is_start_confirmed || target.is_record_assumed {
+        if !target.is_start_confirmed || record.started_at == UnixMillis::default() {
             return false;
         }
-        let is_own = self.fleet.hosts(record) && !self.fleet.hosts(known);
-        record.started_at != UnixMillis::default() && !is_own
+        let is_same = known.pool == record.pool
+            && known.instance == record.instance
+            && known.zone == record.zone;
+        let is_own =
+            target.is_record_assumed || (self.fleet.hosts(record) && !self.fleet.hosts(known));
+        // It has answered at the known address.
+        known.address != record.address || !(is_same || is_own)
     }
 
     fn add_target(&mut self, record: TargetRecord, out: &mut Outbox) {
