Let no answer confirm an address that was read later

Callers would see (TWICE): tasks run twice.

Cause: the reply confirmed whatever the registration said by then; the target's own entry then contradicted it.

Change: a reply to a call from before the address was read does not count, and the new address is called at once.

Test, failed before: answers_confirm_no_address_that_was_read_later.

--- a/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
@@ -407,6 +407,29 @@
     assert!(!site.has_run());
 }
 
+/// Guards against an address that counts as confirmed by an answer from another one: an entry of another writer is
+/// read while the first heartbeat of a new leader is on its way.
+#[test]
+fn answers_confirm_no_address_that_was_read_later() {
+    let mut site = ChallengeSite::new();
+    let name = TargetName::new("i-9");
+    site.register(target_record("i-9", 5));
+    let key = site.leader.target_keys[&name];
+    let sent_at = site.out.now;
+    site.out.now = site.out.now + TICK;
+    let address = SocketAddr::from(([127, 0, 0, 1], 2));
+    site.register(TargetRecord { address, ..target_record("i-9", 5) });
+    let report = RunReport { started_at: UnixMillis(5), ..RunReport::default() };
+    let reply = TargetReply::Report(report);
+    site.leader.handle_heartbeat_reply(key, sent_at, &reply, &mut site.out);
+    assert!(!site.target("i-9").has_reported);
+    // Its own entry is read again.
+    site.answering.insert(name, (5, 1));
+    site.register(target_record("i-9", 5));
+    site.pass(Duration::from_millis(100));
+    assert!(site.target("i-9").has_reported);
+}
+
 /// Guards against tasks that start again beside their runs while their target does not answer: an entry of
 /// another writer under its name states a later start and the address of another target.
 #[test]
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -98,6 +98,11 @@
         let Some(target) = self.targets.get(&key) else { return };
         match reply {
             TargetReply::Report(report) => {
+                if !target.has_reported && sent_at < target.discovered_at {
+                    // It came from the address of an earlier registration.
+                    self.agents.forget_report(key);
+                    return self.handle_failed_heartbeat(key, sent_at, "earlier address", out);
+                }
                 let is_other = report.started_at.0 != 0 && report.started_at != target.started_at();
                 let is_earlier = is_other && report.started_at < target.started_at();
                 if is_earlier && target.refutes_start(sent_at) {
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -8,6 +8,7 @@
 use magnoliapin_site::TargetRecord;
 
 use crate::leader::challenges::PlaceClaim;
+use crate::leader::target::HeartbeatState;
 use crate::leader::target::TargetKey;
 use crate::leader::unused_registrations::UnusedReason;
 use crate::leader::Leader;
@@ -196,6 +197,7 @@
         if target.record.address != record.address {
             // Calls to the earlier address show nothing about it.
             target.discovered_at = out.now;
+            target.heartbeat = HeartbeatState::Pausing(out.now);
         }
         // The same row may be read again much later, after changes were missed.
         if target.record.cold_left != record.cold_left {
