Keep the newest address of a target when batches overtake each other

What callers would see (LOST): an agent calls the earlier address of a target that has started again elsewhere.

Cause: an agent took the address from whichever batch arrived last.

Change: it keeps the address of the batch with the highest number of a call.

Test, failed before: batches_that_were_overtaken_change_no_address.

--- a/crates/magnoliapin_scheduler/src/agent.rs
+++ b/crates/magnoliapin_scheduler/src/agent.rs
@@ -72,6 +72,8 @@
 struct SessionTarget {
     name: TargetName,
     address: SocketAddr,
+    /// Highest number of a call in the batch that the address came with. Batches may overtake each other.
+    address_call: u64,
     report: KnownReport,
 }
 
@@ -221,13 +223,17 @@
 
     /// Adds the targets and inputs of a batch.
     fn learn(&mut self, batch: &AgentBatch, inputs: &[(JobId, StoredInput)]) {
+        let last_call = batch.calls.iter().map(|call| call.call).max().unwrap_or_default();
         for target in &batch.targets {
             let known = self.targets.entry(target.number).or_insert_with(|| SessionTarget {
                 name: target.name.clone(),
                 address: target.address,
+                address_call: last_call,
                 report: KnownReport::default(),
             });
-            known.address = target.address;
+            if last_call >= known.address_call {
+                (known.address, known.address_call) = (target.address, last_call);
+            }
         }
         if self.payloads.len() > MAX_PAYLOADS || self.payload_bytes > MAX_PAYLOAD_BYTES {
             self.payloads.drain(..self.payloads.len() / 2);
--- a/crates/magnoliapin_scheduler/src/agent_tests.rs
+++ b/crates/magnoliapin_scheduler/src/agent_tests.rs
@@ -216,3 +216,22 @@
     }
     assert!(decoded > 100, "{decoded} damaged batches were decoded");
 }
+
+/// Guards against calls that go to the earlier address of a target, as the batch with its new one has overtaken the
+/// one before.
+#[test]
+fn batches_that_were_overtaken_change_no_address() {
+    let (mut agent, mut out) = (Agent::default(), Outbox::new(1));
+    let mut later = batch(2, 1, 8);
+    later.targets[0].address = "10.2.0.5:80".parse().expect("an address");
+    for (batch, expected) in [(later, "10.2.0.5:80"), (batch(2, 1, 7), "10.2.0.5:80")] {
+        handle(&mut agent, batch, 2, &mut out);
+        let mut actions = Vec::new();
+        out.take_actions(&mut actions);
+        let called = actions.iter().filter_map(|action| match action {
+            NodeAction::Target { address, .. } => Some(address.to_string()),
+            _ => None,
+        });
+        assert_eq!(called.collect::<Vec<String>>(), [expected]);
+    }
+}
