Let no call of the same moment confirm another address

Change: an address counts from the next call on that is sent after it was read.

Test: answers_confirm_no_address_that_was_read_later, with the call and the entry at the same moment, failed before.

--- a/crates/magnoliapin_scheduler/src/leader/challenges.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges.rs
@@ -322,7 +322,8 @@
 
     /// Returns whether it has answered a later heartbeat than one, or its registration was read later.
     pub(super) fn has_changed_since(&self, sent_at: Moment) -> bool {
-        sent_at < self.last_contact_at.max(self.discovered_at)
+        let is_to_earlier_address = self.address_read_at.is_some_and(|at| sent_at <= at);
+        is_to_earlier_address || sent_at < self.last_contact_at.max(self.discovered_at)
     }
 
     /// Returns whether nobody listens at its address any more.
--- a/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/challenges_tests.rs
@@ -416,7 +416,6 @@
     site.register(target_record("i-9", 5));
     let key = site.leader.target_keys[&name];
     let sent_at = site.out.now;
-    site.out.now = site.out.now + TICK;
     let address = SocketAddr::from(([127, 0, 0, 1], 2));
     site.register(TargetRecord { address, ..target_record("i-9", 5) });
     let report = RunReport { started_at: UnixMillis(5), ..RunReport::default() };
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -98,7 +98,7 @@
         let Some(target) = self.targets.get(&key) else { return };
         match reply {
             TargetReply::Report(report) => {
-                if !target.has_reported && sent_at < target.discovered_at {
+                if target.address_read_at.is_some_and(|at| sent_at <= at) {
                     // It came from the address of an earlier registration.
                     self.agents.forget_report(key);
                     return self.handle_failed_heartbeat(key, sent_at, "earlier address", out);
--- a/crates/magnoliapin_scheduler/src/leader/registrations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/registrations.rs
@@ -1,5 +1,7 @@
 //! Applies registrations of targets.
 
+use std::time::Duration;
+
 use magnoliapin_model::Moment;
 use magnoliapin_model::UnixMillis;
 use magnoliapin_site::StoreReply;
@@ -195,9 +197,9 @@
         target.missing_since = None;
         target.is_record_assumed = false;
         if target.record.address != record.address {
-            // Calls to the earlier address show nothing about it.
-            target.discovered_at = out.now;
-            target.heartbeat = HeartbeatState::Pausing(out.now);
+            // Calls to the earlier address, those of this moment included, show nothing about it.
+            target.address_read_at = Some(out.now);
+            target.heartbeat = HeartbeatState::Pausing(out.now + Duration::from_millis(1));
         }
         // The same row may be read again much later, after changes were missed.
         if target.record.cold_left != record.cold_left {
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -38,6 +38,8 @@
     pub(crate) record: TargetRecord,
     /// When the leader discovered this incarnation.
     pub(crate) discovered_at: Moment,
+    /// When a registration with another address than before was read; `None` if there is only one.
+    pub(crate) address_read_at: Option<Moment>,
     /// When the registration went missing; `None` while the target is registered.
     pub(crate) missing_since: Option<Moment>,
     /// Whether the store may have an assignment row for it.
@@ -196,6 +198,7 @@
             cold_starts: VecDeque::new(),
             record,
             discovered_at: now,
+            address_read_at: None,
             fence: 0,
             lease_sent_at: None,
             missing_since: None,
