Gate the seeds that entries of other writers broke, and list the rest

Of 1 to 399, 11 still fail: 82, 216 and 327 also without any entry (three of the 18 that failed without one were run), 81 and 123 because two targets really crash under a task that ran alone.

--- a/crates/magnoliapin_scheduler/tests/soak/main.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/main.rs
@@ -185,6 +185,25 @@
     assert_no_violations(run_seed_with_other_writers);
 }
 
+/// Guards against the faults that these seeds have found: rows with an instance that the list contradicts (29, 283), a
+/// target that was only silent (281), a report that an agent did not repeat (150), an address of another target (330,
+/// 399), a crash that was none (66).
+#[test]
+fn failed_seeds_with_entries_of_other_writers_pass() {
+    let violations: Vec<String> =
+        [29, 66, 150, 281, 283, 330, 399].map(run_seed_with_other_writers).concat();
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
+/// Guards against tasks that wait for long after changes of leader beside restarts and entries of other writers.
+#[test]
+#[ignore = "known red, see KNOWN-RED.txt"]
+fn tasks_run_again_among_entries_of_other_writers() {
+    let seeds = [52, 81, 82, 123, 126, 141, 159, 216, 234, 240, 327];
+    let violations: Vec<String> = seeds.map(run_seed_with_other_writers).concat();
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 /// Guards against a task that crashes target after target, and against innocent tasks that are given
 /// up because they ran beside one.
 #[test]
