Log how old a target's last answer was when a start was sent

Callers saw a job shown as failed for crashes that its tasks may not have caused; the log told neither whether the target had answered the start, nor whether it was silent before. Change: run_crashed names the age of the last answer at the start, the starts without an answer and whether a report has listed the run; target_crashed the number of other silent targets.

--- a/crates/magnoliapin_scheduler/src/leader/crashes.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes.rs
@@ -164,21 +164,27 @@
         let runs = target.crashed_runs(out.now);
         if !target.runs.is_empty() {
             log::warn!(
-                "event=target_crashed target={} runs={} charged={} silent_ms={}",
+                "event=target_crashed target={} runs={} charged={} silent_ms={} silent_beside={}",
                 target.record.name,
                 target.runs.len(),
                 runs.len() + target.lapsed_runs.len(),
-                silence.as_millis()
+                silence.as_millis(),
+                self.targets.values().filter(|other| other.failed_heartbeats > 0).count()
             );
         }
         for (task, run) in &target.runs {
             // How long the run is known to have been there.
             let lasted = run.confirmed_at.map(|at| target.last_contact_at.since(at).as_millis());
+            // How old the last answer of the target was when the start was sent.
+            let heard_at = target.last_heard_at();
+            let answer_age = run.start_sent_at.map(|at| at.since(heard_at).as_millis());
             log::info!(
                 "event=run_crashed task={task} attempt={} stage={:?} lasted_ms={lasted:?} \
-                 long_running={} isolated={}",
+                 answer_age_ms={answer_age:?} open_starts={} listed={} long_running={} isolated={}",
                 run.attempt,
                 run.stage,
+                run.open_starts,
+                run.is_listed,
                 run.is_long_running,
                 run.is_isolated
             );
