Move what shows the cause of a crash to a module of its own

No change of behaviour: crashes.rs charges crashes, crash_evidence.rs tells which runs are suspects. The unit tests of crashes pass as before.

--- a/crates/magnoliapin_scheduler/src/leader.rs
+++ b/crates/magnoliapin_scheduler/src/leader.rs
@@ -12,6 +12,7 @@
 mod cold_targets;
 mod commit;
 mod completions;
+mod crash_evidence;
 mod crashes;
 mod delegation;
 mod dispatch;
--- a/crates/magnoliapin_scheduler/src/leader/crashes.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes.rs
@@ -18,10 +18,9 @@
 use magnoliapin_site::TargetState;
 use magnoliapin_site::TaskName;
 
+use crate::leader::crash_evidence::CrashedRun;
 use crate::leader::job::JobKey;
 use crate::leader::job::Task;
-use crate::leader::target::Run;
-use crate::leader::target::RunStage;
 use crate::leader::target::Target;
 use crate::leader::target::TargetKey;
 use crate::leader::Leader;
@@ -34,13 +33,6 @@
 
 /// Crashes from which on a task runs apart from others.
 pub(super) const ISOLATION_CRASHES: usize = 2;
-/// Time after which a long-running task has shown that it does not crash its target.
-const PROBATION: Duration = Duration::from_secs(10);
-/// Time after a start within which its target must be known to have crashed for the crash to be the effect
-/// of the start even if it was not confirmed.
-const SUDDEN_CRASH: Duration = Duration::from_millis(500);
-/// Time for which a run must have gone on so that others that have just started are suspected instead.
-const SETTLING_TIME: Duration = Duration::from_millis(200);
 /// Crashes after which a task is given up if no other task may be the cause.
 const MAX_OWN_CRASHES: usize = 2;
 /// Crashes after which a task is given up if it is the only possible cause of at least one of them.
@@ -50,16 +42,6 @@
 /// Time for which runs are remembered whose target was silent when their leases ended.
 const LAPSE_MEMORY: Duration = Duration::from_secs(60);
 
-/// A run on a target that has crashed.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct CrashedRun {
-    pub(crate) id: RunId,
-    /// Whether the target had certainly begun it.
-    is_certain: bool,
-    /// Whether it may be the cause; if not, others that had just started are.
-    is_suspect: bool,
-}
-
 /// An incarnation of a target whose runs were taken for lost as their leases were over. Whether it was
 /// silent or had crashed shows only once the target or its instance is back.
 #[derive(Clone, Debug)]
@@ -98,53 +80,6 @@
     }
 }
 
-impl Run {
-    /// Returns whether the run had gone on for a while when its target was last heard from.
-    fn has_settled(&self, last_contact_at: Moment) -> bool {
-        self.confirmed_at.is_some_and(|at| last_contact_at.since(at) >= SETTLING_TIME)
-    }
-
-    /// Returns whether the run is long-running and has lasted, so that it is not the cause of a crash.
-    fn is_proven(&self, now: Moment) -> bool {
-        self.is_long_running && now.since(self.placed_at) >= PROBATION
-    }
-}
-
-impl Target {
-    /// Returns the tasks whose runs had gone on for a while when the target was last heard from.
-    fn settled_tasks(&self) -> Vec<TaskName> {
-        let settled = self.runs.iter().filter(|(_, run)| run.has_settled(self.last_contact_at));
-        settled.map(|(name, _)| *name).collect()
-    }
-
-    /// Returns the runs that an unexpected end of the target is charged to.
-    fn crashed_runs(&self, now: Moment) -> Vec<CrashedRun> {
-        let charged = self.runs.iter();
-        let charged = charged.filter(|(_, run)| run.is_sent && !run.is_proven(now));
-        let mut charged: Vec<(CrashedRun, &Run)> = charged
-            .map(|(task, run)| {
-                let id = RunId { task: *task, attempt: run.attempt };
-                let is_confirmed = run.confirmed_at.is_some() && run.stage == RunStage::Running;
-                let is_certain = is_confirmed || now.since(run.placed_at) < SUDDEN_CRASH;
-                (CrashedRun { id, is_certain, is_suspect: true }, run)
-            })
-            .collect();
-        let mut exonerate = |is_suspect: &dyn Fn(&Run) -> bool| {
-            if charged.iter().any(|(_, run)| is_suspect(run)) {
-                for (crashed, run) in &mut charged {
-                    crashed.is_suspect &= is_suspect(run);
-                }
-            }
-        };
-        let is_fresh = |run: &Run| !run.has_settled(self.last_contact_at);
-        exonerate(&is_fresh);
-        exonerate(&|run| run.is_isolated || !run.is_long_running || is_fresh(run));
-        // Tasks of services share their targets with many others, crash after crash.
-        charged.retain(|(crashed, run)| crashed.is_suspect || !run.is_long_running);
-        charged.into_iter().map(|(crashed, _)| crashed).collect()
-    }
-}
-
 impl TaskCrash {
     fn new(attempt: u32, incarnation: UnixMillis) -> Self {
         Self { attempt, incarnation, is_shared: true, is_explained: false }
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -15,7 +15,7 @@
 use magnoliapin_site::TeamName;
 
 use crate::leader::challenges::PlaceChallenge;
-use crate::leader::crashes::CrashedRun;
+use crate::leader::crash_evidence::CrashedRun;
 use crate::leader::job::JobKey;
 use crate::leader::zone_evacuation::ZoneEvacuation;
 use crate::times::CLOCK_DRIFT;
