Charge crashes only to runs that their target had begun

Cause: a run whose start had no answer, or was known not to have been sent, counted as the certain cause of a crash that became known within 0.5 s of its placement, and such charges added up to the limits after which a task is given up. Silence was taken for an effect of the start. Change: a crash is charged only to runs that the target had begun: it answered the start or listed the run, or it had answered just before the start of a task that runs apart. It has one certain cause only if the end is noticed within a second of the last answer, or the task ran apart. Of the runs of the leader before that is not known; they are charged as if others accounted for the crash. Why it works: a target that was cut off or down before answers nothing, so that none of the conditions holds.

--- a/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
@@ -2,6 +2,11 @@
 //!
 //! The suspects are the runs that had just started when the target was last heard from; if there are none, all
 //! others are.
+//!
+//! A target has crashed under a run only if it had begun the run and was still at work on it. Its answer to the
+//! start, or a report that lists the run, proves the former. A start without an answer proves nothing: a target that was
+//! cut off or down before leaves it unanswered as well, unless it had answered just before. Silence between the last
+//! answer and the end proves nothing either, as the run may have ended by itself meanwhile.
 
 use std::time::Duration;
 
@@ -15,9 +20,11 @@
 
 /// Time after which a long-running task has shown that it does not crash its target.
 const PROBATION: Duration = Duration::from_secs(10);
-/// Time after a start within which its target must be known to have crashed for the crash to be the effect
-/// of the start even if it was not confirmed.
-const SUDDEN_CRASH: Duration = Duration::from_millis(500);
+/// Silence after which a run may have ended by itself before its target did. It is longer than a target with runs
+/// is silent before the leader notices.
+const MAX_SILENCE: Duration = Duration::from_secs(1);
+/// Age of an answer up to which a target is certainly up.
+const MAX_ANSWER_AGE: Duration = Duration::from_millis(100);
 /// Time for which a run must have gone on so that others that have just started are suspected instead.
 const SETTLING_TIME: Duration = Duration::from_millis(200);
 
@@ -26,7 +33,9 @@
 pub(crate) struct CrashedRun {
     pub(crate) id: RunId,
     /// Whether the target had certainly begun it.
-    pub(super) is_certain: bool,
+    pub(super) is_begun: bool,
+    /// Whether the target was at work on it when it ended, as far as can be told.
+    pub(super) was_at_work: bool,
     /// Whether it may be the cause; if not, others that had just started are.
     pub(super) is_suspect: bool,
 }
@@ -37,8 +46,13 @@
         self.confirmed_at.is_some_and(|at| last_contact_at.since(at) >= SETTLING_TIME)
     }
 
+    /// Returns whether its target may have begun the run.
+    fn may_have_begun(&self) -> bool {
+        self.is_sent && (self.confirmed_at.is_some() || self.open_starts > 0)
+    }
+
     /// Returns whether the run is long-running and has lasted, so that it is not the cause of a crash.
-    pub(super) fn is_proven(&self, now: Moment) -> bool {
+    pub(super) fn has_lasted(&self, now: Moment) -> bool {
         self.is_long_running && now.since(self.placed_at) >= PROBATION
     }
 }
@@ -50,16 +64,16 @@
         settled.map(|(name, _)| *name).collect()
     }
 
-    /// Returns the runs that an unexpected end of the target is charged to.
+    /// Returns the runs that may be the cause of an unexpected end of the target. Only those that it had begun are charged
+    /// with it.
     pub(super) fn crashed_runs(&self, now: Moment) -> Vec<CrashedRun> {
         let charged = self.runs.iter();
-        let charged = charged.filter(|(_, run)| run.is_sent && !run.is_proven(now));
+        let charged = charged.filter(|(_, run)| run.may_have_begun() && !run.has_lasted(now));
         let mut charged: Vec<(CrashedRun, &Run)> = charged
             .map(|(task, run)| {
                 let id = RunId { task: *task, attempt: run.attempt };
-                let is_confirmed = run.confirmed_at.is_some() && run.stage == RunStage::Running;
-                let is_certain = is_confirmed || now.since(run.placed_at) < SUDDEN_CRASH;
-                (CrashedRun { id, is_certain, is_suspect: true }, run)
+                let (is_begun, was_at_work) = (self.had_begun(run), self.was_at_work(run, now));
+                (CrashedRun { id, is_begun, was_at_work, is_suspect: true }, run)
             })
             .collect();
         let mut exonerate = |is_suspect: &dyn Fn(&Run) -> bool| {
@@ -76,4 +90,29 @@
         charged.retain(|(crashed, run)| crashed.is_suspect || !run.is_long_running);
         charged.into_iter().map(|(crashed, _)| crashed).collect()
     }
+
+    /// Returns whether the target, which has ended, had certainly begun a run.
+    fn had_begun(&self, run: &Run) -> bool {
+        let is_confirmed = run.confirmed_at.is_some() && run.stage == RunStage::Running;
+        // The target of a suspect that runs apart is asked before the start is sent.
+        is_confirmed || (run.is_isolated && run.follows_answer)
+    }
+
+    /// Returns whether the target was at work on a run when it ended, as far as can be told. A suspect that runs apart
+    /// gets no benefit of the doubt.
+    fn was_at_work(&self, run: &Run, now: Moment) -> bool {
+        let is_noticed_soon = now.since(self.last_answer_at()) < MAX_SILENCE;
+        self.had_begun(run) && (is_noticed_soon || run.is_isolated)
+    }
+
+    /// Returns whether the target has answered so lately that it is certainly up.
+    pub(super) fn has_just_answered(&self, now: Moment) -> bool {
+        now.since(self.last_answer_at()) <= MAX_ANSWER_AGE
+    }
+
+    /// Returns when it last answered anything.
+    fn last_answer_at(&self) -> Moment {
+        let confirmed = self.runs.values().filter_map(|run| run.confirmed_at);
+        confirmed.fold(self.last_heard_at(), Moment::max)
+    }
 }
--- a/crates/magnoliapin_scheduler/src/leader/crashes.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes.rs
@@ -49,8 +49,8 @@
     started_at: UnixMillis,
     instance: Option<InstanceName>,
     runs: Vec<CrashedRun>,
-    /// Whether one of them is the only possible cause, should it have crashed.
-    has_one_cause: bool,
+    /// Whether their lease was not over yet, so that they were at work.
+    is_within_lease: bool,
     lapsed_at: Moment,
 }
 
@@ -102,7 +102,7 @@
                 "event=target_crashed target={} runs={} charged={} silent_ms={} silent_beside={}",
                 target.record.name,
                 target.runs.len(),
-                runs.len() + target.lapsed_runs.len(),
+                runs.iter().chain(&target.lapsed_runs).filter(|run| run.is_begun).count(),
                 silence.as_millis(),
                 self.targets.values().filter(|other| other.failed_heartbeats > 0).count()
             );
@@ -127,14 +127,14 @@
         self.record_survivals(target);
         let suspects = runs.iter().chain(&target.lapsed_runs).filter(|run| run.is_suspect).count();
         // The run has ended with its lease if the target has been silent for longer.
-        let has_one_cause = suspects == 1 && silence < self.identity.times.max_lease;
-        for run in runs.iter().chain(&target.lapsed_runs) {
+        let is_within_lease = silence < self.identity.times.max_lease;
+        for run in runs.iter().chain(&target.lapsed_runs).filter(|run| run.is_begun) {
             let mut crash = TaskCrash::new(run.id.attempt, target.started_at());
-            crash.is_shared = !(has_one_cause && run.is_certain);
+            crash.is_shared = !(suspects == 1 && is_within_lease && run.was_at_work);
             crash.is_explained = !run.is_suspect;
             self.add_crash(run.id.task, crash, out);
         }
-        for (name, _) in target.runs.iter().filter(|(_, run)| run.is_proven(out.now)) {
+        for (name, _) in target.runs.iter().filter(|(_, run)| run.has_lasted(out.now)) {
             let job = self.job_keys.get(&name.job).and_then(|key| self.jobs.get_mut(key));
             if let Some(task) = job.and_then(|job| job.open_task_mut(*name)) {
                 task.crashes.clear();
@@ -155,7 +155,7 @@
                 self.record_survival(name);
             }
         }
-        for run in lapsed {
+        for run in lapsed.iter().filter(|run| run.is_begun) {
             let task = run.id.task;
             let job = self.job_keys.get(&task.job).and_then(|key| self.jobs.get(key));
             if job.and_then(|job| job.task(task)).is_some_and(Task::needs_isolation) {
@@ -175,9 +175,9 @@
         runs.extend(&target.lapsed_runs);
         let instance = target.record.instance.clone();
         let started_at = target.started_at();
-        let has_one_cause = false;
+        let is_within_lease = false;
         let lapsed =
-            LapsedIncarnation { started_at, instance, runs, has_one_cause, lapsed_at: now };
+            LapsedIncarnation { started_at, instance, runs, is_within_lease, lapsed_at: now };
         self.remember_lapsed(target.record.name.clone(), lapsed);
     }
 
@@ -186,8 +186,7 @@
         self.remember_lapsed_target(target, now);
         let silence = now.since(target.last_contact_at);
         if let Some(lapsed) = self.lapsed_incarnations.get_mut(&target.record.name) {
-            let suspects = lapsed.runs.iter().filter(|run| run.is_suspect).count();
-            lapsed.has_one_cause = suspects == 1 && silence < self.identity.times.max_lease;
+            lapsed.is_within_lease = silence < self.identity.times.max_lease;
         }
     }
 
@@ -198,14 +197,15 @@
         let runs = runs.filter(|(task, run)| run.target == *name && !self.is_long_running(**task));
         let runs = runs.map(|(task, run)| CrashedRun {
             id: RunId { task: *task, attempt: run.attempt },
-            is_certain: false,
-            is_suspect: true,
+            is_begun: true,
+            was_at_work: false,
+            is_suspect: false,
         });
         let lapsed = LapsedIncarnation {
             started_at: incarnation.started_at,
             instance: incarnation.instance.clone(),
             runs: runs.collect(),
-            has_one_cause: false,
+            is_within_lease: false,
             lapsed_at: now,
         };
         self.remember_lapsed(name.clone(), lapsed);
@@ -235,9 +235,10 @@
             if lapsed.started_at >= record.started_at || is_planned {
                 continue;
             }
-            for run in lapsed.runs {
+            let suspects = lapsed.runs.iter().filter(|run| run.is_suspect).count();
+            for run in lapsed.runs.iter().filter(|run| run.is_begun) {
                 let mut crash = TaskCrash::new(run.id.attempt, lapsed.started_at);
-                crash.is_shared = !(lapsed.has_one_cause && run.is_certain);
+                crash.is_shared = !(suspects == 1 && lapsed.is_within_lease && run.was_at_work);
                 crash.is_explained = !run.is_suspect;
                 self.add_crash(run.id.task, crash, out);
             }
@@ -250,7 +251,8 @@
         job.and_then(|job| job.step_spec(task)).is_some_and(|step| step.long_running)
     }
 
-    /// Records that a previous incarnation has ended, on each task that it may have run.
+    /// Records that a previous incarnation has ended, on each task that it may have run. Whether it had begun them is not
+    /// known, so that they are charged as if others accounted for it.
     pub(super) fn record_previous_crash(&mut self, name: &TargetName, out: &mut Outbox) {
         let Some(incarnation) = self.previous_incarnations.get(name) else { return };
         let instance = incarnation.instance.as_ref();
@@ -263,7 +265,8 @@
         let runs = runs.filter(|(task, run)| run.target == *name && !self.is_long_running(**task));
         let runs: Vec<(TaskName, u32)> = runs.map(|(task, run)| (*task, run.attempt)).collect();
         for (task, attempt) in runs {
-            self.add_crash(task, TaskCrash::new(attempt, started_at), out);
+            let crash = TaskCrash::new(attempt, started_at);
+            self.add_crash(task, TaskCrash { is_explained: true, ..crash }, out);
         }
     }
 
