Charge no crash to long-running tasks that a new leader found

Callers saw a long-running task that was not started again although there was room, until its job was cancelled: it had been given up. Cause: a run that a new leader finds in a report counts as one that has just begun, so that a task that has lasted under the leader before is the only suspect of its target's crash. Two such crashes, in whatever time, give it up. Change: when a found run began is not known. A long-running one is not charged, as for runs in the rows of the leader before; another one is no suspect beside runs that had just started. Why it works: what a run has shown does not end with the leader that saw it. Measured: long_running_tasks_that_a_new_leader_finds_are_not_given_up failed before.

--- a/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
@@ -51,6 +51,16 @@
         self.is_sent && (self.confirmed_at.is_some() || self.open_starts > 0)
     }
 
+    /// Returns whether the run had just begun when its target was last heard from.
+    fn is_fresh(&self, last_contact_at: Moment) -> bool {
+        !self.is_found && !self.has_settled(last_contact_at)
+    }
+
+    /// Returns whether the run is long-running and may have lasted under the leader before.
+    fn may_have_lasted(&self) -> bool {
+        self.is_long_running && self.is_found
+    }
+
     /// Returns whether the run is long-running and has lasted, so that it is not the cause of a crash.
     pub(super) fn has_lasted(&self, now: Moment) -> bool {
         self.is_long_running && now.since(self.placed_at) >= PROBATION
@@ -68,7 +78,9 @@
     /// with it.
     pub(super) fn crashed_runs(&self, now: Moment) -> Vec<CrashedRun> {
         let charged = self.runs.iter();
-        let charged = charged.filter(|(_, run)| run.may_have_begun() && !run.has_lasted(now));
+        let charged = charged.filter(|(_, run)| {
+            run.may_have_begun() && !run.has_lasted(now) && !run.may_have_lasted()
+        });
         let mut charged: Vec<(CrashedRun, &Run)> = charged
             .map(|(task, run)| {
                 let id = RunId { task: *task, attempt: run.attempt };
@@ -83,7 +95,7 @@
                 }
             }
         };
-        let is_fresh = |run: &Run| !run.has_settled(self.last_contact_at);
+        let is_fresh = |run: &Run| run.is_fresh(self.last_contact_at);
         exonerate(&is_fresh);
         exonerate(&|run| run.is_isolated || !run.is_long_running || is_fresh(run));
         // Tasks of services share their targets with many others, crash after crash.
--- a/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
@@ -70,6 +70,7 @@
         stage: RunStage::Running,
         is_sent: true,
         placed_at: at,
+        is_found: false,
         confirmed_at: Some(at),
         percent: 0,
         unconfirmed_starts: 0,
@@ -370,7 +371,6 @@
 /// Guards against a long-running task that is never started again, as a new leader takes it for one that has just begun
 /// (reborn-behind-cut, seed 1).
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt"]
 fn long_running_tasks_that_a_new_leader_finds_are_not_given_up() {
     let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
     leader.add_job(JOB, job_row(true), None, true, &mut out);
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -432,6 +432,7 @@
             stage: RunStage::Planned,
             is_sent: false,
             placed_at: out.now,
+            is_found: false,
             confirmed_at: None,
             percent: 0,
             unconfirmed_starts: 0,
--- a/crates/magnoliapin_scheduler/src/leader/reconciliation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/reconciliation.rs
@@ -226,6 +226,7 @@
             stage: RunStage::Running,
             is_sent: true,
             placed_at: now,
+            is_found: true,
             confirmed_at: Some(now),
             percent: reported.percent,
             unconfirmed_starts: 0,
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -159,6 +159,8 @@
     pub(crate) is_sent: bool,
     /// When the run was placed on the target, or first seen in a report.
     pub(crate) placed_at: Moment,
+    /// Whether it was first seen in a report, so that it began at an earlier moment that is not known.
+    pub(crate) is_found: bool,
     /// When the target confirmed an order about it, or reported it.
     pub(crate) confirmed_at: Option<Moment>,
     pub(crate) percent: u32,
