Start suspects only on targets that have just answered

Callers saw a job shown as failed after a start that no target ever began; the start itself was lost, and its task waited for seconds. Cause: a placement trusts a target for up to 4.7 s after its last answer, as an idle one is not due to answer sooner. A task that runs apart after a crash goes to the emptiest target, which is often one that was cut off with the first and has not been missed yet. Change: a task that runs apart starts only on a target that has answered within 100 ms; others are asked for an answer at once, instead of the heartbeat that waits there, and are left out until they give it. Cost: a round trip for each such start. Why it works: a target that is cut off or down gives no answer, so that it gets no start. Measured: suspects_start_only_on_targets_that_have_just_answered failed before.

--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -63,7 +63,8 @@
             && target.is_same_incarnation
             && target.unstored.is_empty()
             && target.failed_heartbeats == 0
-            && target.challenge.is_none();
+            && target.challenge.is_none()
+            && !target.must_answer_now;
         let is_busy = target.runs.values().any(|run| !run.is_long_running);
         let (longest_wait, slack) = match is_busy {
             true => (times.busy_heartbeat_wait, times.busy_reply_slack),
@@ -87,6 +88,19 @@
         }
     }
 
+    /// Returns whether a target has just answered. Otherwise asks it to, instead of the heartbeat that waits there.
+    pub(super) fn is_certainly_up(&mut self, key: TargetKey, out: &mut Outbox) -> bool {
+        let Some(target) = self.targets.get_mut(&key) else { return false };
+        if target.has_just_answered(out.now) {
+            return true;
+        }
+        if !std::mem::replace(&mut target.must_answer_now, true) {
+            target.heartbeat = HeartbeatState::Pausing(out.now);
+            self.send_heartbeat(key, out);
+        }
+        false
+    }
+
     /// Handles the reply to a heartbeat.
     pub(super) fn handle_heartbeat_reply(
         &mut self,
@@ -152,6 +166,7 @@
             return;
         }
         target.failed_heartbeats += 1;
+        target.must_answer_now = false;
         target.is_same_incarnation = false;
         // A single lost reply is made up for at once, and it is soon known whether anybody listens there.
         let is_first = target.failed_heartbeats == 1;
@@ -206,6 +221,7 @@
         target.lapsed_runs.clear();
         let refuted = target.record_answer(sent_at);
         target.failed_heartbeats = 0;
+        target.must_answer_now = false;
         target.refused_heartbeats = 0;
         target.last_contact_at = target.last_contact_at.max(sent_at);
         target.clock = Some(ClockReading { clock_ms: report.clock_ms, read_at: now });
--- a/crates/magnoliapin_scheduler/src/leader/isolation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/isolation.rs
@@ -16,6 +16,10 @@
 use crate::leader::Leader;
 use crate::outbox::Outbox;
 
+#[cfg(test)]
+#[path = "isolation_tests.rs"]
+mod tests;
+
 /// Time for which nothing is started beside a long-running task that runs apart from others.
 const LONG_RUNNING_ISOLATION: Duration = Duration::from_secs(2);
 /// Maximum number of tasks with this many crashes that share a target.
@@ -61,7 +65,11 @@
             if !self.waits_for_isolation(job, task, pool, now) {
                 continue;
             }
+            // A start to a target that is cut off or down would be lost, and a crash there says nothing of the task.
             if let Some(index) = self.group_candidate(job, task, candidates) {
+                if !self.is_certainly_up(candidates[index].target, out) {
+                    continue;
+                }
                 self.start_task(job, task, candidates[index].target, out);
                 self.refresh_candidate(&mut candidates[index]);
                 continue;
@@ -72,7 +80,7 @@
             let has_room = self.is_empty(candidates[index].target)
                 || (!is_suspect && self.fits(job, task, &candidates[index]));
             if has_room {
-                if limit > 0 {
+                if limit > 0 && self.is_certainly_up(candidates[index].target, out) {
                     limit -= 1;
                     self.start_task(job, task, candidates[index].target, out);
                     self.refresh_candidate(&mut candidates[index]);
@@ -106,7 +114,8 @@
         task.is_some_and(|task| task.crashes.len() <= ISOLATION_CRASHES && task.own_crashes() == 0)
     }
 
-    /// Returns a candidate on which a task can join others with as few crashes.
+    /// Returns a candidate on which a task can join others with as few crashes. Those that have been asked for an answer
+    /// are left out until they give it.
     fn group_candidate(
         &self,
         job: JobKey,
@@ -118,9 +127,11 @@
         }
         let spec = self.jobs.get(&job)?.step_spec(task)?;
         let is_group = |candidate: &Candidate| {
-            let runs = &self.targets[&candidate.target].runs;
+            let target = &self.targets[&candidate.target];
+            let runs = &target.runs;
             let others = runs.iter().filter(|(_, run)| !run.is_long_running);
-            others.clone().count() < ISOLATION_GROUP
+            !target.must_answer_now
+                && others.clone().count() < ISOLATION_GROUP
                 && others.clone().any(|(_, run)| run.is_isolated)
                 && others
                     .into_iter()
@@ -170,7 +181,8 @@
     }
 
     /// Returns the candidate with the fewest runs that fits a task once it is empty, and that runs no
-    /// isolated tasks. Targets with long-running tasks come last, as they will not be empty soon.
+    /// isolated tasks. Targets with long-running tasks come last, as they will not be empty soon; those that have been
+    /// asked for an answer are left out until they give it.
     fn emptiest_candidate(
         &self,
         job: JobKey,
@@ -187,7 +199,9 @@
         let fitting = candidates.iter().enumerate().filter(|(_, candidate)| {
             let has_long_running = runs_of(candidate).0 > 0;
             let empty = if has_long_running { **candidate } else { candidate.emptied() };
-            !self.is_isolating(candidate.target, now) && self.fits_candidate(spec, task, &empty, 0)
+            !self.targets[&candidate.target].must_answer_now
+                && !self.is_isolating(candidate.target, now)
+                && self.fits_candidate(spec, task, &empty, 0)
         });
         fitting.min_by_key(|(_, candidate)| rank(candidate)).map(|(index, _)| index)
     }
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -74,6 +74,8 @@
     pub(crate) inherited_lease_until_ms: u64,
     /// State of the heartbeat loop.
     pub(crate) heartbeat: HeartbeatState,
+    /// Whether the heartbeat that is due or in flight must be answered at once.
+    pub(crate) must_answer_now: bool,
     /// Heartbeats that failed since the last one that was answered.
     pub(crate) failed_heartbeats: u32,
     /// The last of these in a row that its address refused, so that nobody listens there.
@@ -217,6 +219,7 @@
             lease_until_ms: 0,
             inherited_lease_until_ms: 0,
             heartbeat: HeartbeatState::Pausing(now),
+            must_answer_now: false,
             failed_heartbeats: 0,
             refused_heartbeats: 0,
             last_contact_at: now,
