Take answers to other starts for no sign of a run's target

Cause: the answer to a start does not tell which incarnation of the target gave it. A target that had started again behind a cut answered new starts, so that its end seemed to be noticed soon after its last answer, and the run before the cut was charged as at work; or it seemed to have just answered. Change: the last report counts, and for a run the answer to its own start.

--- a/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
@@ -113,18 +113,15 @@
     /// Returns whether the target was at work on a run when it ended, as far as can be told. A suspect that runs apart
     /// gets no benefit of the doubt.
     fn was_at_work(&self, run: &Run, now: Moment) -> bool {
-        let is_noticed_soon = now.since(self.last_answer_at()) < MAX_SILENCE;
+        // The answer to another start may be that of the next incarnation.
+        let heard_at =
+            run.confirmed_at.map_or(self.last_heard_at(), |at| at.max(self.last_heard_at()));
+        let is_noticed_soon = now.since(heard_at) < MAX_SILENCE;
         self.had_begun(run) && (is_noticed_soon || run.is_isolated)
     }
 
-    /// Returns whether the target has answered so lately that it is certainly up.
+    /// Returns whether the target has reported so lately that it is certainly up.
     pub(super) fn has_just_answered(&self, now: Moment) -> bool {
-        now.since(self.last_answer_at()) <= MAX_ANSWER_AGE
-    }
-
-    /// Returns when it last answered anything.
-    fn last_answer_at(&self) -> Moment {
-        let confirmed = self.runs.values().filter_map(|run| run.confirmed_at);
-        confirmed.fold(self.last_heard_at(), Moment::max)
+        now.since(self.last_heard_at()) <= MAX_ANSWER_AGE
     }
 }
