Do not suspect long-running tasks that outlasted the start of others

Callers saw no rule broken, but a long-running task given up, and not started again, although it had gone on for seconds each time. Cause: whether a run had settled is judged by the sending of the last answered heartbeat, which waits for 2 s at the target; as long a long-running task runs apart before others start beside it. A task that then crashes the target does so while the next heartbeat waits, so that both count as just started. Change: for long-running tasks the answer to a later start on the target counts as well.

--- a/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
@@ -95,7 +95,13 @@
                 }
             }
         };
-        let is_fresh = |run: &Run| run.is_fresh(self.last_contact_at);
+        // A heartbeat waits at the target for longer than a run takes to settle, while others start there.
+        let last_start_at = self.runs.values().filter_map(|run| run.confirmed_at).max();
+        let last_sign_at = self.last_contact_at.max(last_start_at.unwrap_or_default());
+        let is_fresh = |run: &Run| match run.is_long_running {
+            true => run.is_fresh(last_sign_at),
+            false => run.is_fresh(self.last_contact_at),
+        };
         exonerate(&is_fresh);
         exonerate(&|run| run.is_isolated || !run.is_long_running || is_fresh(run));
         // Tasks of services share their targets with many others, crash after crash.
--- a/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
@@ -393,3 +393,22 @@
     }
     assert!(!state_of(&leader, task(JOB, 0)).is_given_up());
 }
+
+/// Guards against a long-running task that is given up as it shares its target with one that crashes it: the heartbeat in
+/// flight waits there, so that the last one that was answered is older than both.
+#[test]
+fn tasks_that_lasted_until_the_last_answer_are_not_the_suspects() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    leader.add_job(JOB, job_row(true), None, false, &mut out);
+    let culprit = task(JobId(10), 0);
+    leader.add_job(culprit.job, job_row(false), None, false, &mut out);
+    let mut target = Target::new(target_record("i-9", 1), out.now);
+    let lasting = Run { is_long_running: true, is_isolated: true, ..running(1, out.now) };
+    target.add_run(task(JOB, 0), lasting);
+    out.now = out.now + Duration::from_secs(2);
+    target.add_run(culprit, running(1, out.now));
+    out.now = out.now + Duration::from_millis(20);
+    leader.record_crash(&target, &mut out);
+    assert!(state_of(&leader, task(JOB, 0)).crashes.is_empty());
+    assert_eq!(state_of(&leader, culprit).own_crashes(), 1);
+}
