Take a broken connection for the sign that an unanswered start arrived

Callers saw a job shown as failed with one target crashed under it: its other task had been started on a target that was down. Cause: an answer within 100 ms before the start counted as proof that the target had begun it. Where targets go down right after it, the start is still sent, and nobody begins it. Of 121 failed starts to targets that a task crashed, all failed within 40 ms, as the connection broke; starts to targets that are dark or cut off fail by their timeout, after 150 ms and more. Change: a start without an answer counts as begun if its call fails before the timeout. A call that fails with its agent does not count. Why it works: only a target that is up and reachable can break a connection that the start has just been sent on.

--- a/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
@@ -4,9 +4,9 @@
 //! others are.
 //!
 //! A target has crashed under a run only if it had begun the run and was still at work on it. Its answer to the
-//! start, or a report that lists the run, proves the former. A start without an answer proves nothing: a target that was
-//! cut off or down before leaves it unanswered as well, unless it had answered just before. Silence between the last
-//! answer and the end proves nothing either, as the run may have ended by itself meanwhile.
+//! start, or a report that lists the run, proves the former, and so does a connection that breaks after the start was
+//! sent. A start without an answer proves nothing: a target that was cut off or down before leaves it unanswered as well.
+//! Silence between the last answer and the end proves nothing either, as the run may have ended by itself meanwhile.
 
 use std::time::Duration;
 
@@ -112,16 +112,15 @@
     /// Returns whether the target, which has ended, had certainly begun a run.
     fn had_begun(&self, run: &Run) -> bool {
         let is_confirmed = run.confirmed_at.is_some() && run.stage == RunStage::Running;
-        // The target of a suspect that runs apart is asked before the start is sent.
-        is_confirmed || (run.is_isolated && run.follows_answer)
+        is_confirmed || run.has_broken_off
     }
 
     /// Returns whether the target was at work on a run when it ended, as far as can be told. A suspect that runs apart
     /// gets no benefit of the doubt.
     fn was_at_work(&self, run: &Run, now: Moment) -> bool {
         // The answer to another start may be that of the next incarnation.
-        let heard_at =
-            run.confirmed_at.map_or(self.last_heard_at(), |at| at.max(self.last_heard_at()));
+        let answered_at = if run.has_broken_off { run.start_sent_at } else { run.confirmed_at };
+        let heard_at = answered_at.map_or(self.last_heard_at(), |at| at.max(self.last_heard_at()));
         let is_noticed_soon = now.since(heard_at) < MAX_SILENCE;
         self.had_begun(run) && (is_noticed_soon || run.is_isolated)
     }
--- a/crates/magnoliapin_scheduler/src/leader/delegation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/delegation.rs
@@ -144,6 +144,12 @@
                 continue;
             }
             self.handle_target_reply(call, &TargetReply::Failed(failure), out);
+            if let Some(TargetCall::Start(key, run)) = sent.map(|sent| sent.kind) {
+                // The connection that broke is the one to the agent.
+                if let Some(run) = self.run_mut(key, run) {
+                    run.has_broken_off = false;
+                }
+            }
         }
     }
 }
--- a/crates/magnoliapin_scheduler/src/leader/incarnations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations.rs
@@ -211,11 +211,8 @@
         match request {
             TargetRequest::Start { run, .. } => {
                 self.lease_sent_at = Some(now);
-                let has_just_answered = self.has_just_answered(now);
                 if let Some(run) = self.runs.get_mut(&run.task) {
-                    if !std::mem::replace(&mut run.is_sent, true) {
-                        run.follows_answer = has_just_answered;
-                    }
+                    run.is_sent = true;
                     run.open_starts += 1;
                     run.start_sent_at = Some(now);
                 }
@@ -327,7 +324,7 @@
         // A run that has ended with its incarnation is not on the next one.
         self.is_sent = !self.is_confined(last_contact_at);
         self.is_listed = false;
-        self.follows_answer = false;
+        self.has_broken_off = false;
         self.awaits_report = true;
         self.confirmed_at = None;
         if self.stage != RunStage::Stopping {
--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -93,6 +93,7 @@
         reply: &TargetReply,
         out: &mut Outbox,
     ) {
+        let first_start_timeout = self.identity.times.first_start_timeout;
         let Some(run) = self.run_mut(key, id) else { return };
         run.record_start_reply(reply);
         match reply {
@@ -116,6 +117,8 @@
             }
             TargetReply::Failed(failure) if may_be_applied(*failure) => {
                 run.unconfirmed_starts += 1;
+                let sent_for = run.start_sent_at.map(|at| out.now.since(at));
+                run.has_broken_off |= sent_for.is_some_and(|time| time < first_start_timeout);
                 log::warn!(
                     "event=start_unanswered task={} attempt={} times={}",
                     id.task,
--- a/crates/magnoliapin_scheduler/src/leader/placement.rs
+++ b/crates/magnoliapin_scheduler/src/leader/placement.rs
@@ -438,7 +438,7 @@
             unconfirmed_starts: 0,
             open_starts: 0,
             start_sent_at: None,
-            follows_answer: false,
+            has_broken_off: false,
             is_listed: false,
             awaits_report: false,
             estimate_ms: spec.estimate_ms,
--- a/crates/magnoliapin_scheduler/src/leader/reconciliation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/reconciliation.rs
@@ -232,7 +232,7 @@
             unconfirmed_starts: 0,
             open_starts: 0,
             start_sent_at: None,
-            follows_answer: false,
+            has_broken_off: false,
             is_listed: true,
             awaits_report: false,
             estimate_ms: 0,
--- a/crates/magnoliapin_scheduler/src/leader/target.rs
+++ b/crates/magnoliapin_scheduler/src/leader/target.rs
@@ -172,8 +172,8 @@
     pub(crate) open_starts: u32,
     /// When the last start of it was sent.
     pub(crate) start_sent_at: Option<Moment>,
-    /// Whether its target had just answered when it was first sent a start.
-    pub(crate) follows_answer: bool,
+    /// Whether the connection broke on which a start of it was sent, and not only the answer is missing.
+    pub(crate) has_broken_off: bool,
     /// Whether a report of the target's current incarnation has listed it.
     pub(crate) is_listed: bool,
     /// Whether it was sent to an earlier incarnation, so that the first report of the current one shows
