Rewrite the rows of known targets whose runs have ended

A task that lost its run and waited for room did not start when there was room, as the next leader waited 12.3 s for the run again.

Cause: when a leader gives up the runs of an incarnation, or removes a target that is known again under its name, it drops the removal of the row ("another incarnation needs the row"), but nothing writes it anew. The row names the ended runs until other runs are recorded for the target, or for good. Each next leader waits for them for the longest lease.

Change: such a target's row is written with the runs that it has now.

Measured: rows_of_known_targets_name_no_runs_that_were_given_up failed before.

--- a/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
@@ -85,6 +85,8 @@
     heartbeats: u32,
     /// Whether the batch row listed the target as silent when its lease was extended.
     was_extended_while_silent: Option<bool>,
+    /// Assignment row of the target, once a leader has written it.
+    written_assignment: Option<AssignmentRow>,
 }
 
 impl FakeSite {
@@ -142,6 +144,9 @@
             StoreRequest::Commit(transaction) => {
                 let batch = transaction.writes.iter().find(|(row, _)| row.key == rows::BATCH_KEY);
                 self.batch = batch.map(|(_, value)| value.clone()).or(self.batch.take());
+                let assignment = transaction.writes.iter().find(|(row, _)| row.key == "i-1");
+                let assignment = assignment.and_then(|(_, value)| rows::decode(value));
+                self.written_assignment = assignment.or(self.written_assignment.take());
                 Some(StoreReply::Committed(version))
             }
             StoreRequest::Read(range) => {
@@ -386,6 +391,16 @@
     assert!(site.accounts_within(Duration::from_secs(5)));
 }
 
+/// Guards against a wait that each next leader begins anew, as the row of a target that was still registered when its
+/// runs were given up goes on naming them.
+#[test]
+fn rows_of_known_targets_name_no_runs_that_were_given_up() {
+    let mut site = FakeSite { is_registered: true, ..FakeSite::default() };
+    assert!(site.accounts_within(Duration::from_secs(13)));
+    let row = site.written_assignment.expect("the row is written");
+    assert_eq!((row.started_at, row.runs), (UnixMillis(7), Vec::new()));
+}
+
 /// Guards against a target that answers again and is leased while the next leader would not count on it.
 #[test]
 fn leases_of_targets_that_answer_again_are_extended_once_they_are_not_listed() {
--- a/crates/magnoliapin_scheduler/src/leader/records.rs
+++ b/crates/magnoliapin_scheduler/src/leader/records.rs
@@ -192,8 +192,12 @@
         let incarnations = recorded;
         let count = self.obsolete_rows.len().min(MAX_TARGETS_PER_BATCH - incarnations.len());
         let mut obsolete_rows: Vec<TargetName> = self.obsolete_rows.drain(..count).collect();
-        // Another incarnation with the same name needs the row.
-        obsolete_rows.retain(|name| !self.target_keys.contains_key(name));
+        // The row of a target that is still known, or has started again, states the runs that it has now.
+        obsolete_rows.retain(|name| {
+            let key = self.target_keys.get(name);
+            self.unrecorded.extend(key);
+            key.is_none()
+        });
         for name in &obsolete_rows {
             transaction = transaction.with_removal(rows::assignment_row(name));
         }
