Tell the next leader how long leases last before a planned stop

A leader lists a silent target only after three failed heartbeats. A heartbeat to a target that runs nothing but long-running tasks waits 2 s and times out after 2.7 s, so the third fails up to 4.3 s after the loss, and a target with a start that nobody has answered is never listed. A leader that is stopped before has told nothing: the next one waits 2 s and the longest lease, 12.3 s in all. And a leader that has just taken over takes the first report of each target to come with the longest lease, 10 s, though its predecessor grants 6 s at most: a target lost soon after waits for it.

Change: a leader that is stopped lists all targets with runs, each with the rest of its lease, and the starts that have no reply, in a last batch before it releases its own lease; it waits 0.3 s for that at most. The next leader uses the rest for targets that stay silent, and for the first report of the same incarnation. As before, leases of listed targets are not extended until a batch without them is stored.

--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -215,6 +215,7 @@
         out: &mut Outbox,
     ) {
         let now = out.now;
+        let inherited_lease = self.inherited_lease(key, report.started_at, now);
         let Some(target) = self.targets.get_mut(&key) else { return };
         let was_unresponsive = target.failed_heartbeats > 0;
         // The incarnation lives, so they have ended with their lease.
@@ -227,7 +228,7 @@
         target.clock = Some(ClockReading { clock_ms: report.clock_ms, read_at: now });
         let is_first = !target.has_reported;
         if is_first {
-            target.begin_contact(report.clock_ms, self.identity.times.max_lease);
+            target.begin_contact(report.clock_ms, inherited_lease);
         }
         if is_first || was_unresponsive {
             log::info!(
--- a/crates/magnoliapin_scheduler/src/leader/incarnations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations.rs
@@ -228,10 +228,10 @@
 
     /// Records the first report under its fence, with a reading of its clock. It refuses the starts that
     /// were sent before, which its next incarnation may still carry out, and one of these calls may have
-    /// extended the lease.
-    pub(super) fn begin_contact(&mut self, clock_ms: u64, max_lease: Duration) {
-        let max_lease_ms = u64::try_from(max_lease.as_millis()).unwrap_or(u64::MAX);
-        self.inherited_lease_until_ms = clock_ms.saturating_add(max_lease_ms);
+    /// extended the lease, which then lasts for `inherited_lease` at most.
+    pub(super) fn begin_contact(&mut self, clock_ms: u64, inherited_lease: Duration) {
+        let inherited_lease_ms = u64::try_from(inherited_lease.as_millis()).unwrap_or(u64::MAX);
+        self.inherited_lease_until_ms = clock_ms.saturating_add(inherited_lease_ms);
     }
 
     /// Returns the runs that have ended with their lease while the target is silent; `None` if the lease
@@ -258,10 +258,21 @@
 impl Target {
     /// Returns the end of its lease while it is silent and has runs, if no other incarnation can have them.
     pub(super) fn silent_lease_end(&self) -> Option<Moment> {
-        let is_silent = self.has_reported && self.failed_heartbeats >= SILENT_AFTER_FAILURES;
-        let has_runs = !self.runs.is_empty();
+        let is_silent = self.failed_heartbeats >= SILENT_AFTER_FAILURES;
         let is_confined = || self.runs.values().all(|run| run.is_confined(self.last_contact_at));
-        (is_silent && has_runs && is_confined()).then(|| self.lease_end()).flatten()
+        (is_silent && is_confined()).then(|| self.used_lease_end()).flatten()
+    }
+
+    /// Returns the end of its lease if it has reported and has runs.
+    pub(super) fn used_lease_end(&self) -> Option<Moment> {
+        (self.has_reported && !self.runs.is_empty()).then(|| self.lease_end()).flatten()
+    }
+
+    /// Returns its runs of which a start without a reply may still arrive, each with the time until then.
+    pub(super) fn open_starts(&self) -> impl Iterator<Item = (TaskName, Moment)> + '_ {
+        let is_open = |run: &Run| run.open_starts > 0 && !run.is_confined(self.last_contact_at);
+        let open = self.runs.iter().filter(move |(_, run)| is_open(run));
+        open.filter_map(|(task, run)| Some((*task, run.start_sent_at? + MAX_ORDER_DELAY)))
     }
 }
 
--- a/crates/magnoliapin_scheduler/src/leader/late_starts.rs
+++ b/crates/magnoliapin_scheduler/src/leader/late_starts.rs
@@ -120,6 +120,16 @@
 }
 
 impl Leader {
+    /// Adds the starts whose replies this leader may not wait for.
+    pub(super) fn add_open_starts(&mut self, now: Moment) {
+        for target in self.targets.values() {
+            for (task, until) in target.open_starts() {
+                let name = target.record.name.clone();
+                self.late_starts.add_unanswered(task, name, until, now);
+            }
+        }
+    }
+
     /// Lets the tasks wait for starts of the leader before. Whether their runs are lost is not known yet.
     pub(super) fn inherit_late_starts(&mut self, now: Moment) {
         for row in std::mem::take(&mut self.inherited_late_starts) {
--- a/crates/magnoliapin_scheduler/src/leader/lease.rs
+++ b/crates/magnoliapin_scheduler/src/leader/lease.rs
@@ -28,6 +28,9 @@
 /// Timeout of a renewal that follows one without a reply.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Longest time for which a release waits until the leases of the targets are recorded.
+const MAX_HANDOVER_TIME: Duration = Duration::from_millis(300);
+
 /// State of the lease renewal.
 #[derive(Debug)]
 pub(crate) struct Renewal {
@@ -37,6 +40,8 @@
     /// Whether the last one failed.
     has_failed: bool,
     pub(super) is_releasing: bool,
+    /// Until when a release waits for a batch that lists the leases of the targets.
+    handover_until: Option<Moment>,
     /// When the renewal was sent that releases the lease.
     release_sent_at: Option<Moment>,
     is_released: bool,
@@ -50,20 +55,38 @@
             in_flight_since: None,
             has_failed: false,
             is_releasing: false,
+            handover_until: None,
             release_sent_at: None,
             is_released: false,
         }
     }
+
+    /// Returns whether the leases of the targets must be recorded before the lease is released.
+    pub(super) fn is_handing_over(&self, now: Moment) -> bool {
+        self.handover_until.is_some_and(|until| now < until)
+    }
 }
 
 impl Leader {
-    /// Releases the lease with an immediate renewal, so that another node can acquire it without
-    /// waiting for it to expire.
+    /// Releases the lease, so that another node can acquire it without waiting for it to expire. Before that, a
+    /// batch records how long the leases of the targets last, which the next leader cannot know otherwise.
     pub(crate) fn release(&mut self, out: &mut Outbox) {
+        let has_runs = self.targets.values().any(|target| target.used_lease_end().is_some());
+        if !self.renewal.is_releasing && has_runs && self.phase == LeaderPhase::Active {
+            self.renewal.handover_until = Some(out.now + MAX_HANDOVER_TIME);
+            self.add_open_starts(out.now);
+        }
         self.renewal.is_releasing = true;
         self.renewal.next_at = out.now;
     }
 
+    /// Lets the release go on, as the batch that lists the leases of the targets is stored.
+    pub(super) fn end_handover(&mut self, out: &mut Outbox) {
+        if self.renewal.handover_until.take().is_some() {
+            self.poll_lease(out);
+        }
+    }
+
     /// Returns whether the store has confirmed the release of the lease.
     pub(crate) fn is_released(&self) -> bool {
         self.renewal.is_released
@@ -71,7 +94,8 @@
 
     /// Renews the lease when the renewal is due.
     pub(super) fn poll_lease(&mut self, out: &mut Outbox) {
-        if self.renewal.is_released || out.now < self.renewal.next_at {
+        let is_due = out.now >= self.renewal.next_at && !self.renewal.is_handing_over(out.now);
+        if self.renewal.is_released || !is_due {
             return;
         }
         // A renewal that got lost must not delay the next one until its timeout. That which releases
--- a/crates/magnoliapin_scheduler/src/leader/previous_runs.rs
+++ b/crates/magnoliapin_scheduler/src/leader/previous_runs.rs
@@ -12,6 +12,7 @@
 use magnoliapin_site::TeamName;
 
 use crate::leader::target::Target;
+use crate::leader::target::TargetKey;
 use crate::leader::Leader;
 use crate::outbox::Outbox;
 use crate::rows::AssignmentBatchRow;
@@ -36,6 +37,20 @@
     pub(super) silent_for: Duration,
 }
 
+impl PreviousIncarnation {
+    /// Returns when its leases end that leaders before the takeover at `acquired_at` have granted; `None` if the
+    /// batch row does not tell.
+    pub(super) fn known_lease_end(
+        &self,
+        acquired_at: Moment,
+        longest_lease: Duration,
+    ) -> Option<Moment> {
+        // Nothing was started on a target while the batch row listed it.
+        let is_listed = !self.silent_for.is_zero();
+        is_listed.then(|| acquired_at + longest_lease.saturating_sub(self.silent_for))
+    }
+}
+
 /// Targets that the batch row lists, or may list, as silent. Their leases must not be extended.
 #[derive(Debug)]
 pub(super) struct SilentTargets {
@@ -173,12 +188,8 @@
         }
         let longest_lease = self.longest_lease();
         let is_expired = |incarnation: &PreviousIncarnation| {
-            // Nothing was started on a target while the batch row listed it as silent.
-            let last_start_at = match incarnation.silent_for.is_zero() {
-                true => self.previous_starts_until(),
-                false => self.acquired_at,
-            };
-            out.now > last_start_at + longest_lease.saturating_sub(incarnation.silent_for)
+            let known_end = incarnation.known_lease_end(self.acquired_at, longest_lease);
+            out.now > known_end.unwrap_or_else(|| self.previous_starts_until() + longest_lease)
         };
         let expired: Vec<TargetName> = self
             .previous_incarnations
@@ -222,18 +233,45 @@
         self.identity.times.max_lease.div_f64(1.0 - CLOCK_DRIFT) + LEASE_SLACK
     }
 
-    /// Returns the targets that have not reported yet, and those that have fallen silent with runs. Each has
-    /// the time for which no leader can have extended its leases, in milliseconds; a shorter lease counts as
-    /// a longest one that was granted earlier.
+    /// Returns for how long the leases may last that earlier leaders have granted to an incarnation of a target.
+    pub(super) fn inherited_lease(
+        &self,
+        key: TargetKey,
+        started_at: UnixMillis,
+        now: Moment,
+    ) -> Duration {
+        let max_lease = self.identity.times.max_lease;
+        let name = self.targets.get(&key).map(|target| &target.record.name);
+        let incarnation = name.and_then(|name| self.previous_incarnations.get(name));
+        // Without starts, it may be another incarnation.
+        let is_same = started_at != UnixMillis::default();
+        let incarnation = incarnation.filter(|known| is_same && known.started_at == started_at);
+        let known_end = incarnation
+            .and_then(|known| known.known_lease_end(self.acquired_at, self.longest_lease()));
+        known_end.map_or(max_lease, |end| end.since(now).min(max_lease))
+    }
+
+    /// Returns the targets that have not reported yet, those that have fallen silent with runs, and all with runs
+    /// once this leader hands over. Each has the time for which no leader can have extended its leases, in
+    /// milliseconds; a shorter lease counts as a longest one that was granted earlier.
     pub(super) fn silent_targets(&self, now: Moment) -> Vec<(TargetName, u64)> {
         let since_takeover = now.since(self.acquired_at);
-        let is_listed = since_takeover >= MIN_SILENCE;
-        let inherited = self.previous_incarnations.iter().filter(|_| is_listed);
-        let inherited =
-            inherited.map(|(name, incarnation)| (name, since_takeover + incarnation.silent_for));
+        // Those that the leader before has listed stay listed until they report.
+        let is_listed = |incarnation: &PreviousIncarnation| {
+            since_takeover >= MIN_SILENCE || !incarnation.silent_for.is_zero()
+        };
+        let inherited = self.previous_incarnations.iter();
+        let inherited = inherited
+            .filter(|(_, incarnation)| is_listed(incarnation))
+            .map(|(name, incarnation)| (name, since_takeover + incarnation.silent_for));
         let longest_lease = self.longest_lease();
+        let hands_over = self.renewal.is_releasing;
         let silent = self.targets.values().filter_map(|target| {
-            let left = target.silent_lease_end()?.since(now);
+            let lease_end = match hands_over {
+                true => target.used_lease_end(),
+                false => target.silent_lease_end(),
+            };
+            let left = lease_end?.since(now);
             Some((&target.record.name, longest_lease.saturating_sub(left)))
         });
         let not_inherited =
@@ -249,6 +287,9 @@
     /// Returns whether the batch row must list other silent targets than it does: one has reported
     /// and waits for its lease, or others have been silent, or have been so for longer.
     pub(super) fn must_record_silence(&self, now: Moment) -> bool {
+        if self.renewal.is_releasing {
+            return self.renewal.is_handing_over(now);
+        }
         let has_fallen_silent = |target: &Target| target.silent_lease_end().is_some();
         let may_answer = |name: &TargetName| {
             let target = self.target_keys.get(name).and_then(|key| self.targets.get(key));
--- a/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/previous_runs_tests.rs
@@ -236,6 +236,12 @@
         let pools = ["pool", "other"].into_iter().map(|name| (PoolName::new(name), rule)).collect();
         let config = Rc::new(SiteConfig { pools, ..SiteConfig::default() });
         let mut leader = Leader::new(identity(), lease, config, Vec::new(), None, &mut out);
+        self.lead_on(&mut leader, &mut out, time);
+        (leader, out)
+    }
+
+    /// Runs a leader until a time after its start.
+    fn lead_on(&mut self, leader: &mut Leader, out: &mut Outbox, time: Duration) {
         while out.now < Moment::START + time {
             let mut actions = Vec::new();
             out.take_actions(&mut actions);
@@ -243,24 +249,31 @@
                 match action {
                     NodeAction::Store { call, request, .. } => {
                         if let Some(reply) = self.store_reply(&request) {
-                            leader.handle_store_reply(call, &reply, &mut out);
+                            leader.handle_store_reply(call, &reply, out);
                         }
                     }
                     NodeAction::Instances { call, .. } => {
-                        leader.handle_instance_reply(call, &self.instance_reply(), &mut out);
+                        leader.handle_instance_reply(call, &self.instance_reply(), out);
                     }
                     NodeAction::Target { call, target, request, .. } => {
                         let reply = self.target_reply(&target, &request, out.now);
-                        leader.handle_target_reply(call, &reply, &mut out);
+                        leader.handle_target_reply(call, &reply, out);
                     }
                     _ => {}
                 }
             }
             out.now = out.now + TICK;
-            leader.tick(&mut out);
-            leader.finish_batch(&mut out);
+            leader.tick(out);
+            leader.finish_batch(out);
         }
-        (leader, out)
+    }
+
+    /// Runs a new leader for a time, and then stops it as planned.
+    fn lead_until_stop(&mut self, time: Duration) -> Leader {
+        let (mut leader, mut out) = self.lead(time);
+        leader.release(&mut out);
+        self.lead_on(&mut leader, &mut out, time + TICK * 4);
+        leader
     }
 }
 
@@ -391,6 +404,52 @@
     assert!(site.accounts_within(Duration::from_secs(5)));
 }
 
+/// Guards against the same where the leader is stopped before it has noticed the silence for sure.
+#[test]
+fn wait_for_a_target_that_has_just_fallen_silent_goes_on_after_a_planned_stop() {
+    let mut site = FakeSite::falling_silent();
+    let leader = site.lead_until_stop(Duration::from_millis(3_050));
+    assert!(leader.is_released());
+    site.answers_from = None;
+    site.answers_until = None;
+    // The longest lease, which its first report may have come with, ends 6.9 s after the takeover.
+    assert!(!site.clone().accounts_within(Duration::from_secs(6)));
+    assert!(site.accounts_within(Duration::from_secs(8)));
+}
+
+/// Guards against a wait for the longest lease of a target that is lost just after a planned change of leader.
+#[test]
+fn leases_of_a_stopped_leader_are_known_to_the_next_one() {
+    let mut site = FakeSite {
+        answers_until: Some(Moment::START + Duration::from_secs(60)),
+        ..FakeSite::falling_silent()
+    };
+    site.lead_until_stop(Duration::from_secs(20));
+    site.answers_until = Some(Moment::START + Duration::from_millis(500));
+    let has_run_after = |time| {
+        let (leader, _) = site.clone().lead(time);
+        leader.targets.values().any(|target| !target.runs.is_empty())
+    };
+    assert!(has_run_after(Duration::from_millis(3_500)));
+    assert!(!has_run_after(Duration::from_millis(6_000)));
+}
+
+/// Guards against targets whose leases run out after a planned change of leader, as the row goes on listing them.
+#[test]
+fn leases_are_extended_soon_after_a_planned_stop() {
+    let mut site = FakeSite {
+        answers_until: Some(Moment::START + Duration::from_secs(60)),
+        ..FakeSite::falling_silent()
+    };
+    site.lead_until_stop(Duration::from_secs(3));
+    assert!(site.lists_silent_target());
+    site.was_extended_while_silent = None;
+    let (leader, _) = site.lead(Duration::from_secs(1));
+    assert!(!site.lists_silent_target());
+    assert_eq!(site.was_extended_while_silent, Some(false));
+    assert!(leader.targets.values().all(|target| target.lease_until_ms > 0));
+}
+
 /// Guards against a wait that each next leader begins anew, as the row of a target that was still registered when its
 /// runs were given up goes on naming them.
 #[test]
--- a/crates/magnoliapin_scheduler/src/leader/records.rs
+++ b/crates/magnoliapin_scheduler/src/leader/records.rs
@@ -55,6 +55,8 @@
 pub(super) struct RecordBatch {
     sent_at: Moment,
     row: AssignmentBatchRow,
+    /// Whether it lists the leases of the targets for the next leader.
+    hands_over: bool,
     incarnations: Vec<RecordedIncarnation>,
     obsolete_rows: Vec<TargetName>,
     orders: Vec<PlannedOrder>,
@@ -211,6 +213,7 @@
             LeaderCall::Record(RecordBatch {
                 sent_at: out.now,
                 row,
+                hands_over: self.renewal.is_releasing,
                 incarnations,
                 obsolete_rows,
                 orders,
@@ -288,6 +291,9 @@
     /// Sends the starts and the orders to instances that a stored batch has recorded.
     fn send_recorded_orders(&mut self, batch: RecordBatch, out: &mut Outbox) {
         self.silent_targets.set_announced(&batch.row);
+        if batch.hands_over {
+            self.end_handover(out);
+        }
         let announces_unrecorded =
             batch.row.has_unrecorded_runs && !self.may_have_unrecorded_runs();
         if announces_unrecorded && !self.records.sends_unrecorded_starts {
