--- a/crates/magnoliapin_scheduler/tests/soak/faults.rs
+++ b/crates/magnoliapin_scheduler/tests/soak/faults.rs
@@ -61,6 +61,8 @@
     pub(crate) cut_targets: BTreeSet<usize>,
     /// Target on which nearly all runs fail.
     pub(crate) failing_target: Option<usize>,
+    /// Whether nodes stop and start only as planned work, which counts as no fault.
+    pub(crate) restarts_are_planned: bool,
 }
 
 /// How the store behaves.
@@ -104,6 +106,10 @@
 }
 
 impl FaultChange {
+    fn restarts_node(self) -> bool {
+        matches!(self, Self::KillNode(_) | Self::StartNode(_) | Self::StopNode(_))
+    }
+
     fn affects_only_targets(self) -> bool {
         matches!(
             self,
@@ -268,7 +274,9 @@
         if !is_effective {
             return;
         }
-        self.faults.changed_at = self.now;
+        if !(self.faults.restarts_are_planned && change.restarts_node()) {
+            self.faults.changed_at = self.now;
+        }
         log_printer::set_context(self.now.0, site::NODES);
         log::info!("event=fault change={change:?}");
         if !change.affects_only_targets() {
