Charge a run that the next incarnation may have begun as an uncertain cause

Change: the crash counts towards running apart and towards the limit of five, but the run is not its certain cause.

--- a/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
@@ -112,8 +112,7 @@
     /// Returns whether the target, which has ended, had certainly begun a run.
     fn had_begun(&self, run: &Run) -> bool {
         let is_confirmed = run.confirmed_at.is_some() && run.stage == RunStage::Running;
-        // If an earlier start got no answer, the next incarnation may have answered this one.
-        (is_confirmed && (run.is_listed || run.open_starts == 0)) || run.has_broken_off
+        is_confirmed || run.has_broken_off
     }
 
     /// Returns whether the target was at work on a run when it ended, as far as can be told. A suspect that runs apart
@@ -123,7 +122,9 @@
         let answered_at = if run.has_broken_off { run.start_sent_at } else { run.confirmed_at };
         let heard_at = answered_at.map_or(self.last_heard_at(), |at| at.max(self.last_heard_at()));
         let is_noticed_soon = now.since(heard_at) < MAX_SILENCE;
-        self.had_begun(run) && (is_noticed_soon || run.is_isolated)
+        // If an earlier start got no answer, the next incarnation may have answered this one.
+        let is_by_other = run.open_starts > 0 && !run.is_listed && !run.has_broken_off;
+        self.had_begun(run) && !is_by_other && (is_noticed_soon || run.is_isolated)
     }
 
     /// Returns whether the target has reported so lately that it is certainly up.
--- a/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
@@ -433,19 +433,17 @@
     }
 }
 
-/// Guards against a crash that is charged to a run which the next incarnation has begun: the start before went to the
-/// earlier one while that was silent, and only the repeated one was answered.
+/// Guards against a crash of which a run is the certain cause that the next incarnation has begun: the start before went
+/// to the earlier one while that was silent, and only the repeated one was answered.
 #[test]
-fn repeated_starts_that_the_next_incarnation_answers_are_not_charged() {
-    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
-    leader.add_job(JOB, job_row(false), None, false, &mut out);
-    for (open_starts, is_listed, expected) in [(1, false, 0), (1, true, 1), (0, false, 2)] {
-        let attempt = expected + 1;
-        let mut target = Target::new(target_record("i-9", u64::from(attempt)), out.now);
-        let run = running(attempt, out.now);
-        target.add_run(task(JOB, 0), Run { open_starts, is_listed, is_isolated: false, ..run });
-        out.now = out.now + Duration::from_secs(2);
+fn repeated_starts_that_the_next_incarnation_may_answer_are_no_certain_cause() {
+    for (open_starts, is_listed, expected) in [(1, false, 0), (1, true, 1), (0, false, 1)] {
+        let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+        leader.add_job(JOB, job_row(false), None, false, &mut out);
+        let mut target = Target::new(target_record("i-9", 1), out.now);
+        target.add_run(task(JOB, 0), Run { open_starts, is_listed, ..running(1, out.now) });
+        out.now = out.now + Duration::from_millis(20);
         leader.record_crash(&target, &mut out);
-        assert_eq!(state_of(&leader, task(JOB, 0)).crashes.len() as u32, expected);
+        assert_eq!(state_of(&leader, task(JOB, 0)).own_crashes(), expected);
     }
 }
