Let the answer to a replaced heartbeat begin no series of its own

Cause: the heartbeat that is replaced by the question stays open at the target; its late answer was handled like that of the current one, and sent another beside it, for as long as the target lasts. Change: only the answer to the current heartbeat sends the next one. A question also counts against the number of targets that run tasks apart, so that twenty suspects ask no more targets than they may use. Measured: answers_to_replaced_heartbeats_begin_no_series_of_their_own failed before.

--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -282,14 +282,16 @@
         self.reconcile(key, sent_at, report, out);
         self.adopt_unlisted_runs(key, &unlisted_runs, out);
         self.acknowledge_completions(key, now);
-        if let Some(target) = self.targets.get_mut(&key) {
-            let pause =
-                if target.unstored.is_empty() { Duration::ZERO } else { UNSTORED_COMPLETION_PAUSE };
-            target.heartbeat = HeartbeatState::Pausing(now + pause);
-        }
         self.mark_for_dispatch(&pool);
-        let is_due = self.targets.get(&key).is_some_and(Target::is_ready_for_heartbeat);
-        if is_due {
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        // A heartbeat that has been replaced by a later one begins no loop of its own.
+        if matches!(target.heartbeat, HeartbeatState::InFlight(_, at) if at != sent_at) {
+            return;
+        }
+        let pause =
+            if target.unstored.is_empty() { Duration::ZERO } else { UNSTORED_COMPLETION_PAUSE };
+        target.heartbeat = HeartbeatState::Pausing(now + pause);
+        if target.is_ready_for_heartbeat() {
             self.send_heartbeat(key, out);
         }
     }
--- a/crates/magnoliapin_scheduler/src/leader/isolation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/isolation.rs
@@ -80,10 +80,13 @@
             let has_room = self.is_empty(candidates[index].target)
                 || (!is_suspect && self.fits(job, task, &candidates[index]));
             if has_room {
-                if limit > 0 && self.is_certainly_up(candidates[index].target, out) {
+                if limit > 0 {
+                    // One that must answer first is kept for it.
                     limit -= 1;
-                    self.start_task(job, task, candidates[index].target, out);
-                    self.refresh_candidate(&mut candidates[index]);
+                    if self.is_certainly_up(candidates[index].target, out) {
+                        self.start_task(job, task, candidates[index].target, out);
+                        self.refresh_candidate(&mut candidates[index]);
+                    }
                 }
             } else if reserved > 0 {
                 reserved -= 1;
--- a/crates/magnoliapin_scheduler/src/leader/isolation_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/isolation_tests.rs
@@ -22,19 +22,23 @@
 use crate::rows::TaskCrash;
 use crate::NodeAction;
 
-/// Delivers a report without runs as the answer to the heartbeat in flight.
-fn answer(leader: &mut Leader, key: TargetKey, out: &mut Outbox) {
-    let HeartbeatState::InFlight(_, sent_at) = leader.targets[&key].heartbeat else {
-        panic!("no heartbeat is in flight");
-    };
-    let report = RunReport {
+/// Returns a report without runs.
+fn report(out: &Outbox) -> TargetReply {
+    TargetReply::Report(RunReport {
         clock_ms: out.now.0 / 1_000,
         started_at: UnixMillis(1),
         running: Vec::new(),
         completions: Vec::new(),
         has_more_completions: false,
+    })
+}
+
+/// Delivers a report without runs as the answer to the heartbeat in flight.
+fn answer(leader: &mut Leader, key: TargetKey, out: &mut Outbox) {
+    let HeartbeatState::InFlight(_, sent_at) = leader.targets[&key].heartbeat else {
+        panic!("no heartbeat is in flight");
     };
-    leader.handle_heartbeat_reply(key, sent_at, &TargetReply::Report(report), out);
+    leader.handle_heartbeat_reply(key, sent_at, &report(out), out);
 }
 
 /// Returns the waits that the heartbeats sent since the last call ask for.
@@ -77,7 +81,29 @@
     }
     assert_eq!(heartbeat_waits(&mut out), [Duration::ZERO], "the target is asked once");
     answer(&mut leader, key, &mut out);
+    heartbeat_waits(&mut out);
     let mut candidates = leader.candidate_targets(&pool, out.now);
     leader.place_isolated(&pool, &mut candidates, &mut out);
     assert_eq!(state(&leader), Some(TaskState::Placed(key)));
 }
+
+/// Guards against a second series of heartbeats to a target, begun by the answer to one that has been replaced by the
+/// question whether it is up.
+#[test]
+fn answers_to_replaced_heartbeats_begin_no_series_of_their_own() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    leader.apply_record(target_record("i-7", 1), &mut out);
+    let key = leader.target_keys[&TargetName::new("i-7")];
+    leader.send_heartbeat(key, &mut out);
+    answer(&mut leader, key, &mut out);
+    let HeartbeatState::InFlight(_, replaced_at) = leader.targets[&key].heartbeat else {
+        panic!("no heartbeat is in flight");
+    };
+    out.now = out.now + Duration::from_secs(1);
+    assert!(!leader.is_certainly_up(key, &mut out));
+    answer(&mut leader, key, &mut out);
+    heartbeat_waits(&mut out);
+    out.now = out.now + Duration::from_millis(500);
+    leader.handle_heartbeat_reply(key, replaced_at, &report(&out), &mut out);
+    assert!(heartbeat_waits(&mut out).is_empty());
+}
