Take a broken connection for less where it may be an old one

Cause: a target that has started again unnoticed breaks its old connections at once, so that a start on one fails within milliseconds although nobody has begun it, and the break counted as a sign of life at that moment; a start by an agent may time out 1 to 2 ms before the leader's time for it; and a start that failed with its agent took back an earlier break. Change: a break within 75 ms shows that the start arrived, but how soon the end is noticed counts from the last report; a failed agent leaves what was known.

--- a/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
@@ -119,8 +119,8 @@
     /// gets no benefit of the doubt.
     fn was_at_work(&self, run: &Run, now: Moment) -> bool {
         // The answer to another start may be that of the next incarnation.
-        let answered_at = if run.has_broken_off { run.start_sent_at } else { run.confirmed_at };
-        let heard_at = answered_at.map_or(self.last_heard_at(), |at| at.max(self.last_heard_at()));
+        let heard_at =
+            run.confirmed_at.map_or(self.last_heard_at(), |at| at.max(self.last_heard_at()));
         let is_noticed_soon = now.since(heard_at) < MAX_SILENCE;
         // If an earlier start got no answer, the next incarnation may have answered this one.
         let is_by_other = run.open_starts > 0 && !run.is_listed && !run.has_broken_off;
--- a/crates/magnoliapin_scheduler/src/leader/delegation.rs
+++ b/crates/magnoliapin_scheduler/src/leader/delegation.rs
@@ -143,12 +143,17 @@
                 }
                 continue;
             }
+            let started = sent.and_then(|sent| match sent.kind {
+                TargetCall::Start(key, run) => Some((key, run)),
+                TargetCall::Heartbeat(..) | TargetCall::Stop(..) => None,
+            });
+            let has_broken_off = started
+                .and_then(|(key, run)| self.run_mut(key, run))
+                .is_some_and(|run| run.has_broken_off);
             self.handle_target_reply(call, &TargetReply::Failed(failure), out);
-            if let Some(TargetCall::Start(key, run)) = sent.map(|sent| sent.kind) {
-                // The connection that broke is the one to the agent.
-                if let Some(run) = self.run_mut(key, run) {
-                    run.has_broken_off = false;
-                }
+            // The connection that broke now is the one to the agent.
+            if let Some(run) = started.and_then(|(key, run)| self.run_mut(key, run)) {
+                run.has_broken_off = has_broken_off;
             }
         }
     }
--- a/crates/magnoliapin_scheduler/src/leader/orders.rs
+++ b/crates/magnoliapin_scheduler/src/leader/orders.rs
@@ -22,6 +22,9 @@
 mod tests;
 
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time within which a start fails whose connection breaks, as its target ends. It is shorter than the timeout of a start,
+/// less what the clock of an agent may be off.
+const MAX_BREAK_TIME: Duration = Duration::from_millis(75);
 /// Starts without a reply after which the run is stopped instead: the target may have started it,
 /// and only a stop guarantees that it does not start later.
 const MAX_UNCONFIRMED_STARTS: u32 = 3;
@@ -93,7 +96,6 @@
         reply: &TargetReply,
         out: &mut Outbox,
     ) {
-        let first_start_timeout = self.identity.times.first_start_timeout;
         let Some(run) = self.run_mut(key, id) else { return };
         run.record_start_reply(reply);
         match reply {
@@ -118,7 +120,7 @@
             TargetReply::Failed(failure) if may_be_applied(*failure) => {
                 run.unconfirmed_starts += 1;
                 let sent_for = run.start_sent_at.map(|at| out.now.since(at));
-                run.has_broken_off |= sent_for.is_some_and(|time| time < first_start_timeout);
+                run.has_broken_off |= sent_for.is_some_and(|time| time < MAX_BREAK_TIME);
                 log::warn!(
                     "event=start_unanswered task={} attempt={} times={}",
                     id.task,
