Do not charge runs that the next incarnation of their target reports

Cause: a target that starts again under its name unnoticed answers a start; the answer counts for the incarnation that the leader knows. When the next report then shows the new one, the run that is at work there was charged with the end of the one before, as its certain cause, and stopped. Change: an answer to the start of a run that only the next incarnation has listed counts for that one. Measured: runs_that_the_next_incarnation_reports_are_not_charged failed before. Not covered: where a list or a registration shows the end before such a report.

--- a/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crashes_tests.rs
@@ -447,3 +447,27 @@
         assert_eq!(state_of(&leader, task(JOB, 0)).own_crashes(), expected);
     }
 }
+
+/// Guards against a crash that is charged to a run which its next incarnation has begun and answered, before the leader
+/// knows of that one.
+#[test]
+fn runs_that_the_next_incarnation_reports_are_not_charged() {
+    let (mut leader, mut out) = FakeSite::default().lead(Duration::from_secs(2));
+    leader.add_job(JOB, job_row(false), None, false, &mut out);
+    let key = TargetKey(77);
+    let mut target = Target::new(target_record("i-9", 1), out.now);
+    target.has_reported = true;
+    let run = RunId { task: task(JOB, 0), attempt: 1 };
+    target.add_run(run.task, Run { is_listed: false, ..running(1, out.now) });
+    leader.targets.insert(key, target);
+    let report = RunReport {
+        clock_ms: out.now.0 / 1_000,
+        started_at: UnixMillis(2),
+        running: vec![RunningTask { run, ..RunningTask::default() }],
+        completions: Vec::new(),
+        has_more_completions: false,
+    };
+    leader.handle_heartbeat_reply(key, out.now, &TargetReply::Report(report), &mut out);
+    assert_eq!(leader.targets[&key].started_at(), UnixMillis(2));
+    assert_eq!(state_of(&leader, run.task).crashes.len(), 0);
+}
--- a/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
+++ b/crates/magnoliapin_scheduler/src/leader/heartbeats.rs
@@ -200,6 +200,7 @@
     ) {
         let Some(target) = self.targets.get(&key) else { return };
         let fence = target.fence;
+        self.forget_answers_of_next(key, report);
         self.replace_by_reported(key, report.started_at, out);
         if !self.is_outdated(key, fence) {
             // An agent does not repeat the completions of a report that it has passed on.
--- a/crates/magnoliapin_scheduler/src/leader/incarnations.rs
+++ b/crates/magnoliapin_scheduler/src/leader/incarnations.rs
@@ -18,6 +18,7 @@
 use indexmap::IndexMap;
 use magnoliapin_model::Moment;
 use magnoliapin_site::CallFailure;
+use magnoliapin_site::RunReport;
 use magnoliapin_site::TargetName;
 use magnoliapin_site::TargetRecord;
 use magnoliapin_site::TargetReply;
@@ -180,6 +181,18 @@
         Some(before)
     }
 
+    /// Takes the answers to the starts of runs that only the next incarnation has listed for answers of that one.
+    pub(super) fn forget_answers_of_next(&mut self, key: TargetKey, report: &RunReport) {
+        let running = report.running.iter().map(|reported| reported.run);
+        let ended = report.completions.iter().map(|completion| completion.run);
+        for id in running.chain(ended) {
+            if let Some(run) = self.run_mut(key, id).filter(|run| !run.is_listed) {
+                run.confirmed_at = None;
+                run.has_broken_off = false;
+            }
+        }
+    }
+
     /// Keeps the runs of the incarnation before until the first report of the new one.
     fn keep_earlier_runs(&mut self, key: TargetKey, before: Target) {
         for (task, mut run) in before.runs {
