--- a/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
+++ b/crates/magnoliapin_scheduler/src/leader/crash_evidence.rs
@@ -32,7 +32,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CrashedRun {
     pub(crate) id: RunId,
-    /// Whether the target had certainly begun it.
+    /// Whether the target had certainly begun it, or it is in a row of the leader before, which tells no more.
     pub(super) is_begun: bool,
     /// Whether the target was at work on it when it ended, as far as can be told.
     pub(super) was_at_work: bool,
